--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -34,6 +34,8 @@
 		Commands: []*cli.Command{
 			daemonCommand("entry", "serve callers and operators", runEntry(errOut)),
 			daemonCommand("agent", "serve one backend server", runAgent(errOut)),
+			daemonCommand("router", "serve callers from the backend servers of a fleet", runRouter(out)),
+			daemonCommand("loader", "load and unload the models of the engine beside it", runLoader(out)),
 			daemonCommand("check", "check a settings file and exit", checkSettings(out)),
 		},
 	}
@@ -87,6 +89,18 @@
 	}
 }
 
+func runRouter(out io.Writer) cli.ActionFunc {
+	return func(ctx context.Context, cmd *cli.Command) error {
+		return daemon.RunRouter(ctx, cmd.String(settingsFlag), out)
+	}
+}
+
+func runLoader(out io.Writer) cli.ActionFunc {
+	return func(ctx context.Context, cmd *cli.Command) error {
+		return daemon.RunLoader(ctx, cmd.String(settingsFlag), out)
+	}
+}
+
 func prepare(cmd *cli.Command, s *settings.Common, errOut io.Writer) (*slog.Logger, error) {
 	if record := cmd.String("record"); record != "" {
 		s.Record = record
@@ -101,7 +115,7 @@
 		if err != nil {
 			return err
 		}
-		_, err = fmt.Fprintf(out, "%s: settings of role %s are valid\n", file, s.Shared().Role)
+		_, err = fmt.Fprintf(out, "%s: settings of role %s are valid\n", file, s.RoleName())
 		return err
 	}
 }
--- a/internal/code/code.go
+++ b/internal/code/code.go
@@ -63,6 +63,8 @@
 	BadMessage      Code = 5011 // a message could not be decoded
 	EngineNoMemory  Code = 5012 // the engine reports overcommitted memory
 	EngineNotLoaded Code = 5013 // the engine does not have the model loaded
+	// a value of the platform is malformed; the last good one stays in force
+	BadPlatformValue Code = 5014
 )
 
 // NotRun reports whether the code promises that the request did not run.
--- a/internal/code/table.go
+++ b/internal/code/table.go
@@ -69,6 +69,7 @@
 	{BadMessage, "BadMessage", 400, "a message of another process could not be decoded"},
 	{EngineNoMemory, "EngineNoMemory", 507, "the engine reports that its accelerator memory is overcommitted"},
 	{EngineNotLoaded, "EngineNotLoaded", 503, "the engine does not have the model loaded"},
+	{BadPlatformValue, "BadPlatformValue", 502, "a value of the platform is malformed; the last good one stays in force"},
 }
 
 var byCode = indexTable()
--- /dev/null
+++ b/internal/core/loading.go
@@ -0,0 +1,136 @@
+package core
+
+import "time"
+
+// Demand is a router's word to the loader beside an engine: what its requests
+// wait for and how much they use what is loaded. Each Demand replaces the one
+// before, so a lost one is mended by the next.
+type Demand struct {
+	// Instance is the engine's instance, as the router read it in the registry.
+	Instance string `cbor:"1,keyasint"`
+	// Engine is set when the router has a configuration.
+	Engine *EngineSpec `cbor:"2,keyasint,omitempty"`
+	Wants  []Want      `cbor:"3,keyasint,omitempty"`
+	Uses   []Use       `cbor:"4,keyasint,omitempty"`
+	// Permits names the models whose load from the weight store may begin.
+	// Only the coordinating router sends any.
+	Permits []string `cbor:"5,keyasint,omitempty"`
+}
+
+// EngineSpec is what a loader needs of the configuration.
+type EngineSpec struct {
+	// Version of the configuration that it comes from.
+	Version      int64       `cbor:"1,keyasint"`
+	MemoryMB     float64     `cbor:"2,keyasint"`
+	AdapterSlots int         `cbor:"3,keyasint"`
+	Models       []ModelSpec `cbor:"4,keyasint"`
+}
+
+// ModelSpec is a model's size and load times.
+type ModelSpec struct {
+	Name      string        `cbor:"1,keyasint"`
+	MemoryMB  float64       `cbor:"2,keyasint"`
+	StoreLoad time.Duration `cbor:"3,keyasint"`
+	DiskLoad  time.Duration `cbor:"4,keyasint"`
+	HostLoad  time.Duration `cbor:"5,keyasint"`
+	AdapterMB float64       `cbor:"6,keyasint,omitempty"`
+}
+
+// Want asks for a model, or for an adapter of it.
+type Want struct {
+	Model   string `cbor:"1,keyasint"`
+	Adapter string `cbor:"2,keyasint,omitempty"`
+	// Waiting is the number of the router's requests that wait for it.
+	Waiting int `cbor:"3,keyasint,omitempty"`
+	// Within is the time left until the first of them misses its objective;
+	// negative once it has.
+	Within time.Duration `cbor:"4,keyasint,omitempty"`
+	// Background wants are for requests to come. They yield to all others and
+	// evict only what is used less.
+	Background bool `cbor:"5,keyasint,omitempty"`
+}
+
+// Use tells how much a router uses a model or adapter that the engine holds.
+type Use struct {
+	Model   string `cbor:"1,keyasint"`
+	Adapter string `cbor:"2,keyasint,omitempty"`
+	// Running is the number of the router's requests that run on it here.
+	Running int `cbor:"3,keyasint,omitempty"`
+	// Rate is the router's recent arrivals per second for it, at all engines.
+	Rate float64 `cbor:"4,keyasint,omitempty"`
+	// Copies is the number of engines that hold the model, as the router knows.
+	Copies int `cbor:"5,keyasint,omitempty"`
+	// Spare says that the other copies can carry the load without this one.
+	Spare bool `cbor:"6,keyasint,omitempty"`
+}
+
+// Holdings is a loader's word to routers about its engine. Each replaces the
+// one before.
+type Holdings struct {
+	// Instance is the engine's, as far as known.
+	Instance string      `cbor:"1,keyasint"`
+	Models   []HeldModel `cbor:"2,keyasint,omitempty"`
+	// InMemory and OnDisk are copies from which a load is fast.
+	InMemory []string `cbor:"3,keyasint,omitempty"`
+	OnDisk   []string `cbor:"4,keyasint,omitempty"`
+	// FreeMB is memory for models that is not taken or promised.
+	FreeMB float64 `cbor:"5,keyasint"`
+	// FreeIn is the time until a load ordered now would begin.
+	FreeIn time.Duration `cbor:"6,keyasint"`
+	// Running, Waiting, KVUsed and KVTotal are the engine's own counts.
+	Running int `cbor:"7,keyasint"`
+	Waiting int `cbor:"8,keyasint"`
+	KVUsed  int `cbor:"9,keyasint"`
+	KVTotal int `cbor:"10,keyasint"`
+	// Draining engines are about to leave.
+	Draining bool `cbor:"11,keyasint,omitempty"`
+	// Coordinator is the router whose permits this loader follows.
+	Coordinator HostID `cbor:"12,keyasint,omitempty"`
+	// Routers is the number of routers connected.
+	Routers int `cbor:"13,keyasint"`
+	// StoreLoad is the latest load from the weight store that ended, if any.
+	StoreLoad *StoreLoadResult `cbor:"14,keyasint,omitempty"`
+}
+
+// StoreLoadResult tells how long a load from the weight store took.
+type StoreLoadResult struct {
+	// Sequence counts the loader's store loads.
+	Sequence int           `cbor:"1,keyasint"`
+	Took     time.Duration `cbor:"2,keyasint"`
+	// Nominal is the time of an undisturbed load.
+	Nominal time.Duration `cbor:"3,keyasint"`
+}
+
+// HoldState is how far a model is at an engine.
+type HoldState uint8
+
+// The states of a held model.
+const (
+	// HoldQueued models wait for their turn to load.
+	HoldQueued HoldState = iota
+	// HoldPermit models wait for a permit to load from the weight store.
+	HoldPermit
+	// HoldLoading models are being loaded from a near copy.
+	HoldLoading
+	// HoldStoreLoading models are being loaded from the weight store.
+	HoldStoreLoading
+	// HoldLoaded models take requests.
+	HoldLoaded
+	// HoldUnloading models take no new requests.
+	HoldUnloading
+)
+
+// HeldModel is one model at an engine.
+type HeldModel struct {
+	Name  string    `cbor:"1,keyasint"`
+	State HoldState `cbor:"2,keyasint"`
+	// ReadyIn predicts when the model takes requests; 0 once it does.
+	ReadyIn time.Duration `cbor:"3,keyasint,omitempty"`
+	// Adapters are those loaded.
+	Adapters []string `cbor:"4,keyasint,omitempty"`
+	// Waiting is the number of requests that wait for it, at all routers.
+	Waiting int `cbor:"5,keyasint,omitempty"`
+}
+
+func (Demand) message()   {}
+func (Holdings) message() {}
--- /dev/null
+++ b/internal/daemon/loader.go
@@ -0,0 +1,142 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"nutmeglane.example/nutmeglane/internal/clock"
+	"nutmeglane.example/nutmeglane/internal/core"
+	"nutmeglane.example/nutmeglane/internal/loader"
+	"nutmeglane.example/nutmeglane/internal/settings"
+	"nutmeglane.example/nutmeglane/internal/wire"
+	"nutmeglane.example/nutmeglane/platform"
+)
+
+// engineTimeout bounds a report or order. The engine is on the same host and
+// answers within a ms; orders whose answer is lost count as unknown after it.
+const engineTimeout = 400 * time.Millisecond
+
+// loaderProcess is a running loader.
+type loaderProcess struct {
+	*nodeProcess
+	settings *settings.Loader
+	links    *wire.Node
+	engine   *platform.EngineClient
+	// calls counts the calls to the engine that are under way.
+	calls sync.WaitGroup
+
+	mu     sync.Mutex
+	loader *loader.Loader
+	timer  *time.Timer
+}
+
+// RunLoader runs a loader until ctx ends.
+func RunLoader(ctx context.Context, file string, out io.Writer) error {
+	s, err := settings.LoadLoader(file)
+	if err != nil {
+		return err
+	}
+	node, err := newNodeProcess(&s.Node, out, slices.Concat(loader.Counters, shellCounters))
+	if err != nil {
+		return err
+	}
+	p := &loaderProcess{
+		nodeProcess: node, settings: s,
+		engine: platform.NewEngineClient(s.Engine.String(), s.Host, engineTimeout),
+		loader: loader.New(loader.Options{Host: core.HostID(s.Address)}),
+	}
+	err = p.run(ctx, file)
+	p.stopped(err)
+	return err
+}
+
+func (p *loaderProcess) run(ctx context.Context, file string) error {
+	p.log.Info("loader starting", "engine", p.settings.Engine.String(), "peers", p.settings.Peers.String())
+	p.timer = time.AfterFunc(time.Hour, func() { p.step(loader.Tick{}) })
+	p.links = p.nodeProcess.links(p.fromPeer)
+	if err := p.serve(p.settings.Peers, &http.Server{Handler: p.links.Handler(), ReadHeaderTimeout: drainTime}); err != nil {
+		return err
+	}
+	if err := p.serveOperators(p.dump, func() bool { return true }); err != nil {
+		return err
+	}
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	go p.watchSettings(background, file, func() error {
+		_, err := settings.LoadLoader(file)
+		return err
+	})
+	p.step(loader.Tick{})
+	select {
+	case err := <-p.failed:
+		return err
+	case <-ctx.Done():
+	}
+	p.log.Info("stopping")
+	// An order under way is waited for: its answer is the next loader's only
+	// in the engine's report.
+	p.calls.Wait()
+	closeNode(p.links)()
+	return nil
+}
+
+func (p *loaderProcess) step(event loader.Event) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, effect := range p.loader.Step(clock.Now(), event) {
+		p.do(effect)
+	}
+}
+
+// do carries out an effect. It holds p.mu and never blocks.
+func (p *loaderProcess) do(effect loader.Effect) {
+	switch e := effect.(type) {
+	case loader.ReadReport:
+		p.calls.Go(func() {
+			report, err := p.engine.Report(context.Background())
+			p.step(loader.ReportRead{Report: report, Err: err})
+		})
+	case loader.SendOrder:
+		p.calls.Go(func() {
+			result, instance, err := p.engine.Order(context.Background(), e.Order)
+			p.step(loader.OrderDone{Order: e.Order, Result: result, Instance: instance, Err: err})
+		})
+	case loader.Tell:
+		p.links.Do(core.Send{To: e.Router, Message: e.Holdings})
+	case loader.Wake:
+		p.timer.Reset(max(0, clock.Until(e.At)))
+	case loader.Log:
+		p.log.LogAttrs(context.Background(), slog.LevelInfo, e.Message, e.Attrs...)
+	case loader.Count:
+		p.metrics.Do(core.Count{Name: e.Name, Labels: e.Labels, Add: 1})
+	case loader.Observe:
+		p.metrics.Do(core.Observe{Name: e.Name, Labels: e.Labels, Value: e.Value})
+	}
+}
+
+// fromPeer feeds what routers say to the reducer.
+func (p *loaderProcess) fromPeer(event core.Event) {
+	switch e := event.(type) {
+	case core.PeerUp:
+		p.step(loader.RouterUp{Router: e.Peer})
+	case core.PeerDown:
+		p.step(loader.RouterDown{Router: e.Peer})
+	case core.Received:
+		if demand, ok := e.Message.(core.Demand); ok {
+			p.step(loader.RouterSaid{Router: e.From, Demand: demand})
+		}
+	}
+}
+
+func (p *loaderProcess) dump() any {
+	p.mu.Lock()
+	state := map[string]any{"loader": dumpAny(p.loader.Dump())}
+	p.mu.Unlock()
+	state["connections"] = p.links.Dump()
+	return state
+}
--- /dev/null
+++ b/internal/daemon/node.go
@@ -0,0 +1,183 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"math"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"nutmeglane.example/nutmeglane/internal/core"
+	"nutmeglane.example/nutmeglane/internal/settings"
+	"nutmeglane.example/nutmeglane/internal/telemetry"
+	"nutmeglane.example/nutmeglane/internal/wire"
+)
+
+const (
+	// collectAt is the growth of the heap, in percent, that starts a garbage
+	// collection. Half of Go's default: these processes are priced by their
+	// memory, and allocate little.
+	collectAt = 50
+	// memoryShare of the limit is where the collector works harder; the rest
+	// is for what it does not count.
+	memoryShare = 0.8
+	// peerPing is the time between pings. Holdings and demands come more often
+	// and show earlier that a connection is silent.
+	peerPing = 5 * time.Second
+	// peerDial bounds a dial of a loader.
+	peerDial = time.Second
+	// settingsPoll is the time between two looks at the settings file, which
+	// may change without a signal.
+	settingsPoll = 2 * time.Second
+	// logLimit bounds writing the last log lines.
+	logLimit = 200 * time.Millisecond
+)
+
+// nodeProcess is what routers and loaders have in common.
+type nodeProcess struct {
+	settings *settings.Node
+	ring     *telemetry.Ring
+	// log takes lines about the process, requests those about single requests.
+	log, requests *slog.Logger
+	metrics       *telemetry.Metrics
+	failed        chan error
+}
+
+func newNodeProcess(s *settings.Node, out io.Writer, counters []core.CounterDef) (*nodeProcess, error) {
+	debug.SetGCPercent(collectAt)
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(s.MemoryMB * memoryShare * (1 << 20)))
+	}
+	p := &nodeProcess{settings: s, ring: telemetry.NewRing(out), failed: make(chan error, 4)}
+	var err error
+	if p.log, err = telemetry.NewLogger(p.ring, s.Log); err != nil {
+		return nil, err
+	}
+	if p.requests, err = telemetry.NewLogger(p.ring.Requests(), s.Log); err != nil {
+		return nil, err
+	}
+	p.log, p.requests = p.log.With("host", s.Host), p.requests.With("host", s.Host)
+	p.metrics, err = telemetry.NewMetrics(p.log, counters)
+	return p, err
+}
+
+// serve runs an HTTP server until it is closed.
+func (p *nodeProcess) serve(address netip.AddrPort, server *http.Server) error {
+	l, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", address)
+	}
+	p.serveOn(l, server)
+	return nil
+}
+
+func (p *nodeProcess) serveOn(l net.Listener, server *http.Server) {
+	if server.ErrorLog == nil {
+		// Broken connections of callers are many and change no state.
+		server.ErrorLog = slog.NewLogLogger(p.log.Handler(), slog.LevelDebug)
+	}
+	go func() {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			p.failed <- errors.Wrapf(err, "serve on %s", l.Addr())
+		}
+	}()
+}
+
+// serveOperators serves metrics and the state dump.
+func (p *nodeProcess) serveOperators(dump func() any, ready func() bool) error {
+	handler := p.metrics.Handler(dump, ready)
+	return p.serve(p.settings.Operators, &http.Server{Handler: handler, ReadHeaderTimeout: drainTime})
+}
+
+// links returns the node's connections to peers. Events reach post from one
+// goroutine, in order.
+func (p *nodeProcess) links(post func(core.Event)) *wire.Node {
+	queue := make(chan core.Event, peerQueue)
+	go func() {
+		for event := range queue {
+			post(event)
+		}
+	}()
+	return wire.New(wire.Options{
+		Host: core.HostID(p.settings.Address), Incarnation: core.Incarnation(randomUint64()),
+		PingInterval: peerPing, DialTimeout: peerDial,
+		Metrics: newWireMetrics(p.metrics.Registry()), Log: p.log,
+	}, func(event core.Event) { queue <- event })
+}
+
+// peerQueue is the number of messages of peers that wait. A peer that sends
+// faster waits in its connection.
+const peerQueue = 256
+
+// watchSettings calls reload after SIGHUP and after a change of the file.
+func (p *nodeProcess) watchSettings(ctx context.Context, file string, reload func() error) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	ticker := time.NewTicker(settingsPoll)
+	defer ticker.Stop()
+	last := modified(file)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+		case <-ticker.C:
+			if modified(file).Equal(last) {
+				continue
+			}
+		}
+		last = modified(file)
+		if err := reload(); err != nil {
+			p.log.Error("settings not reloaded; the old ones stay", "file", file, "error", err.Error())
+			continue
+		}
+		p.log.Info("settings reloaded", "file", file)
+	}
+}
+
+func modified(file string) time.Time {
+	info, err := os.Stat(file)
+	if err != nil {
+		return time.Time{} // a file that is gone is read, and reported, on reload
+	}
+	return info.ModTime()
+}
+
+// stopped logs the end of the process and writes the last lines.
+func (p *nodeProcess) stopped(cause error) {
+	if cause != nil {
+		p.log.Error("stopped", "error", cause.Error())
+	} else {
+		p.log.Info("stopped")
+	}
+	p.ring.Close(logLimit)
+}
+
+// dumpAny makes a value that only JSON can show readable in a state dump.
+func dumpAny(value any) any {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return err.Error()
+	}
+	return json.RawMessage(data)
+}
+
+// timeLeft is a context's time until its deadline.
+func timeLeft(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return math.MaxInt64
+	}
+	return time.Until(deadline)
+}
--- /dev/null
+++ b/internal/fleet/backend.go
@@ -0,0 +1,93 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"nutmeglane.example/nutmeglane/internal/core"
+)
+
+// Backend is a backend server as the platform's registry lists it. The
+// registry lags by up to a heartbeat, and holds servers that died a few
+// heartbeats ago.
+type Backend struct {
+	// Instance identifies one life of the server; a restart has another.
+	Instance string
+	Service  string
+	// Address is "IP:port". It may belong to another instance later.
+	Address string
+	Zone    core.Zone
+	// Slots is the number of requests that run at once.
+	Slots int
+	// Draining servers are about to leave and take no new requests.
+	Draining bool
+	// SlowFor is how much longer the server is slow after its start.
+	SlowFor time.Duration
+	// Models are those loaded at the last heartbeat; empty for plain services.
+	Models []LoadedModel
+}
+
+// LoadedModel is a model in an engine's memory, with its loaded adapters.
+type LoadedModel struct {
+	Name     string
+	Adapters []string
+}
+
+// HasAdapter reports whether an adapter is loaded; "" always is.
+func (m LoadedModel) HasAdapter(adapter string) bool {
+	return adapter == "" || slices.Contains(m.Adapters, adapter)
+}
+
+// Request is what routing needs to know of a caller's request.
+type Request struct {
+	// ID is the caller's, one for each of its attempts.
+	ID string
+	// Host and Path select the route.
+	Host, Path string
+	// Deadline is how long the caller waits, 0 if it did not say.
+	Deadline time.Duration
+	// Prompt is nil for requests to plain services.
+	Prompt *Prompt
+}
+
+// Prompt is what a caller tells about a generation.
+type Prompt struct {
+	Model string
+	// Adapter is "" for the base model.
+	Adapter string
+	// Tokens is the length of the prompt, MaxNewTokens the most to generate.
+	Tokens, MaxNewTokens int
+	// Parts are the prompt's pieces in order. Other requests may share all
+	// but the last.
+	Parts []PromptPart
+}
+
+// PromptPart is a piece of a prompt that engines may have cached.
+type PromptPart struct {
+	ID     string
+	Tokens int
+}
+
+// SharedTokens is the number of prompt tokens in parts that others may share.
+func (p *Prompt) SharedTokens() int {
+	if len(p.Parts) == 0 {
+		return 0
+	}
+	total := 0
+	for _, part := range p.Parts[:len(p.Parts)-1] {
+		total += part.Tokens
+	}
+	return total
+}
+
+// Answer is the head of a backend server's answer.
+type Answer struct {
+	Status int
+	// NotRun is the server's word that the request did not run and never will.
+	NotRun bool
+	// Load is set where the server tells it.
+	Load *Load
+}
+
+// Load is a backend server's own count of its requests.
+type Load struct{ Running, Waiting, Slots int }
--- /dev/null
+++ b/internal/loader/decide.go
@@ -0,0 +1,270 @@
+package loader
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"nutmeglane.example/nutmeglane/internal/core"
+	"nutmeglane.example/nutmeglane/internal/fleet"
+)
+
+const (
+	// adaptersComing is how many adapters may be on their way to one engine.
+	adaptersComing = 4
+	// backgroundEvicts is the rate of requests per second below which a loaded
+	// model may be evicted for one that nobody waits for yet. A model called
+	// more often would be missed sooner than the other is called.
+	backgroundEvicts = 0.5
+	// evictTime is what it takes to evict an idle model: an order, its answer
+	// and a report.
+	evictTime = 30 * time.Millisecond
+)
+
+// modelKey names a model, or an adapter of it.
+type modelKey struct{ model, adapter string }
+
+// wanted is what all routers together want of a model or adapter.
+type wanted struct {
+	modelKey
+	waiting    int
+	background bool
+	permitted  bool
+	// within is the time left until the first request misses its objective.
+	within time.Duration
+}
+
+// used is how much all routers together use a loaded model or adapter.
+type used struct {
+	running int
+	rate    float64
+	copies  int
+	spare   bool
+}
+
+func splitName(name string) (model, adapter string) {
+	model, adapter, _ = strings.Cut(name, "/")
+	return model, adapter
+}
+
+// act sends the next order, if one is due. One order is under way at a time:
+// each is decided on a report that is newer than the one before.
+func (l *Loader) act() {
+	if l.ordering || l.now < l.nextOrder || l.spec == nil || l.engine.report == nil ||
+		l.readAt < l.acceptedAt || l.reading && l.readAt == l.acceptedAt || l.engine.report.Draining {
+		return
+	}
+	wants, uses := l.wants(), l.uses()
+	if order := l.adapterOrder(wants, uses); order != nil {
+		l.order(*order)
+		return
+	}
+	if l.task != nil || l.engine.report.Busy {
+		return
+	}
+	if order := l.modelOrder(wants, uses); order != nil {
+		l.order(*order)
+	}
+}
+
+func (l *Loader) order(order fleet.Order) {
+	order.Sequence = l.engine.report.Sequence
+	order.Instance = l.engine.instance
+	l.ordering = true
+	l.emit(SendOrder{Order: order})
+}
+
+// wants merges what routers want, most urgent first.
+func (l *Loader) wants() []wanted {
+	merged := map[modelKey]*wanted{}
+	permits := map[string]bool{}
+	for _, name := range slices.Sorted(maps.Keys(l.routers)) {
+		r := l.routers[name]
+		for _, w := range r.demand.Wants {
+			l.mergeWant(merged, w, l.now.Sub(r.heardAt))
+		}
+		if name == l.coordinator() {
+			for _, model := range r.demand.Permits {
+				permits[model] = true
+			}
+		}
+	}
+	var wants []wanted
+	for _, w := range merged {
+		w.permitted = permits[w.model]
+		wants = append(wants, *w)
+	}
+	slices.SortFunc(wants, l.compareWants)
+	return wants
+}
+
+func (l *Loader) mergeWant(merged map[modelKey]*wanted, w core.Want, age time.Duration) {
+	if _, known := l.spec.models[w.Model]; !known {
+		return
+	}
+	key := modelKey{w.Model, w.Adapter}
+	m := merged[key]
+	if m == nil {
+		m = &wanted{modelKey: key, background: true, within: time.Hour}
+		merged[key] = m
+	}
+	m.waiting += w.Waiting
+	m.background = m.background && w.Background
+	m.within = min(m.within, w.Within-age)
+}
+
+// compareWants orders wants. What requests wait for goes before what is loaded
+// ahead; near copies go before the weight store, because a store load takes
+// the engine's only place for an order for as long as many near ones; then the
+// one whose objective is missed first.
+func (l *Loader) compareWants(a, b wanted) int {
+	return cmp.Or(
+		compareBool(a.background, b.background),
+		compareBool(l.tierOf(a.model) == tierStore, l.tierOf(b.model) == tierStore),
+		cmp.Compare(a.within, b.within),
+		cmp.Compare(a.model, b.model),
+		cmp.Compare(a.adapter, b.adapter),
+	)
+}
+
+// compareBool puts false first.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
+func (l *Loader) uses() map[modelKey]used {
+	uses := map[modelKey]used{}
+	for _, r := range l.routers {
+		for _, u := range r.demand.Uses {
+			key := modelKey{u.Model, u.Adapter}
+			sum, seen := uses[key]
+			sum.running += u.Running
+			sum.rate += u.Rate
+			sum.copies = max(sum.copies, u.Copies)
+			sum.spare = u.Spare && (sum.spare || !seen)
+			uses[key] = sum
+		}
+	}
+	return uses
+}
+
+// adapterOrder returns the next order for an adapter, nil if none is due.
+func (l *Loader) adapterOrder(wants []wanted, uses map[modelKey]used) *fleet.Order {
+	for _, w := range wants {
+		if w.adapter == "" {
+			continue
+		}
+		base := l.findLoaded(w.model)
+		if base == nil || base.HasAdapter(w.adapter) || l.isComing(w.modelKey) || l.isUnloading(w.model) {
+			continue
+		}
+		if len(l.engine.report.Coming) >= adaptersComing {
+			return nil
+		}
+		if l.adapterCount() < l.spec.adapterSlots && l.freeMB() >= l.spec.models[w.model].AdapterMB {
+			return &fleet.Order{Kind: fleet.OrderLoad, Model: w.model, Adapter: w.adapter}
+		}
+		if victim := l.adapterVictim(wants, uses); victim != nil {
+			return &fleet.Order{Kind: fleet.OrderUnload, Model: victim.model, Adapter: victim.adapter}
+		}
+	}
+	return nil
+}
+
+func (l *Loader) isComing(key modelKey) bool {
+	return slices.Contains(l.engine.report.Coming, key.model+"/"+key.adapter)
+}
+
+func (l *Loader) isUnloading(model string) bool {
+	return l.task != nil && l.task.order.Kind == fleet.OrderUnload && l.task.order.Model == model
+}
+
+// adapterVictim returns the least used adapter that nobody uses or wants.
+func (l *Loader) adapterVictim(wants []wanted, uses map[modelKey]used) *modelKey {
+	var victim *modelKey
+	least := 0.0
+	for _, m := range l.engine.report.Models {
+		for _, adapter := range m.Adapters {
+			key := modelKey{m.Name, adapter}
+			if uses[key].running > 0 || isWanted(wants, key) {
+				continue
+			}
+			if victim == nil || uses[key].rate < least {
+				victim, least = &key, uses[key].rate
+			}
+		}
+	}
+	return victim
+}
+
+func isWanted(wants []wanted, key modelKey) bool {
+	return slices.ContainsFunc(wants, func(w wanted) bool { return w.modelKey == key && !w.background })
+}
+
+// modelOrder returns the next order for a model, nil if none is due.
+func (l *Loader) modelOrder(wants []wanted, uses map[modelKey]used) *fleet.Order {
+	for _, w := range wants {
+		if w.adapter != "" || l.findLoaded(w.model) != nil {
+			continue
+		}
+		if l.tierOf(w.model) == tierStore && !w.permitted {
+			continue
+		}
+		need := l.spec.models[w.model].MemoryMB - l.freeMB()
+		if need <= 0 {
+			return &fleet.Order{Kind: fleet.OrderLoad, Model: w.model}
+		}
+		if victim := l.victim(w, wants, uses, need); victim != "" {
+			return &fleet.Order{Kind: fleet.OrderUnload, Model: victim}
+		}
+	}
+	return nil
+}
+
+// victim returns the loaded model to evict next for a want, "" if the room
+// can't be made now. An idle one goes first: the engine lets running requests
+// end before it unloads, and takes no other order meanwhile.
+func (l *Loader) victim(w wanted, wants []wanted, uses map[modelKey]used, need float64) string {
+	var candidates []fleet.LoadedModel
+	room := 0.0
+	for _, m := range l.engine.report.Models {
+		use := uses[modelKey{model: m.Name}]
+		if l.wantedWith(wants, m.Name) || w.background && (use.running > 0 || !use.spare && use.rate > backgroundEvicts) {
+			continue
+		}
+		candidates = append(candidates, m)
+		room += l.sizeOf(m)
+	}
+	if room < need {
+		return ""
+	}
+	slices.SortFunc(candidates, func(a, b fleet.LoadedModel) int {
+		return compareVictims(l, a, b, uses[modelKey{model: a.Name}], uses[modelKey{model: b.Name}], need)
+	})
+	return candidates[0].Name
+}
+
+func compareVictims(l *Loader, a, b fleet.LoadedModel, useA, useB used, need float64) int {
+	return cmp.Or(
+		compareBool(useA.running > 0, useB.running > 0),
+		compareBool(!useA.spare, !useB.spare),
+		// One that is large enough by itself saves a second eviction.
+		compareBool(l.sizeOf(a) < need, l.sizeOf(b) < need),
+		cmp.Compare(useA.rate, useB.rate),
+		cmp.Compare(a.Name, b.Name),
+	)
+}
+
+// wantedWith tells whether requests wait for the model or one of its adapters.
+func (l *Loader) wantedWith(wants []wanted, model string) bool {
+	return slices.ContainsFunc(wants, func(w wanted) bool { return w.model == model && !w.background })
+}
--- /dev/null
+++ b/internal/loader/dump.go
@@ -0,0 +1,32 @@
+package loader
+
+import (
+	"maps"
+	"slices"
+
+	"nutmeglane.example/nutmeglane/internal/core"
+	"nutmeglane.example/nutmeglane/internal/fleet"
+)
+
+// State is the dump of a loader.
+type State struct {
+	Instance string
+	Report   *fleet.Report
+	Ordering bool
+	// Task is the order for a model under way, "" without one.
+	Task    string
+	Routers []core.HostID
+	Told    core.Holdings
+}
+
+// Dump returns the state between two steps.
+func (l *Loader) Dump() State {
+	state := State{
+		Instance: l.engine.instance, Report: l.engine.report, Ordering: l.ordering,
+		Routers: slices.Sorted(maps.Keys(l.routers)), Told: l.told.holdings,
+	}
+	if l.task != nil {
+		state.Task = l.task.order.Kind.String() + " " + l.task.order.Model
+	}
+	return state
+}
--- /dev/null
+++ b/internal/loader/event.go
@@ -0,0 +1,105 @@
+package loader
+
+import (
+	"log/slog"
+
+	"nutmeglane.example/nutmeglane/internal/core"
+	"nutmeglane.example/nutmeglane/internal/fleet"
+)
+
+// Event is an input of the reducer.
+type Event interface{ event() }
+
+// Tick tells that a time asked for by Wake has come.
+type Tick struct{}
+
+// ReportRead is the engine's state, or the reason why it could not be read.
+type ReportRead struct {
+	Report fleet.Report
+	Err    error
+}
+
+// OrderDone is what became of an order.
+type OrderDone struct {
+	Order  fleet.Order
+	Result fleet.OrderResult
+	// Instance is the engine's own name for itself, "" if it did not tell.
+	Instance string
+	Err      error
+}
+
+// RouterUp and RouterDown report the connection to a router.
+type (
+	RouterUp   struct{ Router core.HostID }
+	RouterDown struct{ Router core.HostID }
+)
+
+// RouterSaid is a message from a router.
+type RouterSaid struct {
+	Router core.HostID
+	Demand core.Demand
+}
+
+func (Tick) event()       {}
+func (ReportRead) event() {}
+func (OrderDone) event()  {}
+func (RouterUp) event()   {}
+func (RouterDown) event() {}
+func (RouterSaid) event() {}
+
+// Effect is an output of the reducer.
+type Effect interface{ effect() }
+
+// ReadReport asks for the engine's state. ReportRead follows.
+type ReadReport struct{}
+
+// SendOrder sends an order. OrderDone follows.
+type SendOrder struct{ Order fleet.Order }
+
+// Tell sends a message to a router.
+type Tell struct {
+	Router   core.HostID
+	Holdings core.Holdings
+}
+
+// Wake asks for a Tick in place of the one asked for before.
+type Wake struct{ At core.Time }
+
+// Log is a line for operators.
+type Log struct {
+	Message string
+	Attrs   []slog.Attr
+}
+
+// Count adds one to a counter.
+type Count struct {
+	Name   core.Counter
+	Labels []string
+}
+
+// Observe adds a value to a histogram.
+type Observe struct {
+	Name   core.Counter
+	Labels []string
+	Value  float64
+}
+
+func (ReadReport) effect() {}
+func (SendOrder) effect()  {}
+func (Tell) effect()       {}
+func (Wake) effect()       {}
+func (Log) effect()        {}
+func (Count) effect()      {}
+func (Observe) effect()    {}
+
+// The metrics of a loader.
+const (
+	metricOrders      core.Counter = "loader_orders_total"
+	metricLoadSeconds core.Counter = "loader_load_seconds"
+)
+
+// Counters declares the metrics of a loader.
+var Counters = []core.CounterDef{
+	{Name: metricOrders, Help: "Orders to the engine by kind and result.", Labels: []string{"kind", "result"}},
+	{Name: metricLoadSeconds, Help: "Time of a model's load by where its copy lay.", Labels: []string{"tier"}},
+}
--- /dev/null
+++ b/internal/loader/tell.go
@@ -0,0 +1,129 @@
+package loader
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"nutmeglane.example/nutmeglane/internal/core"
+	"nutmeglane.example/nutmeglane/internal/fleet"
+)
+
+// overdueShare is the part of a load's nominal time that is predicted as left
+// once the load is overdue.
+const overdueShare = 0.15
+
+// tellRouters tells routers of a change of what is held at once, of counts
+// after a while, and in any case at each heartbeat.
+func (l *Loader) tellRouters() {
+	if len(l.routers) == 0 {
+		return
+	}
+	holdings := l.holdings()
+	since := l.now.Sub(l.told.at)
+	changed := !sameShape(holdings, l.told.holdings)
+	counts := since >= countsInterval && !sameCounts(holdings, l.told.holdings)
+	all := changed || counts || since >= HeartbeatInterval
+	if all {
+		l.told.holdings, l.told.at = holdings, l.now
+		clear(l.told.known)
+	}
+	for _, name := range slices.Sorted(maps.Keys(l.routers)) {
+		if !l.told.known[name] {
+			l.told.known[name] = true
+			l.emit(Tell{Router: name, Holdings: holdings})
+		}
+	}
+}
+
+// sameShape compares what routers act on at once.
+func sameShape(a, b core.Holdings) bool {
+	sameModel := func(x, y core.HeldModel) bool {
+		return x.Name == y.Name && x.State == y.State && slices.Equal(x.Adapters, y.Adapters)
+	}
+	sameResult := a.StoreLoad == b.StoreLoad || a.StoreLoad != nil && b.StoreLoad != nil && *a.StoreLoad == *b.StoreLoad
+	return a.Instance == b.Instance && a.Draining == b.Draining && a.Coordinator == b.Coordinator &&
+		a.Routers == b.Routers && (a.FreeIn == 0) == (b.FreeIn == 0) && sameResult &&
+		slices.EqualFunc(a.Models, b.Models, sameModel) &&
+		slices.Equal(a.InMemory, b.InMemory) && slices.Equal(a.OnDisk, b.OnDisk)
+}
+
+func sameCounts(a, b core.Holdings) bool {
+	return a.Running == b.Running && a.Waiting == b.Waiting && a.KVUsed == b.KVUsed
+}
+
+// holdings describes the engine to routers.
+func (l *Loader) holdings() core.Holdings {
+	h := core.Holdings{
+		Instance: l.engine.instance, Coordinator: l.coordinator(), Routers: len(l.routers), StoreLoad: l.lastStore,
+	}
+	report := l.engine.report
+	if report == nil || l.spec == nil {
+		// Nothing can be sent to an engine that does not answer or is not
+		// configured.
+		h.Draining = report == nil && l.engine.failed >= failedReads
+		return h
+	}
+	h.InMemory, h.OnDisk = report.InMemory, report.OnDisk
+	h.Running, h.Waiting, h.KVUsed, h.KVTotal = report.Running, report.Waiting, report.KVUsed, report.KVTotal
+	h.Draining = report.Draining
+	h.FreeMB = l.freeMB()
+	for _, m := range report.Models {
+		held := core.HeldModel{Name: m.Name, State: core.HoldLoaded, Adapters: m.Adapters}
+		if l.isUnloading(m.Name) {
+			held.State = core.HoldUnloading
+		}
+		h.Models = append(h.Models, held)
+	}
+	l.addWanted(&h)
+	return h
+}
+
+// addWanted adds what is loading and what waits for it, with the predicted
+// times.
+func (l *Loader) addWanted(h *core.Holdings) {
+	at := l.taskLeft()
+	if t := l.task; t != nil && t.order.Kind == fleet.OrderLoad && l.findLoaded(t.order.Model) == nil {
+		state := core.HoldLoading
+		if t.tier == tierStore {
+			state = core.HoldStoreLoading
+		}
+		h.Models = append(h.Models, core.HeldModel{Name: t.order.Model, State: state, ReadyIn: at})
+		h.FreeMB -= l.spec.models[t.order.Model].MemoryMB
+	}
+	for _, w := range l.wants() {
+		if w.adapter != "" || findModel(h, w.model) {
+			continue
+		}
+		held := core.HeldModel{Name: w.model, State: core.HoldQueued, Waiting: w.waiting}
+		load := l.loadTime(w.model)
+		if l.tierOf(w.model) == tierStore {
+			// It takes its turn only with a permit, so it holds up nothing.
+			held.State, held.ReadyIn = core.HoldPermit, at+load
+		} else {
+			at += load + evictTime
+			held.ReadyIn = at
+		}
+		h.Models = append(h.Models, held)
+	}
+	h.FreeIn = at
+}
+
+func findModel(h *core.Holdings, model string) bool {
+	return slices.ContainsFunc(h.Models, func(m core.HeldModel) bool { return m.Name == model })
+}
+
+// taskLeft predicts how long the engine is still busy.
+func (l *Loader) taskLeft() time.Duration {
+	t := l.task
+	if t == nil {
+		return 0
+	}
+	if l.now < t.due {
+		return t.due.Sub(l.now)
+	}
+	if t.order.Kind == fleet.OrderUnload {
+		return busyRead
+	}
+	return time.Duration(overdueShare * float64(l.loadTime(t.order.Model)))
+}
--- /dev/null
+++ b/internal/router/backend.go
@@ -0,0 +1,193 @@
+package router
+
+import (
+	"time"
+
+	"nutmeglane.example/nutmeglane/internal/core"
+	"nutmeglane.example/nutmeglane/internal/fleet"
+)
+
+const (
+	// holdingsFresh is how long a loader's word counts. Loaders speak at least
+	// every loader.HeartbeatInterval (1 s), so two may be lost.
+	holdingsFresh = 3 * time.Second
+	// loadFresh is how long the load told by a server counts beside our own
+	// count; a plain request takes some 30 ms, so that older ones say nothing.
+	loadFresh = time.Second
+	// smoothing is the weight of a new sample in moving averages: about the
+	// last ten count.
+	smoothing = 0.2
+	// firstGuess is the latency of a server that has answered nothing yet.
+	firstGuess = 50 * time.Millisecond
+	// ejectAfter failures in a row, a server gets no requests for a time that
+	// begins with ejectFirst and doubles up to ejectLongest. One failure is no
+	// sign yet: with 2 % lost answers three in a row come once in 125,000.
+	ejectAfter   = 3
+	ejectFirst   = 500 * time.Millisecond
+	ejectLongest = 8 * time.Second
+	// suspectAfter is how many usual latencies the oldest request may wait for
+	// its answer before the server counts as slower by that wait; the least is
+	// suspectLeast, so that jitter of fast servers does not count.
+	suspectAfter = 4
+	suspectLeast = 150 * time.Millisecond
+)
+
+// backend is what a router knows of one backend server.
+type backend struct {
+	fleet.Backend
+	// unlistedAt is when the registry dropped the server, 0 while listed.
+	unlistedAt core.Time
+	// lapsed servers were dropped by the registry around an outage of the
+	// store and may register again.
+	lapsed bool
+	// replaced servers had an address that another instance has now.
+	replaced bool
+	loader   *loader
+	// sent are requests under way here, with the time they were sent.
+	sent map[Key]*attempt
+	// promptTokens are those of requests without a first event.
+	promptTokens int
+
+	latency time.Duration
+	// failing is the moving share of requests that the server failed, 0 to 1.
+	failing float64
+	// failures in a row, and until when the server is left out for them.
+	failures     int
+	ejectedUntil core.Time
+
+	load    *fleet.Load
+	loadAt  core.Time
+	loadOwn int
+}
+
+// attempt is one request at one server.
+type attempt struct {
+	at     core.Time
+	tokens int
+	// answered is set at the first byte that counts: the head, or the first
+	// event of a stream.
+	answered bool
+}
+
+// draining reports whether the server, by the registry or its loader, leaves.
+func (r *Router) draining(b *backend) bool {
+	if b.Draining {
+		return true
+	}
+	held := r.holdings(b)
+	return held != nil && held.Draining
+}
+
+// usable servers may get requests.
+func (r *Router) usable(b *backend) bool {
+	return b.unlistedAt == 0 && !r.draining(b) && r.now >= b.ejectedUntil
+}
+
+// holdings returns the loader's word on an engine, nil without a fresh one.
+func (r *Router) holdings(b *backend) *core.Holdings {
+	l := b.loader
+	if l == nil || !l.up || l.holdings == nil || r.now.Sub(l.heardAt) > holdingsFresh {
+		return nil
+	}
+	return l.holdings
+}
+
+// loaded reports whether an engine has the model loaded, and the adapter.
+func (r *Router) loaded(b *backend, model, adapter string) (hasModel, hasAdapter bool) {
+	if held := r.holdings(b); held != nil {
+		m := findHeld(held, model)
+		if m == nil || m.State != core.HoldLoaded {
+			return false, false
+		}
+		return true, fleet.LoadedModel{Adapters: m.Adapters}.HasAdapter(adapter)
+	}
+	// Without the loader's word the registry's is the best there is. It is up
+	// to two heartbeats old; a wrong one costs an attempt, which the engine
+	// refuses as not run.
+	for _, m := range b.Models {
+		if m.Name == model {
+			return true, m.HasAdapter(adapter)
+		}
+	}
+	return false, false
+}
+
+func findHeld(held *core.Holdings, model string) *core.HeldModel {
+	for i := range held.Models {
+		if held.Models[i].Name == model {
+			return &held.Models[i]
+		}
+	}
+	return nil
+}
+
+// outstanding is the number of requests at a server, those of other routers
+// included as far as they are known.
+func (r *Router) outstanding(b *backend) int {
+	own := len(b.sent)
+	others := 0
+	if held := r.holdings(b); held != nil {
+		others = held.Running + held.Waiting - b.loader.ownThen
+	} else if b.load != nil && r.now.Sub(b.loadAt) < loadFresh {
+		others = b.load.Running + b.load.Waiting - b.loadOwn
+	}
+	return own + max(0, others)
+}
+
+// usual is the server's usual latency.
+func (r *Router) usual(b *backend) time.Duration {
+	if b.latency > 0 {
+		return b.latency
+	}
+	if s := r.services[b.Service]; s != nil && s.latency > 0 {
+		return s.latency
+	}
+	return firstGuess
+}
+
+// oldestWait is how long the oldest request at a server has waited for its
+// first answer.
+func (r *Router) oldestWait(b *backend) time.Duration {
+	oldest := time.Duration(0)
+	for _, a := range b.sent {
+		if !a.answered {
+			oldest = max(oldest, r.now.Sub(a.at))
+		}
+	}
+	return oldest
+}
+
+func (r *Router) succeeded(b *backend, latency time.Duration) {
+	b.failures = 0
+	b.failing -= b.failing * smoothing
+	b.latency = average(b.latency, latency)
+	if s := r.services[b.Service]; s != nil {
+		s.latency = average(s.latency, latency)
+	}
+}
+
+func average(old, sample time.Duration) time.Duration {
+	if old == 0 {
+		return sample
+	}
+	return old + time.Duration(smoothing*float64(sample-old))
+}
+
+// failed counts a failure of a server and leaves it out after several.
+//
+// It guards against a grey failure: a server whose registry entry and health
+// check are good, but that fails what it gets. It shows as failures in a row
+// at one server only. Leaving it out for longer each time keeps what it still
+// spoils to one request a period, and lets it back once it works.
+func (r *Router) failed(b *backend, failure Failure, cause string) {
+	b.failing += (1 - b.failing) * smoothing
+	b.failures++
+	if b.failures < ejectAfter && failure != NotSent {
+		return
+	}
+	doublings := max(0, min(b.failures-ejectAfter, 4))
+	period := min(ejectLongest, ejectFirst<<doublings)
+	b.ejectedUntil = r.now.Add(period)
+	r.log(Belief, "backend server left out", b.attrs(
+		"failures", b.failures, "failure", failure.String(), "cause", cause, "for", period.String())...)
+}
--- /dev/null
+++ b/internal/router/budget.go
@@ -0,0 +1,58 @@
+package router
+
+import (
+	"time"
+
+	"nutmeglane.example/nutmeglane/internal/core"
+)
+
+// budgetBuckets is how finely a window is counted. A bucket that has partly
+// left the window is still counted, so a finer count allows more.
+const budgetBuckets = 20
+
+// budget bounds the repeats to one service. It answers a retry storm: when
+// servers fail, each failed attempt would be sent again, and the servers that
+// are left get a multiple of the load just when there are fewer of them. With
+// it they get at most ratio x requests + slack more.
+//
+// Routers share the bound without asking each other: each takes the ratio of
+// its own requests and an even part of the slack.
+type budget struct {
+	requests, repeats [budgetBuckets]int
+	current           int64
+}
+
+// advance moves the window to now.
+func (b *budget) advance(now core.Time, window time.Duration) {
+	step := int64(window) / budgetBuckets
+	if step <= 0 {
+		return
+	}
+	bucket := int64(now) / step
+	for skipped := 0; b.current < bucket && skipped < budgetBuckets; skipped++ {
+		b.current++
+		b.requests[b.current%budgetBuckets] = 0
+		b.repeats[b.current%budgetBuckets] = 0
+	}
+	b.current = bucket
+}
+
+func (b *budget) request(now core.Time, window time.Duration) {
+	b.advance(now, window)
+	b.requests[b.current%budgetBuckets]++
+}
+
+// take takes one repeat if the budget has one.
+func (b *budget) take(now core.Time, window time.Duration, ratio, slack float64) bool {
+	b.advance(now, window)
+	requests, repeats := 0, 0
+	for i := range budgetBuckets {
+		requests += b.requests[i]
+		repeats += b.repeats[i]
+	}
+	if float64(repeats+1) > ratio*float64(requests)+slack {
+		return false
+	}
+	b.repeats[b.current%budgetBuckets]++
+	return true
+}
--- /dev/null
+++ b/internal/router/coordinate.go
@@ -0,0 +1,369 @@
+package router
+
+import (
+	"cmp"
+	"log/slog"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"nutmeglane.example/nutmeglane/internal/core"
+	"nutmeglane.example/nutmeglane/internal/fleet"
+)
+
+// This file shares out loads from the weight store. It answers this pattern:
+// many rare models wake up at once, and the store reads a few checkpoints at
+// full speed but slows all of them down when there are more. Were each engine
+// to load on its own, twelve loads of 6 s at a store that serves four at a time
+// would all take 18 s. In order they end four by four, after 6, 12 and 18 s: the
+// same store, but callers wait 12 s on average.
+//
+// One router coordinates. Each loader follows the connected router of the
+// lowest name, so that no election and no call to the platform's store is
+// needed. While two routers coordinate, after a cut, more loads begin than
+// serve best, which costs time and breaks no promise.
+
+const (
+	// planInterval is the time between two plans of background loads.
+	planInterval = 250 * time.Millisecond
+	// firstStoreLimit is how many store loads may run before any was measured.
+	// It is low since the first load shows how many the store can take, and
+	// too many make all of them late.
+	firstStoreLimit = 2
+	// undisturbed and disturbed are the ratios of a load's time to its nominal
+	// time that tell whether the store was shared by too many.
+	undisturbed = 1.15
+	disturbed   = 1.3
+	// permitLife is how long a permit is repeated to its loader.
+	permitLife = 3 * time.Second
+	// backgroundLife is how long a background load is asked for.
+	backgroundLife = 30 * time.Second
+)
+
+// storeState is what is known of the weight store's speed for a service.
+type storeState struct {
+	// limit is the number of loads at once that run at full speed, as far as
+	// measured.
+	limit int
+	// peak is the most loads seen at once since the last result.
+	peak int
+	// began are the times of granted permits, within the ceiling's window.
+	began []core.Time
+	// granted permits by engine and model, until when they are repeated.
+	granted map[grantKey]core.Time
+	// background loads asked for, by engine and model.
+	background map[grantKey]core.Time
+}
+
+type grantKey struct {
+	loader core.HostID
+	model  string
+}
+
+func (s *service) storeLimit() int {
+	if s.store.limit == 0 {
+		s.store.limit = firstStoreLimit
+	}
+	return s.store.limit
+}
+
+// learnStoreLoad adapts the limit to how long a load took. Loads that share
+// the store slow each other in proportion: n at once at a store for k take n/k
+// of the nominal time, so that n over the ratio estimates k.
+func (r *Router) learnStoreLoad(b *backend, l *loader) {
+	s := r.service(b.Service)
+	active, _ := r.storeLoads(b.Service)
+	s.store.peak = max(s.store.peak, active)
+	result := l.holdings.StoreLoad
+	if result == nil || result.Sequence == l.storeLoads || result.Nominal <= 0 {
+		return
+	}
+	l.storeLoads = result.Sequence
+	ratio := float64(result.Took) / float64(result.Nominal)
+	limit, peak := s.storeLimit(), max(1, s.store.peak)
+	switch {
+	case ratio < undisturbed && peak >= limit:
+		s.store.limit = peak + max(1, peak/2)
+	case ratio > disturbed:
+		s.store.limit = max(1, int(math.Round(float64(peak)/ratio)))
+	}
+	s.store.peak = active
+	if s.store.limit != limit {
+		r.log(Belief, "weight store measured", slog.String("service", b.Service), slog.Int("limit", s.store.limit),
+			slog.Float64("ratio", ratio), slog.Int("at_once", peak), slog.String("loader", string(l.name)))
+	}
+}
+
+// storeLoads counts the loads from the weight store that run, and those that
+// wait for a permit.
+func (r *Router) storeLoads(service string) (active, waiting int) {
+	for _, b := range r.serversOf(service) {
+		held := r.holdings(b)
+		if held == nil || b.unlistedAt != 0 {
+			continue
+		}
+		for _, m := range held.Models {
+			switch m.State {
+			case core.HoldStoreLoading:
+				active++
+			case core.HoldPermit:
+				waiting++
+			}
+		}
+	}
+	return active, waiting
+}
+
+// storeWait predicts how long a store load that is asked for now waits for its
+// permit.
+func (r *Router) storeWait(service string, model fleet.Model) time.Duration {
+	active, waiting := r.storeLoads(service)
+	limit := r.service(service).storeLimit()
+	ahead := active + waiting - limit + 1
+	if ahead <= 0 {
+		return 0
+	}
+	return time.Duration(float64(ahead) / float64(limit) * float64(model.StoreLoad))
+}
+
+// coordinates tells whether a loader follows this router.
+func (r *Router) coordinates(l *loader) bool {
+	return l != nil && l.up && l.holdings != nil && l.holdings.Coordinator == r.opts.Host
+}
+
+// plan grants permits and starts background loads.
+func (r *Router) plan() {
+	if r.config == nil {
+		return
+	}
+	for _, name := range slices.Sorted(maps.Keys(r.services)) {
+		engine := r.engine(name)
+		if engine == nil {
+			continue
+		}
+		s := r.services[name]
+		s.store.expire(r.now)
+		r.grantPermits(s, engine)
+		r.planBackground(s, engine)
+	}
+}
+
+func (s *storeState) expire(now core.Time) {
+	if s.granted == nil {
+		s.granted, s.background = map[grantKey]core.Time{}, map[grantKey]core.Time{}
+	}
+	expired := func(_ grantKey, until core.Time) bool { return now >= until }
+	maps.DeleteFunc(s.granted, expired)
+	maps.DeleteFunc(s.background, expired)
+}
+
+// permitRequest is a model that waits for a permit at an engine.
+type permitRequest struct {
+	loader  *loader
+	model   core.HeldModel
+	service string
+}
+
+// grantPermits lets the store loads begin that most requests wait for, as many
+// as the store serves at full speed and the ceiling allows.
+func (r *Router) grantPermits(s *service, engine *fleet.Engine) {
+	active, _ := r.storeLoads(s.name)
+	var requests []permitRequest
+	for _, b := range r.serversOf(s.name) {
+		held := r.holdings(b)
+		if held == nil || b.unlistedAt != 0 || !r.coordinates(b.loader) {
+			continue
+		}
+		for _, m := range held.Models {
+			if m.State != core.HoldPermit {
+				continue
+			}
+			if _, ok := s.store.granted[grantKey{b.loader.name, m.Name}]; ok {
+				active++
+				continue
+			}
+			requests = append(requests, permitRequest{b.loader, m, s.name})
+		}
+	}
+	slices.SortStableFunc(requests, func(a, b permitRequest) int { return cmp.Compare(b.model.Waiting, a.model.Waiting) })
+	for _, p := range requests {
+		if active >= s.storeLimit() || !s.store.mayBegin(r.now, engine, r.opts.Bounds) {
+			return
+		}
+		active++
+		s.store.granted[grantKey{p.loader.name, p.model.Name}] = r.now.Add(permitLife)
+		p.loader.dirty = true
+		r.log(Belief, "store load may begin", slog.String("model", p.model.Name), slog.String("loader", string(p.loader.name)),
+			slog.Int("waiting", p.model.Waiting), slog.Int("active", active), slog.Int("limit", s.storeLimit()))
+	}
+}
+
+// mayBegin keeps the loads that begin within the ceiling's window below its
+// bound, and counts one.
+func (s *storeState) mayBegin(now core.Time, engine *fleet.Engine, bounds fleet.Bounds) bool {
+	s.began = slices.DeleteFunc(s.began, func(at core.Time) bool { return now.Sub(at) > bounds.StoreLoadWindow })
+	most := engine.StoreLoadsPerSecond * bounds.StoreLoadWindow.Seconds()
+	if engine.StoreLoadsPerSecond > 0 && float64(len(s.began)+1) > max(1, most) {
+		return false
+	}
+	s.began = append(s.began, now)
+	return true
+}
+
+// permits are the models that a loader may load from the store now.
+func (r *Router) permits(l *loader) []string {
+	if !r.coordinates(l) {
+		return nil
+	}
+	var models []string
+	for _, s := range r.services {
+		for key := range s.store.granted {
+			if key.loader == l.name {
+				models = append(models, key.model)
+			}
+		}
+	}
+	slices.Sort(models)
+	return models
+}
+
+// planBackground loads ahead of demand. It answers this pattern: a rare model
+// is called once in ten seconds, and the first call after it was dropped by all
+// engines waits for the store, 6 s, beyond its objective. With a copy near some
+// engine it waits below a second. So while the store is idle, models without a
+// near copy anywhere are read, those called most first; and free memory is
+// filled with models from near copies.
+func (r *Router) planBackground(s *service, engine *fleet.Engine) {
+	engines := r.backgroundEngines(s)
+	if len(engines) == 0 {
+		return
+	}
+	active, waiting := r.storeLoads(s.name)
+	free := s.storeLimit() - active - waiting - len(s.store.background)
+	for _, model := range r.modelsByRate(s, engine) {
+		near, loaded := r.nearCopies(s.name, model.Name)
+		switch {
+		case loaded:
+		case near > 0:
+			r.fillMemory(s, engines, model)
+		case free > 0 && r.readAhead(s, engines, model):
+			free--
+		}
+	}
+}
+
+// backgroundEngines are those that this router coordinates and that have
+// nothing to do.
+func (r *Router) backgroundEngines(s *service) []*backend {
+	var engines []*backend
+	for _, b := range r.serversOf(s.name) {
+		if !r.usable(b) || !r.coordinates(b.loader) {
+			continue
+		}
+		if held := r.holdings(b); held != nil && held.FreeIn == 0 && !s.store.hasBackground(b.loader.name) {
+			engines = append(engines, b)
+		}
+	}
+	return engines
+}
+
+func (s *storeState) hasBackground(loader core.HostID) bool {
+	for key := range s.background {
+		if key.loader == loader {
+			return true
+		}
+	}
+	return false
+}
+
+// modelsByRate lists the models, most called first. Those that are equal come
+// in an order that is mixed by hash and the same at all routers.
+func (r *Router) modelsByRate(s *service, engine *fleet.Engine) []fleet.Model {
+	models := slices.Collect(maps.Values(engine.Models))
+	rates := map[string]float64{}
+	for _, m := range models {
+		rates[m.Name] = s.rate(modelKey{model: m.Name}).perSecond(r.now)
+	}
+	slices.SortFunc(models, func(a, b fleet.Model) int {
+		return cmp.Or(cmp.Compare(rates[b.Name], rates[a.Name]),
+			cmp.Compare(core.Score(a.Name, s.name), core.Score(b.Name, s.name)))
+	})
+	return models
+}
+
+// nearCopies counts the engines with a copy on disk or in memory, and tells
+// whether the model is loaded, or about to be, anywhere.
+func (r *Router) nearCopies(service, model string) (near int, loaded bool) {
+	for _, b := range r.serversOf(service) {
+		held := r.holdings(b)
+		if held == nil || b.unlistedAt != 0 || r.draining(b) {
+			continue
+		}
+		if m := findHeld(held, model); m != nil && m.State != core.HoldUnloading {
+			loaded = true
+		}
+		if slices.Contains(held.OnDisk, model) || slices.Contains(held.InMemory, model) {
+			near++
+		}
+	}
+	return near, loaded
+}
+
+// fillMemory loads a model from a near copy where memory is free.
+func (r *Router) fillMemory(s *service, engines []*backend, model fleet.Model) {
+	for _, b := range engines {
+		held := r.holdings(b)
+		near := slices.Contains(held.OnDisk, model.Name) || slices.Contains(held.InMemory, model.Name)
+		if near && held.FreeMB >= model.MemoryMB && !s.store.hasBackground(b.loader.name) {
+			r.startBackground(s, b, model)
+			return
+		}
+	}
+}
+
+// readAhead loads a model from the weight store, at the engine with most free
+// memory.
+func (r *Router) readAhead(s *service, engines []*backend, model fleet.Model) bool {
+	var best *backend
+	for _, b := range engines {
+		if s.store.hasBackground(b.loader.name) {
+			continue
+		}
+		if best == nil || r.holdings(b).FreeMB > r.holdings(best).FreeMB {
+			best = b
+		}
+	}
+	if best == nil {
+		return false
+	}
+	r.startBackground(s, best, model)
+	return true
+}
+
+func (r *Router) startBackground(s *service, b *backend, model fleet.Model) {
+	s.store.background[grantKey{b.loader.name, model.Name}] = r.now.Add(backgroundLife)
+	b.loader.dirty = true
+	r.log(Belief, "model is loaded ahead of demand", b.attrs("model", model.Name, "free_mb", r.holdings(b).FreeMB)...)
+}
+
+// backgroundWants are the background loads asked for at an engine. One ends
+// when the model is loaded.
+func (r *Router) backgroundWants(b *backend) []core.Want {
+	s := r.services[b.Service]
+	if s == nil || b.loader == nil {
+		return nil
+	}
+	var wants []core.Want
+	for _, key := range slices.SortedFunc(maps.Keys(s.store.background), func(a, b grantKey) int { return cmp.Compare(a.model, b.model) }) {
+		if key.loader != b.loader.name {
+			continue
+		}
+		if has, _ := r.loaded(b, key.model, ""); has {
+			delete(s.store.background, key)
+			continue
+		}
+		wants = append(wants, core.Want{Model: key.model, Background: true, Within: backgroundLife})
+	}
+	return wants
+}
--- /dev/null
+++ b/internal/router/demand.go
@@ -0,0 +1,142 @@
+package router
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"nutmeglane.example/nutmeglane/internal/core"
+	"nutmeglane.example/nutmeglane/internal/fleet"
+)
+
+const (
+	// demandInterval is the time between two Demands to a loader when nothing
+	// changed that it must know at once.
+	demandInterval = 500 * time.Millisecond
+	// spareLoad is the part of the slots of all copies of a model that may be
+	// in use before one of them counts as needed for the load.
+	spareLoad = 0.25
+	// busyRate is the arrivals per second from which a model should have two
+	// copies, so that the loss of one does not make callers wait for a load.
+	busyRate = 2.0
+)
+
+// tellLoaders sends each loader what changed.
+func (r *Router) tellLoaders() {
+	for _, name := range slices.Sorted(maps.Keys(r.loaders)) {
+		l := r.loaders[name]
+		if !l.up || r.config == nil {
+			continue
+		}
+		if !l.dirty && r.now.Sub(l.toldAt) < demandInterval {
+			continue
+		}
+		b := r.engineAt(l)
+		if b == nil {
+			continue
+		}
+		l.dirty = false
+		l.toldAt = r.now
+		r.emit(Tell{Loader: name, Demand: r.demand(l, b)})
+	}
+}
+
+func (r *Router) demand(l *loader, b *backend) core.Demand {
+	demand := core.Demand{Instance: b.Instance, Permits: r.permits(l), Uses: r.uses(b)}
+	if !l.specSent {
+		demand.Engine = engineSpec(r.config.Version, r.engine(b.Service))
+		l.specSent = true
+	}
+	for _, key := range slices.SortedFunc(maps.Keys(r.waits), compareWaitKeys) {
+		if w := r.waits[key]; w.home == b {
+			demand.Wants = append(demand.Wants, r.want(w))
+		}
+	}
+	demand.Wants = append(demand.Wants, r.backgroundWants(b)...)
+	return demand
+}
+
+func (r *Router) want(w *wait) core.Want {
+	want := core.Want{Model: w.key.model, Adapter: w.key.adapter, Waiting: len(w.requests), Within: time.Hour}
+	for _, req := range w.requests {
+		want.Within = min(want.Within, req.arrived.Add(req.route.Objective).Sub(r.now))
+	}
+	return want
+}
+
+func engineSpec(version int64, engine *fleet.Engine) *core.EngineSpec {
+	spec := &core.EngineSpec{Version: version, MemoryMB: engine.MemoryMB, AdapterSlots: engine.AdapterSlots}
+	for _, name := range slices.Sorted(maps.Keys(engine.Models)) {
+		m := engine.Models[name]
+		spec.Models = append(spec.Models, core.ModelSpec{
+			Name: m.Name, MemoryMB: m.MemoryMB, AdapterMB: m.AdapterMB,
+			StoreLoad: m.StoreLoad, DiskLoad: m.DiskLoad, HostLoad: m.HostLoad,
+		})
+	}
+	return spec
+}
+
+// uses tells how much what an engine holds is used, so that its loader knows
+// what to evict first.
+func (r *Router) uses(b *backend) []core.Use {
+	held := r.holdings(b)
+	if held == nil {
+		return nil
+	}
+	running := map[modelKey]int{}
+	for key := range b.sent {
+		if p := r.requests[key].prompt; p != nil {
+			running[modelKey{model: p.Model}]++
+			if p.Adapter != "" {
+				running[modelKey{p.Model, p.Adapter}]++
+			}
+		}
+	}
+	s := r.service(b.Service)
+	var uses []core.Use
+	for _, m := range held.Models {
+		if m.State != core.HoldLoaded {
+			continue
+		}
+		copies, spare := r.copies(b.Service, m.Name)
+		key := modelKey{model: m.Name}
+		uses = append(uses, core.Use{
+			Model: m.Name, Running: running[key], Rate: s.rate(key).perSecond(r.now), Copies: copies, Spare: spare,
+		})
+		for _, adapter := range m.Adapters {
+			key := modelKey{m.Name, adapter}
+			uses = append(uses, core.Use{Model: m.Name, Adapter: adapter, Running: running[key], Rate: s.rate(key).perSecond(r.now)})
+		}
+	}
+	slices.SortFunc(uses, func(a, b core.Use) int {
+		return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter))
+	})
+	return uses
+}
+
+// copies counts the engines that have a model loaded, and tells whether the
+// load would be carried by one less.
+func (r *Router) copies(service, model string) (copies int, spare bool) {
+	used, slots := 0, 0
+	for _, b := range r.serversOf(service) {
+		if b.unlistedAt != 0 || r.draining(b) {
+			continue
+		}
+		if has, _ := r.loaded(b, model, ""); !has {
+			continue
+		}
+		copies++
+		slots += b.Slots
+		used += r.outstanding(b)
+	}
+	needed := 1
+	if r.service(service).rate(modelKey{model: model}).perSecond(r.now)*float64(r.routers()) > busyRate {
+		needed = 2
+	}
+	if copies <= needed {
+		return copies, false
+	}
+	left := float64(slots) * float64(copies-1) / float64(copies)
+	return copies, float64(used) < spareLoad*left
+}
--- /dev/null
+++ b/internal/router/dump.go
@@ -0,0 +1,60 @@
+package router
+
+import (
+	"maps"
+	"slices"
+
+	"nutmeglane.example/nutmeglane/internal/core"
+)
+
+// State is the dump of a router.
+type State struct {
+	// Version of the configuration in force, 0 without one.
+	Version  int64
+	Ready    bool
+	Backends []BackendState
+	Waits    []WaitState
+	Requests int
+}
+
+// BackendState is the dump of a backend server.
+type BackendState struct {
+	Instance, Service, Address string
+	Zone                       core.Zone
+	Listed, Draining, LeftOut  bool
+	Requests                   int
+	Latency                    string
+	Failing                    float64
+	Holdings                   *core.Holdings
+}
+
+// WaitState is the dump of the requests that wait for a model.
+type WaitState struct {
+	Service, Model, Adapter, Home string
+	Requests                      int
+}
+
+// Dump returns the state between two steps.
+func (r *Router) Dump() State {
+	state := State{Ready: r.Ready(), Requests: len(r.requests)}
+	if r.config != nil {
+		state.Version = r.config.Version
+	}
+	for _, instance := range slices.Sorted(maps.Keys(r.backends)) {
+		b := r.backends[instance]
+		state.Backends = append(state.Backends, BackendState{
+			Instance: instance, Service: b.Service, Address: b.Address, Zone: b.Zone,
+			Listed: b.unlistedAt == 0, Draining: r.draining(b), LeftOut: r.now < b.ejectedUntil,
+			Requests: len(b.sent), Latency: b.latency.String(), Failing: b.failing, Holdings: r.holdings(b),
+		})
+	}
+	for _, key := range slices.SortedFunc(maps.Keys(r.waits), compareWaitKeys) {
+		w := r.waits[key]
+		s := WaitState{Service: key.service, Model: key.model, Adapter: key.adapter, Requests: len(w.requests)}
+		if w.home != nil {
+			s.Home = w.home.Instance
+		}
+		state.Waits = append(state.Waits, s)
+	}
+	return state
+}
--- /dev/null
+++ b/internal/router/effect.go
@@ -0,0 +1,117 @@
+package router
+
+import (
+	"log/slog"
+	"time"
+
+	"nutmeglane.example/nutmeglane/internal/code"
+	"nutmeglane.example/nutmeglane/internal/core"
+)
+
+// Effect is an output of the reducer.
+type Effect interface{ effect() }
+
+// Send sends a request to a backend server. AttemptFailed, Answered or Gone
+// follows.
+type Send struct {
+	Key     Key
+	Attempt int
+	// Instance and Address of the server.
+	Instance string
+	Address  string
+	// MaxConns is this router's share of the server's connections.
+	MaxConns int
+	// Until is when the attempt ends at the latest.
+	Until core.Time
+	// Priority is 0 to 9, 0 first.
+	Priority int
+	// LastEvent resumes a stream after this event.
+	LastEvent string
+	// StallAfter, if not 0, is the longest pause before Stalled.
+	StallAfter time.Duration
+}
+
+// Forward passes the answer of the attempt on.
+type Forward struct {
+	Key     Key
+	Attempt int
+}
+
+// Finish ends a request with an answer of our own. If a part of another answer
+// was passed on, that is cut visibly instead.
+type Finish struct {
+	Key  Key
+	Code code.Code
+	// RetryAfter is when a refused caller should come back.
+	RetryAfter time.Duration
+	// Reason is for the caller and the log.
+	Reason string
+}
+
+// Abandon closes the connection of an attempt, so that the server stops.
+type Abandon struct {
+	Key     Key
+	Attempt int
+}
+
+// Dial asks for a connection to a loader; Hangup ends it.
+type (
+	Dial struct {
+		Loader  core.HostID
+		Address string
+	}
+	Hangup struct{ Loader core.HostID }
+)
+
+// Tell sends a message to a loader.
+type Tell struct {
+	Loader core.HostID
+	Demand core.Demand
+}
+
+// Wake asks for a Tick in place of the one asked for before.
+type Wake struct{ At core.Time }
+
+// Subject tells what a log line is about.
+type Subject uint8
+
+// The subjects. When lines come faster than they are written, those about
+// single requests are dropped first.
+const (
+	// Belief lines tell of a change of what the router believes.
+	Belief Subject = iota
+	// OneRequest lines tell of a decision on a request.
+	OneRequest
+)
+
+// Log is a line for operators.
+type Log struct {
+	About   Subject
+	Message string
+	Attrs   []slog.Attr
+}
+
+// Count adds one to a counter.
+type Count struct {
+	Name   core.Counter
+	Labels []string
+}
+
+// Observe adds a value to a histogram.
+type Observe struct {
+	Name   core.Counter
+	Labels []string
+	Value  float64
+}
+
+func (Send) effect()    {}
+func (Forward) effect() {}
+func (Finish) effect()  {}
+func (Abandon) effect() {}
+func (Dial) effect()    {}
+func (Hangup) effect()  {}
+func (Tell) effect()    {}
+func (Wake) effect()    {}
+func (Log) effect()     {}
+func (Count) effect()   {}
+func (Observe) effect() {}
--- /dev/null
+++ b/internal/router/event.go
@@ -0,0 +1,118 @@
+package router
+
+import (
+	"nutmeglane.example/nutmeglane/internal/core"
+	"nutmeglane.example/nutmeglane/internal/fleet"
+)
+
+// Event is an input of the reducer.
+type Event interface{ event() }
+
+// Key names a request within one router process.
+type Key uint64
+
+// Tick tells that a time asked for by Wake has come.
+type Tick struct{}
+
+// ConfigRead is a configuration read from the platform's store.
+type ConfigRead struct{ Config *fleet.Config }
+
+// BackendsRead is the whole registry of backend servers.
+type BackendsRead struct{ Backends map[string]fleet.Backend }
+
+// BackendsChanged is a change of the registry.
+type BackendsChanged struct {
+	Written map[string]fleet.Backend
+	Removed map[string]bool
+}
+
+// StoreState tells whether the platform's store answers this router.
+type StoreState struct{ Reachable bool }
+
+// LoaderUp and LoaderDown report the connection to a loader, by its address.
+type (
+	LoaderUp   struct{ Loader core.HostID }
+	LoaderDown struct{ Loader core.HostID }
+)
+
+// LoaderSaid is a message from a loader.
+type LoaderSaid struct {
+	Loader   core.HostID
+	Holdings core.Holdings
+}
+
+// Arrived is a new request. Its body has been read.
+type Arrived struct {
+	Key     Key
+	Request fleet.Request
+}
+
+// Failure tells how an attempt failed.
+type Failure uint8
+
+// The failures, by what they prove.
+const (
+	// NotSent: no byte reached the backend server. The request did not run.
+	NotSent Failure = iota
+	// NoAnswer: the connection ended without an answer. It may have run.
+	NoAnswer
+	// BadAnswer: what came is no answer of the server to this request.
+	BadAnswer
+	// Broken: the answer broke off.
+	Broken
+	// Stalled: no event came within Send.StallAfter.
+	Stalled
+)
+
+// String names the failure for logs.
+func (f Failure) String() string {
+	return [...]string{"not sent", "no answer", "bad answer", "broken off", "stalled"}[f]
+}
+
+// AttemptFailed ends an attempt.
+type AttemptFailed struct {
+	Key     Key
+	Attempt int
+	Failure Failure
+	// LastEvent is the last event that was passed on, "" if none.
+	LastEvent string
+	// Cause is for logs.
+	Cause string
+}
+
+// Answered is the head of an answer. Forward, Send or Finish follows.
+type Answered struct {
+	Key     Key
+	Attempt int
+	Answer  fleet.Answer
+}
+
+// FirstEvent tells that the first event of a stream was passed on.
+type FirstEvent struct {
+	Key     Key
+	Attempt int
+}
+
+// Done ends a request whose answer was passed on whole.
+type Done struct {
+	Key     Key
+	Attempt int
+}
+
+// Gone ends a request whose caller left.
+type Gone struct{ Key Key }
+
+func (Tick) event()            {}
+func (ConfigRead) event()      {}
+func (BackendsRead) event()    {}
+func (BackendsChanged) event() {}
+func (StoreState) event()      {}
+func (LoaderUp) event()        {}
+func (LoaderDown) event()      {}
+func (LoaderSaid) event()      {}
+func (Arrived) event()         {}
+func (AttemptFailed) event()   {}
+func (Answered) event()        {}
+func (FirstEvent) event()      {}
+func (Done) event()            {}
+func (Gone) event()            {}
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,203 @@
+package router
+
+import (
+	"log/slog"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"nutmeglane.example/nutmeglane/internal/core"
+	"nutmeglane.example/nutmeglane/internal/fleet"
+)
+
+const (
+	// tickInterval is how often deadlines, waits and loaders are looked at. It
+	// is far below the shortest objective in use (150 ms).
+	tickInterval = 50 * time.Millisecond
+)
+
+// Options are fixed for the life of a router.
+type Options struct {
+	// Host is this router's name to loaders. The lowest name coordinates.
+	Host core.HostID
+	Zone core.Zone
+	// LoaderPort is the port of the loader on each engine's host.
+	LoaderPort int
+	Bounds     fleet.Bounds
+	// Seed of the spread of Retry-After.
+	Seed uint64
+}
+
+// Router is the reducer. Create it with New.
+type Router struct {
+	opts Options
+	now  core.Time
+	out  []Effect
+	rand *rand.Rand
+
+	config   *fleet.Config
+	routes   routeTable
+	services map[string]*service
+	backends map[string]*backend
+	// registryRead is set once the registry was read.
+	registryRead bool
+	// storeDown is since when the store does not answer, 0 while it does.
+	storeDown core.Time
+	// storeBack is when it last came back, 0 if it never was away.
+	storeBack core.Time
+
+	loaders  map[core.HostID]*loader
+	requests map[Key]*request
+	waits    map[waitKey]*wait
+
+	nextTick core.Time
+	nextPlan core.Time
+}
+
+// service is the state of one service.
+type service struct {
+	name   string
+	budget budget
+	// latency is the moving average over its servers.
+	latency time.Duration
+	// rates are recent arrivals by model and adapter.
+	rates map[modelKey]*rate
+	store storeState
+}
+
+// modelKey names a model, or an adapter of it.
+type modelKey struct{ model, adapter string }
+
+// New returns a router that knows nothing yet.
+func New(opts Options) *Router {
+	return &Router{
+		opts:     opts,
+		rand:     rand.New(rand.NewPCG(opts.Seed, opts.Seed)),
+		routes:   routeTable{},
+		services: map[string]*service{},
+		backends: map[string]*backend{},
+		loaders:  map[core.HostID]*loader{},
+		requests: map[Key]*request{},
+		waits:    map[waitKey]*wait{},
+	}
+}
+
+// Step handles an event. The effects are valid until the next step.
+func (r *Router) Step(now core.Time, event Event) []Effect {
+	r.now, r.out = now, r.out[:0]
+	switch e := event.(type) {
+	case Tick:
+	case ConfigRead:
+		r.setConfig(e.Config)
+	case BackendsRead:
+		r.readBackends(e.Backends)
+	case BackendsChanged:
+		r.changeBackends(e.Written, e.Removed)
+	case StoreState:
+		r.setStore(e.Reachable)
+	case LoaderUp:
+		r.loaderUp(e.Loader)
+	case LoaderDown:
+		r.loaderDown(e.Loader)
+	case LoaderSaid:
+		r.loaderSaid(e.Loader, e.Holdings)
+	case Arrived:
+		r.arrived(e.Key, e.Request)
+	case AttemptFailed:
+		r.attemptFailed(e)
+	case Answered:
+		r.answered(e)
+	case FirstEvent:
+		r.firstEvent(e)
+	case Done:
+		r.done(e)
+	case Gone:
+		r.gone(e.Key)
+	}
+	if now >= r.nextTick {
+		r.nextTick = now.Add(tickInterval)
+		r.tick()
+	}
+	r.tellLoaders()
+	r.emit(Wake{At: r.nextTick})
+	return r.out
+}
+
+func (r *Router) emit(effect Effect) { r.out = append(r.out, effect) }
+
+func (r *Router) log(about Subject, message string, attrs ...slog.Attr) {
+	r.emit(Log{About: about, Message: message, Attrs: attrs})
+}
+
+// Ready reports whether the router can judge requests: it knows a
+// configuration and has read the registry.
+func (r *Router) Ready() bool { return r.config != nil && r.registryRead }
+
+// Limits returns what clients may send; zero before a configuration is known.
+func (r *Router) Limits() fleet.Limits {
+	if r.config == nil {
+		return fleet.Limits{}
+	}
+	return r.config.Limits
+}
+
+// SetBounds replaces the bounds, after a change of the settings.
+func (r *Router) SetBounds(bounds fleet.Bounds) { r.opts.Bounds = bounds }
+
+func (r *Router) setConfig(config *fleet.Config) {
+	// Guards against going back: a read that was under way during a change may
+	// deliver the older version after the newer one.
+	if r.config != nil && config.Version <= r.config.Version {
+		return
+	}
+	r.config = config
+	r.routes = newRouteTable(config)
+	for name := range config.Services {
+		r.service(name)
+	}
+	for _, l := range r.loaders {
+		l.specSent = false
+	}
+	r.log(Belief, "configuration in force", slog.Int64("version", config.Version),
+		slog.Int("routes", len(config.Routes)), slog.Int("services", len(config.Services)))
+	r.pumpAll()
+}
+
+func (r *Router) service(name string) *service {
+	s := r.services[name]
+	if s == nil {
+		s = &service{name: name, rates: map[modelKey]*rate{}}
+		r.services[name] = s
+	}
+	return s
+}
+
+func (r *Router) engine(service string) *fleet.Engine {
+	if r.config == nil || r.config.Services[service] == nil {
+		return nil
+	}
+	return r.config.Services[service].Engine
+}
+
+// serversOf returns the known servers of a service in a fixed order.
+func (r *Router) serversOf(service string) []*backend {
+	var servers []*backend
+	for _, instance := range slices.Sorted(maps.Keys(r.backends)) {
+		if b := r.backends[instance]; b.Service == service {
+			servers = append(servers, b)
+		}
+	}
+	return servers
+}
+
+func (r *Router) tick() {
+	r.dropUnlisted()
+	r.checkLoaders()
+	r.checkRequests()
+	if r.now >= r.nextPlan {
+		r.nextPlan = r.now.Add(planInterval)
+		r.plan()
+	}
+	r.pumpAll()
+}
--- /dev/null
+++ b/internal/router/wait.go
@@ -0,0 +1,251 @@
+package router
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"nutmeglane.example/nutmeglane/internal/code"
+	"nutmeglane.example/nutmeglane/internal/core"
+	"nutmeglane.example/nutmeglane/internal/fleet"
+)
+
+const (
+	// moveGain is how much sooner a model must be ready at another engine
+	// before its waiting requests are moved there. Moving costs a load that
+	// may have begun, so small gains are not worth it.
+	moveGain = 1500 * time.Millisecond
+	// evictionTime is the least time to make room at an engine: an order, its
+	// answer and a report.
+	evictionTime = 50 * time.Millisecond
+	// adapterTime is the time of an adapter's load with the messages around.
+	adapterTime = 50 * time.Millisecond
+)
+
+// waitKey names what requests wait for.
+type waitKey struct {
+	service string
+	modelKey
+}
+
+// wait is the queue of requests for one model or adapter that is not loaded.
+type wait struct {
+	key      waitKey
+	requests []*request
+	// home is the engine that was asked to load it.
+	home *backend
+}
+
+// dispatchPrompt sends a generation to an engine that has its model, or makes
+// it wait for one.
+func (r *Router) dispatchPrompt(req *request, servers []*backend) {
+	p := req.prompt
+	var both, base []*backend
+	for _, b := range servers {
+		hasModel, hasAdapter := r.loaded(b, p.Model, p.Adapter)
+		if hasModel && hasAdapter {
+			both = append(both, b)
+		}
+		if hasModel {
+			base = append(base, b)
+		}
+	}
+	if len(both) > 0 {
+		r.send(req, r.choose(req, both))
+		return
+	}
+	adapter := ""
+	if len(base) > 0 {
+		adapter = p.Adapter
+	}
+	key := waitKey{req.service, modelKey{p.Model, adapter}}
+	if req.waiting != nil && req.waiting.key == key {
+		return
+	}
+	r.leaveWait(req)
+	r.join(req, key)
+}
+
+func (r *Router) join(req *request, key waitKey) {
+	w := r.waits[key]
+	if w == nil {
+		w = &wait{key: key}
+		r.waits[key] = w
+	}
+	w.requests = append(w.requests, req)
+	req.waiting = w
+	r.place(w)
+	if req.waiting == nil {
+		return
+	}
+	if w.home != nil {
+		r.log(OneRequest, "request waits for its model", req.attrs("at", w.home.Instance,
+			"ready_in", r.readyIn(w.home, key).String(), "waiting", len(w.requests))...)
+	}
+}
+
+func (r *Router) leaveWait(req *request) {
+	w := req.waiting
+	if w == nil {
+		return
+	}
+	req.waiting = nil
+	req.waited = r.now.Sub(req.arrived)
+	w.requests = slices.DeleteFunc(w.requests, func(other *request) bool { return other == req })
+	w.touch()
+	if len(w.requests) == 0 {
+		delete(r.waits, w.key)
+	}
+}
+
+// touch makes the home's loader be told of the change.
+func (w *wait) touch() {
+	if w.home != nil && w.home.loader != nil {
+		w.home.loader.dirty = true
+	}
+}
+
+// pumpAll looks at all waits again: what they wait for may be loaded, or may
+// come later than they can wait.
+func (r *Router) pumpAll() {
+	if len(r.waits) == 0 {
+		return
+	}
+	keys := slices.SortedFunc(maps.Keys(r.waits), compareWaitKeys)
+	for _, key := range keys {
+		if w := r.waits[key]; w != nil {
+			r.pump(w)
+		}
+	}
+}
+
+func compareWaitKeys(a, b waitKey) int {
+	return cmp.Or(cmp.Compare(a.service, b.service), cmp.Compare(a.model, b.model), cmp.Compare(a.adapter, b.adapter))
+}
+
+func (r *Router) pump(w *wait) {
+	if r.isLoaded(w.key) {
+		for _, req := range slices.Clone(w.requests) {
+			r.dispatch(req)
+		}
+		return
+	}
+	r.place(w)
+}
+
+func (r *Router) isLoaded(key waitKey) bool {
+	for _, b := range r.serversOf(key.service) {
+		if !r.usable(b) {
+			continue
+		}
+		if hasModel, hasAdapter := r.loaded(b, key.model, key.adapter); hasModel && hasAdapter {
+			return true
+		}
+	}
+	return false
+}
+
+// place decides where a model that is waited for is loaded, and refuses the
+// requests for which that is too late.
+func (r *Router) place(w *wait) {
+	best, eta := r.bestHome(w.key)
+	if best == nil {
+		for _, req := range slices.Clone(w.requests) {
+			r.giveUp(req, code.NoBackend, "no engine can load the model now")
+		}
+		return
+	}
+	if w.home == nil || !r.canLoad(w.home, w.key) {
+		r.moveHome(w, best)
+	} else if current := r.readyIn(w.home, w.key); eta+moveGain < current {
+		r.moveHome(w, best)
+	} else {
+		eta = current
+	}
+	w.touch()
+	r.refuseLate(w, eta)
+}
+
+func (r *Router) moveHome(w *wait, to *backend) {
+	w.touch()
+	w.home = to
+}
+
+// refuseLate refuses the requests whose time ends before the model is ready.
+// Held longer, each would wait in vain, and its caller could not go elsewhere.
+func (r *Router) refuseLate(w *wait, eta time.Duration) {
+	for _, req := range slices.Clone(w.requests) {
+		if r.now.Add(eta+r.usual(w.home)) < req.limit {
+			continue
+		}
+		if req.mayHaveRun {
+			r.giveUp(req, code.OutcomeUnknown, "the model would be loaded too late")
+			continue
+		}
+		r.finish(req, code.DeadlineUnmet, r.returnIn(eta), "the model would be loaded too late")
+	}
+}
+
+// canLoad tells whether an engine may be asked to load.
+func (r *Router) canLoad(b *backend, key waitKey) bool {
+	if !r.usable(b) || r.holdings(b) == nil {
+		return false
+	}
+	if key.adapter == "" {
+		return true
+	}
+	hasModel, _ := r.loaded(b, key.model, "")
+	return hasModel
+}
+
+// bestHome returns the engine where the model would be ready first. Equal ones
+// are told apart by rendezvous hashing, which has the same result at all
+// routers and moves few models when engines come and go.
+func (r *Router) bestHome(key waitKey) (best *backend, eta time.Duration) {
+	var bestScore uint64
+	for _, b := range r.serversOf(key.service) {
+		if !r.canLoad(b, key) {
+			continue
+		}
+		t := r.readyIn(b, key).Round(20 * time.Millisecond)
+		score := core.Score(key.model+"/"+key.adapter, b.Instance)
+		if best == nil || t < eta || t == eta && score > bestScore {
+			best, eta, bestScore = b, t, score
+		}
+	}
+	return best, eta
+}
+
+// readyIn predicts when an engine would have loaded what is waited for.
+func (r *Router) readyIn(b *backend, key waitKey) time.Duration {
+	held := r.holdings(b)
+	if held == nil {
+		return holdingsFresh
+	}
+	age := r.now.Sub(b.loader.heardAt)
+	if key.adapter != "" {
+		return adapterTime
+	}
+	if m := findHeld(held, key.model); m != nil && m.State != core.HoldUnloading {
+		return max(0, m.ReadyIn-age)
+	}
+	model := r.engine(b.Service).Models[key.model]
+	eta := max(0, held.FreeIn-age) + r.loadTime(b.Service, held, model)
+	if held.FreeMB < model.MemoryMB {
+		eta += evictionTime
+	}
+	return eta
+}
+
+// loadTime is the time of a load at an engine, by where the nearest copy lies.
+func (r *Router) loadTime(service string, held *core.Holdings, model fleet.Model) time.Duration {
+	switch {
+	case slices.Contains(held.InMemory, model.Name):
+		return model.HostLoad
+	case slices.Contains(held.OnDisk, model.Name):
+		return model.DiskLoad
+	default:
+		return r.storeWait(service, model) + model.StoreLoad
+	}
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -143,13 +143,16 @@
 	c.bytes("limits.queueBytes", s.Limits.QueueBytes)
 	window := s.Limits.StreamWindow
 	c.require(window > 0 && window <= maxStreamWindow, "limits.streamWindow", window, "1 to 4096 frames")
-	switch s.Log.Level {
+	c.checkLog(s.Log)
+}
+
+func (c *checker) checkLog(log Log) {
+	switch log.Level {
 	case "debug", "info", "warn", "error":
 	default:
-		c.require(false, "log.level", quote(s.Log.Level), `"debug", "info", "warn" or "error"`)
+		c.require(false, "log.level", quote(log.Level), `"debug", "info", "warn" or "error"`)
 	}
-	format := s.Log.Format
-	c.require(format == "json" || format == "text", "log.format", quote(format), `"json" or "text"`)
+	c.require(log.Format == "json" || log.Format == "text", "log.format", quote(log.Format), `"json" or "text"`)
 }
 
 func (c *checker) bytes(field string, got int64) {
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -12,8 +12,8 @@
 	"github.com/tailscale/hujson"
 )
 
-// Load reads and checks a settings file of either role. The result is an
-// *Entry or an *Agent; the error is Problems.
+// Load reads and checks a settings file of any role. The result is an *Entry,
+// an *Agent, a *Router or a *Loader; the error is Problems.
 func Load(file string) (Settings, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
@@ -38,7 +38,7 @@
 	if !ok {
 		return none, errors.WithStack(Problems{{
 			File: file, Field: "role",
-			Got: quote(string(loaded.Shared().Role)), Wanted: quote(string(want)),
+			Got: quote(string(loaded.RoleName())), Wanted: quote(string(want)),
 		}})
 	}
 	return typed, nil
@@ -87,7 +87,7 @@
 
 // byRole returns the defaults of the role that the file names.
 func (c *checker) byRole(object *hujson.Object) Settings {
-	const wanted = `"entry" or "agent"`
+	const wanted = `"entry", "agent", "router" or "loader"`
 	for _, member := range object.Members {
 		if memberName(member) != "role" {
 			continue
@@ -97,6 +97,10 @@
 			return DefaultEntry()
 		case string(RoleAgent):
 			return DefaultAgent()
+		case string(RoleRouter):
+			return DefaultRouter()
+		case string(RoleLoader):
+			return DefaultLoader()
 		}
 		c.report("role", c.lineAt(member.Value.StartOffset), show(member.Value), wanted)
 		return nil
--- /dev/null
+++ b/internal/settings/node.go
@@ -0,0 +1,138 @@
+package settings
+
+import (
+	"net/netip"
+	"time"
+
+	"nutmeglane.example/nutmeglane/internal/core"
+	"nutmeglane.example/nutmeglane/internal/fleet"
+)
+
+// The roles of processes that serve through routers and loaders.
+const (
+	RoleRouter Role = "router"
+	RoleLoader Role = "loader"
+)
+
+// Node holds the fields that routers and loaders have.
+type Node struct {
+	// Role is "router" or "loader". Required.
+	Role Role `json:"role"`
+	// Host is the host's name in logs. Required.
+	Host string `json:"host"`
+	// Address is the host's IP number, by which its peers know it. Required.
+	Address string `json:"address"`
+	// Zone is the host's availability zone. Required.
+	Zone core.Zone `json:"zone"`
+	// Operators is the "IP:port" of metrics and the state dump. Required.
+	Operators netip.AddrPort `json:"operators"`
+	// MemoryMB is the memory limit of the process. Default 0: none is known.
+	MemoryMB float64 `json:"memoryMB"`
+	// Log is the form of log lines.
+	Log Log `json:"log"`
+	// StopLimit is the longest graceful shutdown. Default 8s.
+	StopLimit time.Duration `json:"stopLimit"`
+}
+
+// Router holds the settings of a router.
+type Router struct {
+	Node
+	// Callers is the "IP:port" of the callers' listener. Required.
+	Callers netip.AddrPort `json:"callers"`
+	// Readiness is the "IP:port" at which the balancer asks whether the router
+	// takes connections. Required.
+	Readiness netip.AddrPort `json:"readiness"`
+	// LoaderPort is the port of the loader on each engine's host. Required.
+	LoaderPort int `json:"loaderPort"`
+	// Store is the "IP:port" of the platform's store. Required.
+	Store netip.AddrPort `json:"store"`
+	// Bounds are the deployment's promises.
+	Bounds RouterBounds `json:"bounds"`
+}
+
+// RouterBounds are fleet.Bounds; see there for meanings. All are required.
+type RouterBounds struct {
+	Drain           time.Duration `json:"drain"`
+	ConfigDelay     time.Duration `json:"configDelay"`
+	RetryRatio      float64       `json:"retryRatio"`
+	RetrySlack      int           `json:"retrySlack"`
+	RetryWindow     time.Duration `json:"retryWindow"`
+	StoreLoadWindow time.Duration `json:"storeLoadWindow"`
+	StoreLoadSlack  float64       `json:"storeLoadSlack"`
+}
+
+// Fleet returns the bounds in the form that the reducer takes.
+func (r *Router) Fleet() fleet.Bounds {
+	b := r.Bounds
+	return fleet.Bounds{
+		Drain: b.Drain, ConfigDelay: b.ConfigDelay, Grace: r.StopLimit,
+		RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack, RetryWindow: b.RetryWindow,
+		StoreLoadWindow: b.StoreLoadWindow, StoreLoadSlack: b.StoreLoadSlack,
+	}
+}
+
+// Loader holds the settings of a loader.
+type Loader struct {
+	Node
+	// Peers is the "IP:port" at which routers connect. Required.
+	Peers netip.AddrPort `json:"peers"`
+	// Engine is the "IP:port" of the engine beside it. Required.
+	Engine netip.AddrPort `json:"engine"`
+}
+
+func defaultNode() Node {
+	return Node{Log: Log{Level: "info", Format: "json"}, StopLimit: 8 * time.Second}
+}
+
+// DefaultRouter returns a router's settings with every default and no required
+// field.
+func DefaultRouter() *Router { return &Router{Node: defaultNode()} }
+
+// DefaultLoader returns a loader's settings with every default and no required
+// field.
+func DefaultLoader() *Loader { return &Loader{Node: defaultNode()} }
+
+// LoadRouter is Load for a router.
+func LoadRouter(file string) (*Router, error) { return loadAs[*Router](file, RoleRouter) }
+
+// LoadLoader is Load for a loader.
+func LoadLoader(file string) (*Loader, error) { return loadAs[*Loader](file, RoleLoader) }
+
+// RoleName implements Settings.
+func (n *Node) RoleName() Role { return n.Role }
+
+// OperatorsListen implements Settings.
+func (n *Node) OperatorsListen() netip.AddrPort { return n.Operators }
+
+func (n *Node) checkNode(c *checker) {
+	c.require(n.Host != "", "host", "nothing", "a name")
+	_, err := netip.ParseAddr(n.Address)
+	c.require(err == nil, "address", quote(n.Address), "an IP number")
+	c.require(n.Zone != "", "zone", "nothing", "a name")
+	c.listen("operators", n.Operators)
+	c.require(n.MemoryMB >= 0, "memoryMB", n.MemoryMB, "0 or more")
+	c.positive("stopLimit", n.StopLimit)
+	c.checkLog(n.Log)
+}
+
+func (r *Router) check(c *checker) {
+	r.checkNode(c)
+	c.listen("callers", r.Callers)
+	c.listen("readiness", r.Readiness)
+	c.listen("store", r.Store)
+	c.require(r.LoaderPort > 0 && r.LoaderPort < 1<<16, "loaderPort", r.LoaderPort, "a port")
+	b := r.Bounds
+	c.positive("bounds.drain", b.Drain)
+	c.positive("bounds.configDelay", b.ConfigDelay)
+	c.positive("bounds.retryWindow", b.RetryWindow)
+	c.positive("bounds.storeLoadWindow", b.StoreLoadWindow)
+	c.require(b.RetryRatio >= 0, "bounds.retryRatio", b.RetryRatio, "0 or more")
+	c.require(b.RetrySlack >= 0, "bounds.retrySlack", b.RetrySlack, "0 or more")
+	c.require(b.StoreLoadSlack > 0, "bounds.storeLoadSlack", b.StoreLoadSlack, "more than 0")
+}
+
+func (l *Loader) check(c *checker) {
+	l.checkNode(c)
+	c.listen("peers", l.Peers)
+	c.listen("engine", l.Engine)
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -148,7 +148,7 @@
 		if err != nil && (!errors.As(err, &problems) || problems.Code() != code.BadSettings) {
 			t.Fatalf("error without Problems: %v", err)
 		}
-		if err == nil && !loaded.Shared().Operators.Listen.IsValid() {
+		if err == nil && !loaded.OperatorsListen().IsValid() {
 			t.Fatal("settings without an address were accepted")
 		}
 	})
--- a/internal/settings/types.go
+++ b/internal/settings/types.go
@@ -16,10 +16,12 @@
 	RoleAgent Role = "agent"
 )
 
-// Settings is an *Entry or an *Agent.
+// Settings is an *Entry, an *Agent, a *Router or a *Loader.
 type Settings interface {
-	// Shared returns the fields that both roles have.
-	Shared() *Common
+	// RoleName returns the role that the settings are for.
+	RoleName() Role
+	// OperatorsListen is where operators reach the process.
+	OperatorsListen() netip.AddrPort
 	check(c *checker)
 }
 
@@ -62,8 +64,11 @@
 	CA string `json:"ca"`
 }
 
-// Shared implements Settings.
-func (c *Common) Shared() *Common { return c }
+// RoleName implements Settings.
+func (c *Common) RoleName() Role { return c.Role }
+
+// OperatorsListen implements Settings.
+func (c *Common) OperatorsListen() netip.AddrPort { return c.Operators.Listen }
 
 // Entry holds the settings of an entry.
 type Entry struct {
