Router: a stop answers every request that is left

Ruled out: the shutdown's order (the request was accepted 0.5 s after SIGTERM, when it still had to be). Change: the reducer knows when the process ends; requests whose model comes later are refused at once, the rest get their answer before it.

--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"nutmeglane.example/nutmeglane/internal/clock"
 	"nutmeglane.example/nutmeglane/internal/core"
 	"nutmeglane.example/nutmeglane/internal/fleet"
 	"nutmeglane.example/nutmeglane/internal/gateway"
@@ -148,7 +149,9 @@
 	p.log.Info("stopping", "limit", p.settings.StopLimit.String(), "requests", p.gateway.Calls())
 	p.ready.Store(false)
 	p.gateway.Stop()
-	ctx, cancel := context.WithTimeout(context.Background(), p.settings.StopLimit-stopReserve)
+	limit := p.settings.StopLimit - stopReserve
+	p.gateway.Step(router.Stopping{Until: clock.Now().Add(limit - stopReserve/2)})
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	select {
 	case <-time.After(min(stopDelay, timeLeft(ctx))):
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -29,6 +29,10 @@
 // StoreState tells whether the platform's store answers this router.
 type StoreState struct{ Reachable bool }
 
+// Stopping tells that the process ends at a time, by which each request must
+// have its answer.
+type Stopping struct{ Until core.Time }
+
 // LoaderUp and LoaderDown report the connection to a loader, by its address.
 type (
 	LoaderUp   struct{ Loader core.HostID }
@@ -107,6 +111,7 @@
 func (BackendsRead) event()    {}
 func (BackendsChanged) event() {}
 func (StoreState) event()      {}
+func (Stopping) event()        {}
 func (LoaderUp) event()        {}
 func (LoaderDown) event()      {}
 func (LoaderSaid) event()      {}
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -38,7 +38,6 @@
 	// specSent is set once the engine's configuration was sent on this
 	// connection.
 	specSent bool
-	told     core.Demand
 	toldAt   core.Time
 	dirty    bool
 	// storeLoads is the sequence of the last store load seen.
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -372,6 +372,8 @@
 	for _, key := range slices.Sorted(maps.Keys(r.requests)) {
 		req := r.requests[key]
 		switch {
+		case r.now >= r.stopAt:
+			r.cutAtStop(req)
 		case req.backend == nil && r.now >= req.limit:
 			r.giveUp(req, code.DeadlineUnmet, "its model was not loaded in time")
 		case req.backend != nil && r.now >= req.limit.Add(answerSlack):
@@ -382,6 +384,17 @@
 	}
 }
 
+// cutAtStop answers a request that is left when the process ends. Without an
+// answer its caller would see the connection close, and would not know that a
+// request which only waited can be sent again.
+func (r *Router) cutAtStop(req *request) {
+	if req.backend != nil {
+		req.mayHaveRun = true
+		r.emit(Abandon{Key: req.key, Attempt: req.number})
+	}
+	r.giveUp(req, code.Draining, "the process stops")
+}
+
 func (r *Router) timeOut(req *request) {
 	if !req.attempt.answered {
 		r.failed(req.backend, NoAnswer, "time is over")
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -51,6 +51,8 @@
 	requests map[Key]*request
 	waits    map[waitKey]*wait
 
+	// stopAt is when the process ends, Never unless it is stopping.
+	stopAt   core.Time
 	nextTick core.Time
 	nextPlan core.Time
 }
@@ -80,6 +82,7 @@
 		loaders:  map[core.HostID]*loader{},
 		requests: map[Key]*request{},
 		waits:    map[waitKey]*wait{},
+		stopAt:   core.Never,
 	}
 }
 
@@ -96,6 +99,9 @@
 		r.changeBackends(e.Written, e.Removed)
 	case StoreState:
 		r.setStore(e.Reachable)
+	case Stopping:
+		r.stopAt = e.Until
+		r.pumpAll()
 	case LoaderUp:
 		r.loaderUp(e.Loader)
 	case LoaderDown:
--- a/internal/router/wait.go
+++ b/internal/router/wait.go
@@ -176,7 +176,12 @@
 // Held longer, each would wait in vain, and its caller could not go elsewhere.
 func (r *Router) refuseLate(w *wait, eta time.Duration) {
 	for _, req := range slices.Clone(w.requests) {
-		if r.now.Add(eta+r.usual(w.home)) < req.limit {
+		ready := r.now.Add(eta + r.usual(w.home))
+		if ready < min(req.limit, r.stopAt) {
+			continue
+		}
+		if ready < req.limit {
+			r.giveUp(req, code.Draining, "the process stops before the model is loaded")
 			continue
 		}
 		if req.mayHaveRun {
--- /dev/null
+++ b/internal/router/world_test.go
@@ -0,0 +1,177 @@
+package router
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"nutmeglane.example/nutmeglane/internal/core"
+	"nutmeglane.example/nutmeglane/internal/fleet"
+)
+
+// world drives a router in virtual time and keeps what it decided. Engines are
+// held up by hand: a test says what their loaders tell.
+type world struct {
+	t      *testing.T
+	router *Router
+	now    core.Time
+	nextID int
+
+	sends    map[Key][]Send
+	finishes map[Key]Finish
+	demands  map[core.HostID]core.Demand
+	abandons map[Key]int
+	logs     []Log
+}
+
+const (
+	engineService = "writer"
+	plainService  = "records"
+	callersHost   = "callers.example"
+)
+
+func testBounds() fleet.Bounds {
+	return fleet.Bounds{
+		Drain: 2 * time.Second, ConfigDelay: 2 * time.Second, Grace: 8 * time.Second,
+		RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second,
+		StoreLoadWindow: 5 * time.Second, StoreLoadSlack: 1.1,
+	}
+}
+
+// testConfig declares models m0 to m9 of 30,000 MB for engines of 80,000 MB.
+func testConfig() *fleet.Config {
+	engine := &fleet.Engine{
+		Slots: 64, KVTokens: 100_000, MemoryMB: 80_000, AdapterSlots: 4, StoreLoadsPerSecond: 5,
+		Models: map[string]fleet.Model{},
+	}
+	for i := range 10 {
+		name := fmt.Sprintf("m%d", i)
+		engine.Models[name] = fleet.Model{
+			Name: name, MemoryMB: 30_000, AdapterMB: 20,
+			StoreLoad: 6 * time.Second, DiskLoad: time.Second, HostLoad: 600 * time.Millisecond,
+		}
+	}
+	return &fleet.Config{
+		Version: 1,
+		Services: map[string]*fleet.Service{
+			engineService: {Name: engineService, MaxConns: 300, Engine: engine},
+			plainService:  {Name: plainService, MaxConns: 100},
+		},
+		Routes: []fleet.Route{
+			route("quick", fleet.Stream, engineService, 600*time.Millisecond, 10*time.Second, 1, false),
+			route("patient", fleet.Stream, engineService, 2500*time.Millisecond, 20*time.Second, 2, true),
+			route("once", fleet.NonIdempotent, plainService, 150*time.Millisecond, 800*time.Millisecond, 1, false),
+			route("again", fleet.Idempotent, plainService, 150*time.Millisecond, 800*time.Millisecond, 2, false),
+		},
+	}
+}
+
+func route(name string, kind fleet.Kind, service string, objective, timeout time.Duration, attempts int, resumable bool) fleet.Route {
+	return fleet.Route{
+		Name: name, Host: callersHost, Prefix: "/" + name + "/", Kind: kind, Objective: objective, Timeout: timeout,
+		Targets: []fleet.Target{{Service: service, Weight: 1}}, MaxAttempts: attempts, Resumable: resumable,
+		PauseObjective: 400 * time.Millisecond,
+	}
+}
+
+func newWorld(t *testing.T) *world {
+	w := &world{
+		t: t, now: core.Time(time.Hour),
+		router: New(Options{Host: "10.0.0.1", Zone: "a", LoaderPort: 7000, Bounds: testBounds(), Seed: 1}),
+		sends:  map[Key][]Send{}, finishes: map[Key]Finish{}, demands: map[core.HostID]core.Demand{}, abandons: map[Key]int{},
+	}
+	w.step(ConfigRead{Config: testConfig()})
+	return w
+}
+
+func (w *world) step(event Event) {
+	w.t.Helper()
+	for _, effect := range w.router.Step(w.now, event) {
+		switch e := effect.(type) {
+		case Send:
+			w.sends[e.Key] = append(w.sends[e.Key], e)
+		case Finish:
+			w.finishes[e.Key] = e
+		case Tell:
+			w.demands[e.Loader] = e.Demand
+		case Abandon:
+			w.abandons[e.Key] = e.Attempt
+		case Log:
+			w.logs = append(w.logs, e)
+		}
+	}
+}
+
+// run lets time pass in ticks.
+func (w *world) run(d time.Duration) {
+	w.t.Helper()
+	for end := w.now.Add(d); w.now < end; {
+		w.now = w.now.Add(tickInterval)
+		w.step(Tick{})
+	}
+}
+
+// servers registers n servers of a service, "s0" and so on at 10.1.0.1 and on.
+func (w *world) servers(service string, n int) {
+	w.t.Helper()
+	list := map[string]fleet.Backend{}
+	for i := range n {
+		list[fmt.Sprintf("s%d", i)] = w.server(service, i)
+	}
+	w.step(BackendsRead{Backends: list})
+}
+
+func (w *world) server(service string, i int) fleet.Backend {
+	slots := 6
+	if service == engineService {
+		slots = 64
+	}
+	return fleet.Backend{
+		Instance: fmt.Sprintf("s%d", i), Service: service, Zone: "a", Slots: slots,
+		Address: fmt.Sprintf("10.1.0.%d:8000", i+1),
+	}
+}
+
+func loaderName(i int) core.HostID { return core.HostID(fmt.Sprintf("10.1.0.%d", i+1)) }
+
+// holds connects the loader of an engine and lets it tell its holdings.
+func (w *world) holds(i int, holdings core.Holdings) {
+	w.t.Helper()
+	if l := w.router.loaders[loaderName(i)]; l == nil || !l.up {
+		w.step(LoaderUp{Loader: loaderName(i)})
+	}
+	holdings.Routers, holdings.Coordinator = 1, "10.0.0.1"
+	w.step(LoaderSaid{Loader: loaderName(i), Holdings: holdings})
+}
+
+func loadedModels(names ...string) []core.HeldModel {
+	var models []core.HeldModel
+	for _, name := range names {
+		models = append(models, core.HeldModel{Name: name, State: core.HoldLoaded})
+	}
+	return models
+}
+
+// call lets a request arrive and returns its key.
+func (w *world) call(routeName string, prompt *fleet.Prompt) Key {
+	w.t.Helper()
+	w.nextID++
+	key := Key(w.nextID)
+	w.step(Arrived{Key: key, Request: fleet.Request{
+		ID: fmt.Sprintf("r%d", w.nextID), Host: callersHost, Path: "/" + routeName + "/x", Prompt: prompt,
+	}})
+	return key
+}
+
+func prompt(model string) *fleet.Prompt {
+	return &fleet.Prompt{Model: model, Tokens: 600, MaxNewTokens: 70}
+}
+
+func (w *world) lastSend(key Key) Send {
+	w.t.Helper()
+	sends := w.sends[key]
+	if len(sends) == 0 {
+		w.t.Fatalf("request %d was not sent; finish: %+v", key, w.finishes[key])
+	}
+	return sends[len(sends)-1]
+}
