--- a/internal/loader/decide.go
+++ b/internal/loader/decide.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math/bits"
 	"slices"
 	"strings"
 	"time"
@@ -56,14 +57,15 @@
 		l.readAt < l.acceptedAt || l.reading && l.readAt == l.acceptedAt || l.engine.report.Draining {
 		return
 	}
+	if l.task != nil || l.engine.report.Busy {
+		// An engine takes no order at all meanwhile, not for adapters either.
+		return
+	}
 	wants, uses := l.wants(), l.uses()
 	if order := l.adapterOrder(wants, uses); order != nil {
 		l.order(*order)
 		return
 	}
-	if l.task != nil || l.engine.report.Busy {
-		return
-	}
 	if order := l.modelOrder(wants, uses); order != nil {
 		l.order(*order)
 	}
@@ -231,37 +233,78 @@
 }
 
 // victim returns the loaded model to evict next for a want, "" if the room
-// can't be made now. An idle one goes first: the engine lets running requests
-// end before it unloads, and takes no other order meanwhile.
+// can't be made now. It is the first of the cheapest set of models that makes
+// room, so that two are evicted only where no single one is large enough, or
+// where the two together are missed less.
 func (l *Loader) victim(w wanted, wants []wanted, uses map[modelKey]used, need float64) string {
-	var candidates []fleet.LoadedModel
-	room := 0.0
+	var candidates []candidate
 	for _, m := range l.engine.report.Models {
 		use := uses[modelKey{model: m.Name}]
 		if l.wantedWith(wants, m.Name) || w.background && (use.running > 0 || !use.spare && use.rate > backgroundEvicts) {
 			continue
 		}
-		candidates = append(candidates, m)
-		room += l.sizeOf(m)
+		candidates = append(candidates, candidate{m.Name, l.sizeOf(m), evictionCost(use)})
 	}
-	if room < need {
-		return ""
+	return cheapestSet(candidates, need)
+}
+
+// candidate is a loaded model that may be evicted.
+type candidate struct {
+	name string
+	mb   float64
+	cost float64
+}
+
+const (
+	// evictionBase is what any eviction costs, in calls per second missed: it
+	// takes orders, and the model may be called after all.
+	evictionBase = 0.05
+	// spareCost is the part of a model's rate that is missed when another copy
+	// carries its load.
+	spareCost = 0.05
+	// runningCost is added for a model that is in use: the engine lets its
+	// requests end before it unloads, and takes no other order meanwhile.
+	runningCost = 2.0
+	// maxCandidates bounds the search for the cheapest set, to 4,096 sets. Of
+	// more models the cheapest are looked at.
+	maxCandidates = 12
+)
+
+func evictionCost(use used) float64 {
+	cost := evictionBase + use.rate
+	if use.spare {
+		cost = evictionBase + spareCost*use.rate
 	}
-	slices.SortFunc(candidates, func(a, b fleet.LoadedModel) int {
-		return compareVictims(l, a, b, uses[modelKey{model: a.Name}], uses[modelKey{model: b.Name}], need)
-	})
-	return candidates[0].Name
+	if use.running > 0 {
+		cost += runningCost
+	}
+	return cost
 }
 
-func compareVictims(l *Loader, a, b fleet.LoadedModel, useA, useB used, need float64) int {
-	return cmp.Or(
-		compareBool(useA.running > 0, useB.running > 0),
-		compareBool(!useA.spare, !useB.spare),
-		// One that is large enough by itself saves a second eviction.
-		compareBool(l.sizeOf(a) < need, l.sizeOf(b) < need),
-		cmp.Compare(useA.rate, useB.rate),
-		cmp.Compare(a.Name, b.Name),
-	)
+// cheapestSet returns the cheapest member of the set of least cost whose sizes
+// add up to need, "" if there is none.
+func cheapestSet(candidates []candidate, need float64) string {
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.name, b.name))
+	})
+	candidates = candidates[:min(len(candidates), maxCandidates)]
+	best, bestCost := 0, 0.0
+	for set := 1; set < 1<<len(candidates); set++ {
+		mb, cost := 0.0, 0.0
+		for i, c := range candidates {
+			if set&(1<<i) != 0 {
+				mb += c.mb
+				cost += c.cost
+			}
+		}
+		if mb >= need && (best == 0 || cost < bestCost) {
+			best, bestCost = set, cost
+		}
+	}
+	if best == 0 {
+		return ""
+	}
+	return candidates[bits.TrailingZeros(uint(best))].name
 }
 
 // wantedWith tells whether requests wait for the model or one of its adapters.
--- /dev/null
+++ b/internal/loader/decide_test.go
@@ -0,0 +1,137 @@
+package loader
+
+import (
+	"testing"
+	"time"
+
+	"nutmeglane.example/nutmeglane/internal/core"
+	"nutmeglane.example/nutmeglane/internal/fleet"
+)
+
+// A request waits for a model that is as large as one loaded model. Two small
+// ones used to be evicted first because they were called a little less, and
+// then the large one too: their callers waited for loads that were not needed.
+func TestOneLargeVictimInsteadOfThree(t *testing.T) {
+	w := newWorld(t, "m0", "m2", "m1") // 16,000 + 16,000 + 34,000 of 80,000
+	w.demand("10.0.0.1", core.Demand{
+		Wants: []core.Want{{Model: "m3", Waiting: 1, Within: 2 * time.Second}},
+		Uses: []core.Use{
+			{Model: "m0", Rate: 0.09, Copies: 1}, {Model: "m2", Rate: 0.09, Copies: 1}, {Model: "m1", Rate: 0.1, Copies: 1},
+		},
+	})
+	w.run(3 * time.Second)
+	if !w.has("m3") || !w.has("m0") || !w.has("m2") || w.has("m1") {
+		t.Fatalf("loaded: %+v, want m3 in place of m1", w.engine.report.Models)
+	}
+	if len(w.orders) != 2 {
+		t.Errorf("orders %+v, want one unload and one load", w.orders)
+	}
+}
+
+// Requests run on the model that is called least. An engine lets them end
+// before it unloads and takes no other order meanwhile, so that the caller who
+// waits for a load would wait for strangers' answers too. An idle model goes.
+func TestIdleVictimBeforeBusyOne(t *testing.T) {
+	w := newWorld(t, "m1", "m3")
+	w.demand("10.0.0.1", core.Demand{
+		Wants: []core.Want{{Model: "m5", Waiting: 1, Within: 2 * time.Second}},
+		Uses:  []core.Use{{Model: "m1", Rate: 0.05, Running: 3, Copies: 1}, {Model: "m3", Rate: 0.4, Copies: 1}},
+	})
+	w.run(3 * time.Second)
+	if !w.has("m1") || w.has("m3") || !w.has("m5") {
+		t.Fatalf("loaded: %+v, want m1 and m5", w.engine.report.Models)
+	}
+}
+
+// While an engine loads a model it refuses orders for adapters too. They used
+// to be sent again every 30 ms for as long as the load took, hundreds in vain.
+func TestNoAdapterOrdersWhileBusy(t *testing.T) {
+	w := newWorld(t, "m0")
+	w.demand("10.0.0.1", core.Demand{Wants: []core.Want{{Model: "m1", Waiting: 1, Within: time.Second}}})
+	w.run(100 * time.Millisecond)
+	w.demand("10.0.0.1", core.Demand{Wants: []core.Want{
+		{Model: "m1", Waiting: 1, Within: time.Second}, {Model: "m0", Adapter: "a1", Waiting: 1, Within: time.Second},
+	}})
+	w.run(500 * time.Millisecond)
+	if len(w.orders) != 1 {
+		t.Fatalf("%d orders while the engine is busy with the first", len(w.orders))
+	}
+	w.run(time.Second)
+	if got := w.loader.findLoaded("m0"); got == nil || !got.HasAdapter("a1") {
+		t.Fatalf("adapter not loaded after the model: %+v", w.engine.report.Models)
+	}
+}
+
+// The answer to an order is lost, and the engine carries the order out three
+// seconds later, after others. Were it still valid then, the engine would hold
+// more than its memory and crash with every request on it.
+func TestLateOrderDoesNotOvercommit(t *testing.T) {
+	w := newWorld(t, "m1")
+	w.loseNext = 1
+	w.demand("10.0.0.1", core.Demand{Wants: []core.Want{{Model: "m3", Waiting: 1, Within: time.Second}}})
+	w.run(100 * time.Millisecond)
+	w.demand("10.0.0.1", core.Demand{Wants: []core.Want{{Model: "m5", Waiting: 1, Within: time.Second}}})
+	w.run(6 * time.Second)
+	if w.engine.broken != "" {
+		t.Fatal(w.engine.broken)
+	}
+	if !w.has("m5") {
+		t.Errorf("loaded: %+v, want m5 among them", w.engine.report.Models)
+	}
+}
+
+// Adapters are called one after the other, more than the engine has slots for.
+// Each must be loaded in turn, in place of one that nobody uses.
+func TestAdaptersTakeTurns(t *testing.T) {
+	w := newWorld(t, "m0")
+	for _, adapter := range []string{"a1", "a2", "a3", "a4", "a5"} {
+		w.demand("10.0.0.1", core.Demand{Wants: []core.Want{{Model: "m0", Adapter: adapter, Waiting: 1, Within: time.Second}}})
+		w.run(200 * time.Millisecond)
+		if got := w.loader.findLoaded("m0"); got == nil || !got.HasAdapter(adapter) {
+			t.Fatalf("%s not loaded: %+v", adapter, w.engine.report.Models)
+		}
+	}
+	if w.engine.broken != "" {
+		t.Fatal(w.engine.broken)
+	}
+}
+
+// A model without a copy near the engine needs a permit, so that the weight
+// store is not read by all engines at once.
+func TestStoreLoadWaitsForPermit(t *testing.T) {
+	w := newWorld(t)
+	w.engine.report.OnDisk = nil
+	w.run(idleRead) // the loader sees it
+	want := []core.Want{{Model: "m1", Waiting: 1, Within: time.Second}}
+	w.demand("10.0.0.1", core.Demand{Wants: want})
+	w.run(time.Second)
+	if len(w.orders) != 0 {
+		t.Fatalf("ordered without a permit: %+v", w.orders)
+	}
+	held := w.told["10.0.0.1"].Models
+	if len(held) != 1 || held[0].State != core.HoldPermit {
+		t.Fatalf("holdings %+v, want m1 waiting for a permit", held)
+	}
+	w.demand("10.0.0.1", core.Demand{Wants: want, Permits: []string{"m1"}})
+	w.run(8 * time.Second)
+	if !w.has("m1") || w.told["10.0.0.1"].StoreLoad == nil {
+		t.Fatalf("loaded %+v, result %+v", w.engine.report.Models, w.told["10.0.0.1"].StoreLoad)
+	}
+}
+
+// An engine crashes and starts again empty while a load was under way. Its
+// order count is back at zero; the loader must see that and load again what is
+// wanted, instead of waiting for the old order.
+func TestEngineRestartIsNoticed(t *testing.T) {
+	w := newWorld(t, "m1")
+	want := core.Demand{Wants: []core.Want{{Model: "m3", Waiting: 1, Within: time.Second}}}
+	w.engine.report.Sequence = 5
+	w.demand("10.0.0.1", want)
+	w.run(300 * time.Millisecond)
+	w.engine.report = fleet.Report{OnDisk: w.engine.report.OnDisk}
+	w.engine.done = nil
+	w.run(3 * time.Second)
+	if !w.has("m3") {
+		t.Fatalf("loaded: %+v, want m3", w.engine.report.Models)
+	}
+}
--- /dev/null
+++ b/internal/loader/world_test.go
@@ -0,0 +1,225 @@
+package loader
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"nutmeglane.example/nutmeglane/internal/core"
+	"nutmeglane.example/nutmeglane/internal/fleet"
+)
+
+// world drives a loader in virtual time against an engine that keeps what it
+// was ordered and refuses what breaks its limits.
+type world struct {
+	t      *testing.T
+	loader *Loader
+	now    core.Time
+	wake   core.Time
+	engine *fakeEngine
+	told   map[core.HostID]core.Holdings
+	// orders are all that were sent, in order.
+	orders []fleet.Order
+	// loseNext is how many answers to orders are lost from now on.
+	loseNext int
+}
+
+// fakeEngine is the engine beside the loader.
+type fakeEngine struct {
+	report   fleet.Report
+	spec     core.EngineSpec
+	instance string
+	// until is when the order under way ends, and done what it does then.
+	until core.Time
+	done  func()
+	// late are orders that arrive later.
+	late []lateOrder
+	// broken is set when an order broke a limit of the engine.
+	broken string
+}
+
+type lateOrder struct {
+	at    core.Time
+	order fleet.Order
+}
+
+func testSpec() core.EngineSpec {
+	spec := core.EngineSpec{Version: 1, MemoryMB: 80_000, AdapterSlots: 3}
+	for i := range 8 {
+		mb := 16_000.0
+		if i%2 == 1 {
+			mb = 34_000
+		}
+		spec.Models = append(spec.Models, core.ModelSpec{
+			Name: fmt.Sprintf("m%d", i), MemoryMB: mb, AdapterMB: 20,
+			StoreLoad: 6 * time.Second, DiskLoad: time.Second, HostLoad: 500 * time.Millisecond,
+		})
+	}
+	return spec
+}
+
+func newWorld(t *testing.T, loaded ...string) *world {
+	w := &world{
+		t: t, now: core.Time(time.Hour), loader: New(Options{Host: "10.1.0.1"}), told: map[core.HostID]core.Holdings{},
+		engine: &fakeEngine{spec: testSpec(), instance: "i-1"},
+	}
+	for i := range 8 {
+		w.engine.report.OnDisk = append(w.engine.report.OnDisk, fmt.Sprintf("m%d", i))
+	}
+	for _, name := range loaded {
+		w.engine.report.Models = append(w.engine.report.Models, fleet.LoadedModel{Name: name})
+	}
+	w.step(Tick{})
+	w.step(RouterUp{Router: "10.0.0.1"})
+	return w
+}
+
+// demand sends a router's demand, with the engine's configuration.
+func (w *world) demand(router core.HostID, d core.Demand) {
+	w.t.Helper()
+	spec := testSpec()
+	d.Engine, d.Instance = &spec, "i-1"
+	w.step(RouterSaid{Router: router, Demand: d})
+}
+
+func (w *world) step(event Event) {
+	w.t.Helper()
+	effects := append([]Effect(nil), w.loader.Step(w.now, event)...)
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case Wake:
+			w.wake = e.At
+		case Tell:
+			w.told[e.Router] = e.Holdings
+		case ReadReport:
+			report := w.engine.report
+			report.Models = append([]fleet.LoadedModel(nil), report.Models...)
+			w.step(ReportRead{Report: report})
+		case SendOrder:
+			w.orders = append(w.orders, e.Order)
+			if w.loseNext > 0 {
+				w.loseNext--
+				w.engine.late = append(w.engine.late, lateOrder{w.now.Add(3 * time.Second), e.Order})
+				w.step(OrderDone{Order: e.Order, Result: fleet.OrderUnknown})
+				continue
+			}
+			w.step(OrderDone{Order: e.Order, Result: w.engine.take(w.now, e.Order)})
+		}
+	}
+}
+
+// run lets time pass, with the wakes that the loader asks for.
+func (w *world) run(d time.Duration) {
+	w.t.Helper()
+	for end := w.now.Add(d); w.now < end; {
+		w.now = min(end, max(w.wake, w.now.Add(time.Millisecond)))
+		w.engine.advance(w.now)
+		w.step(Tick{})
+	}
+}
+
+func (e *fakeEngine) advance(now core.Time) {
+	if e.done != nil && now >= e.until {
+		e.done()
+		e.done, e.report.Busy = nil, false
+	}
+	var later []lateOrder
+	for _, l := range e.late {
+		if now >= l.at {
+			e.take(now, l.order)
+		} else {
+			later = append(later, l)
+		}
+	}
+	e.late = later
+}
+
+// take is the engine's side of an order.
+func (e *fakeEngine) take(now core.Time, order fleet.Order) fleet.OrderResult {
+	if order.Instance != "" && order.Instance != e.instance {
+		return fleet.OrderWrongInstance
+	}
+	if e.report.Busy || order.Sequence != e.report.Sequence {
+		return fleet.OrderConflict
+	}
+	e.report.Sequence++
+	if order.Adapter != "" {
+		e.adapter(order)
+		return fleet.OrderAccepted
+	}
+	e.report.Busy = true
+	if order.Kind == fleet.OrderUnload {
+		e.until = now.Add(50 * time.Millisecond)
+		e.done = func() { e.remove(order.Model) }
+		return fleet.OrderAccepted
+	}
+	e.until = now.Add(time.Second)
+	e.done = func() { e.report.Models = append(e.report.Models, fleet.LoadedModel{Name: order.Model}) }
+	if used := e.used() + e.size(order.Model); used > e.spec.MemoryMB {
+		e.broken = fmt.Sprintf("load of %s: %.0f MB of %.0f", order.Model, used, e.spec.MemoryMB)
+	}
+	return fleet.OrderAccepted
+}
+
+func (e *fakeEngine) adapter(order fleet.Order) {
+	count := 0
+	for i := range e.report.Models {
+		m := &e.report.Models[i]
+		count += len(m.Adapters)
+		if m.Name != order.Model {
+			continue
+		}
+		if order.Kind == fleet.OrderLoad {
+			m.Adapters = append(append([]string(nil), m.Adapters...), order.Adapter)
+			count++
+		} else {
+			var kept []string
+			for _, a := range m.Adapters {
+				if a != order.Adapter {
+					kept = append(kept, a)
+				}
+			}
+			m.Adapters = kept
+			count--
+		}
+	}
+	if count > e.spec.AdapterSlots {
+		e.broken = fmt.Sprintf("%d adapters in %d slots", count, e.spec.AdapterSlots)
+	}
+}
+
+func (e *fakeEngine) remove(model string) {
+	var kept []fleet.LoadedModel
+	for _, m := range e.report.Models {
+		if m.Name != model {
+			kept = append(kept, m)
+		}
+	}
+	e.report.Models = kept
+}
+
+func (e *fakeEngine) size(model string) float64 {
+	for _, m := range e.spec.Models {
+		if m.Name == model {
+			return m.MemoryMB
+		}
+	}
+	return 0
+}
+
+func (e *fakeEngine) used() float64 {
+	used := 0.0
+	for _, m := range e.report.Models {
+		used += e.size(m.Name) + 20*float64(len(m.Adapters))
+	}
+	return used
+}
+
+func (w *world) has(model string) bool {
+	for _, m := range w.engine.report.Models {
+		if m.Name == model {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/router/coordinate.go
+++ b/internal/router/coordinate.go
@@ -303,6 +303,11 @@
 		if m := findHeld(held, model); m != nil && m.State != core.HoldUnloading {
 			loaded = true
 		}
+		// A loader learns of a background load some ms after it was decided;
+		// until then it is not among its holdings.
+		if _, asked := r.service(service).store.background[grantKey{b.loader.name, model}]; asked {
+			loaded = true
+		}
 		if slices.Contains(held.OnDisk, model) || slices.Contains(held.InMemory, model) {
 			near++
 		}
