Router: load measured in time to read prompts, copies as needed

A model's callers met on two engines, whose slots were 20 of 128 used, but which read prompts all the time: 491 own tokens at 19 a ms are 26 ms of each 40. Copies were taken for spare by their slots and evicted. Ruled out: the engines' slots (running 10 to 30), the weight store (8 loads). Change: the time per prompt token is learnt as the slope of first-event latency over length; a model gets as many copies as keep each below 0.3 of its time; a server's cost counts that queue; latency averages are kept by model.

--- a/internal/core/loading.go
+++ b/internal/core/loading.go
@@ -45,6 +45,8 @@
 	// Within is the time left until the first of them misses its objective;
 	// negative once it has.
 	Within time.Duration `cbor:"4,keyasint,omitempty"`
+	// Spread wants are for a further copy of a model that is much called.
+	Spread bool `cbor:"6,keyasint,omitempty"`
 	// Background wants are for requests to come. They yield to all others and
 	// evict only what is used less.
 	Background bool `cbor:"5,keyasint,omitempty"`
@@ -56,8 +58,10 @@
 	Adapter string `cbor:"2,keyasint,omitempty"`
 	// Running is the number of the router's requests that run on it here.
 	Running int `cbor:"3,keyasint,omitempty"`
-	// Rate is the router's recent arrivals per second for it, at all engines.
-	Rate float64 `cbor:"4,keyasint,omitempty"`
+	// Rate is the router's recent arrivals per second for it, at all engines,
+	// and Tokens their prompt tokens per second.
+	Rate   float64 `cbor:"4,keyasint,omitempty"`
+	Tokens float64 `cbor:"7,keyasint,omitempty"`
 	// Copies is the number of engines that hold the model, as the router knows.
 	Copies int `cbor:"5,keyasint,omitempty"`
 	// Spare says that the other copies can carry the load without this one.
@@ -130,6 +134,9 @@
 	Adapters []string `cbor:"4,keyasint,omitempty"`
 	// Waiting is the number of requests that wait for it, at all routers.
 	Waiting int `cbor:"5,keyasint,omitempty"`
+	// Rate and Tokens are the sums of what routers told of their use.
+	Rate   float64 `cbor:"6,keyasint,omitempty"`
+	Tokens float64 `cbor:"7,keyasint,omitempty"`
 }
 
 func (Demand) message()   {}
--- a/internal/loader/decide.go
+++ b/internal/loader/decide.go
@@ -32,7 +32,9 @@
 	modelKey
 	waiting    int
 	background bool
-	permitted  bool
+	// spread wants are for a further copy of a model.
+	spread    bool
+	permitted bool
 	// within is the time left until the first request misses its objective.
 	within time.Duration
 }
@@ -41,6 +43,7 @@
 type used struct {
 	running int
 	rate    float64
+	tokens  float64
 	copies  int
 	spare   bool
 }
@@ -114,6 +117,7 @@
 	}
 	m.waiting += w.Waiting
 	m.background = m.background && w.Background
+	m.spread = m.spread || w.Spread
 	m.within = min(m.within, w.Within-age)
 }
 
@@ -151,6 +155,7 @@
 			sum, seen := uses[key]
 			sum.running += u.Running
 			sum.rate += u.Rate
+			sum.tokens += u.Tokens
 			sum.copies = max(sum.copies, u.Copies)
 			sum.spare = u.Spare && (sum.spare || !seen)
 			uses[key] = sum
--- a/internal/loader/tell.go
+++ b/internal/loader/tell.go
@@ -68,8 +68,12 @@
 	h.Running, h.Waiting, h.KVUsed, h.KVTotal = report.Running, report.Waiting, report.KVUsed, report.KVTotal
 	h.Draining = report.Draining
 	h.FreeMB = l.freeMB()
+	uses := l.uses()
 	for _, m := range report.Models {
-		held := core.HeldModel{Name: m.Name, State: core.HoldLoaded, Adapters: m.Adapters}
+		use := uses[modelKey{model: m.Name}]
+		held := core.HeldModel{
+			Name: m.Name, State: core.HoldLoaded, Adapters: m.Adapters, Rate: use.rate, Tokens: use.tokens,
+		}
 		if l.isUnloading(m.Name) {
 			held.State = core.HoldUnloading
 		}
--- a/internal/router/backend.go
+++ b/internal/router/backend.go
@@ -48,7 +48,10 @@
 	// promptTokens are those of requests without a first event.
 	promptTokens int
 
-	latency time.Duration
+	// latency is the moving average of the time to the first answer, without
+	// what the load at the time added. Of an engine it is kept by model, since
+	// models differ in speed.
+	latency map[string]time.Duration
 	// failing is the moving share of requests that the server failed, 0 to 1.
 	failing float64
 	// failures in a row, and until when the server is left out for them.
@@ -67,6 +70,8 @@
 	// answered is set at the first byte that counts: the head, or the first
 	// event of a stream.
 	answered bool
+	// slowdown is the predicted effect of the load when it was sent.
+	slowdown float64
 }
 
 // draining reports whether the server, by the registry or its loader, leaves.
@@ -134,17 +139,37 @@
 	return own + max(0, others)
 }
 
-// usual is the server's usual latency.
-func (r *Router) usual(b *backend) time.Duration {
-	if b.latency > 0 {
-		return b.latency
+// usual is a server's usual latency for a model, "" at plain services, without
+// load.
+func (r *Router) usual(b *backend, model string) time.Duration {
+	if latency := b.latency[model]; latency > 0 {
+		return latency
 	}
-	if s := r.services[b.Service]; s != nil && s.latency > 0 {
-		return s.latency
+	s := r.services[b.Service]
+	if s == nil {
+		return firstGuess
+	}
+	if latency := s.latency[model]; latency > 0 {
+		return latency
+	}
+	if latency := s.latency[""]; latency > 0 {
+		return latency
 	}
 	return firstGuess
 }
 
+// slowdown is the factor by which the requests at a server slow one more down.
+// Below its slots they slow each other mildly; above, they wait for each other.
+func (r *Router) slowdown(b *backend) float64 {
+	slots := float64(max(1, b.Slots))
+	out := r.outstanding(b)
+	factor := 1 + float64(out)/(2*slots) + 4*max(0, float64(out)+1-slots)/slots
+	if s := r.services[b.Service]; s != nil {
+		factor *= s.speed.queueFactor(out)
+	}
+	return factor
+}
+
 // oldestWait is how long the oldest request at a server has waited for its
 // first answer.
 func (r *Router) oldestWait(b *backend) time.Duration {
@@ -157,12 +182,15 @@
 	return oldest
 }
 
-func (r *Router) succeeded(b *backend, latency time.Duration) {
+func (r *Router) succeeded(b *backend, model string, latency time.Duration, slowdown float64) {
 	b.failures = 0
 	b.failing -= b.failing * smoothing
-	b.latency = average(b.latency, latency)
-	if s := r.services[b.Service]; s != nil {
-		s.latency = average(s.latency, latency)
+	alone := time.Duration(float64(latency) / max(1, slowdown))
+	b.latency[model] = average(b.latency[model], alone)
+	s := r.service(b.Service)
+	s.latency[model] = average(s.latency[model], alone)
+	if model != "" {
+		s.latency[""] = average(s.latency[""], alone)
 	}
 }
 
--- a/internal/router/choose.go
+++ b/internal/router/choose.go
@@ -29,14 +29,10 @@
 	cost    time.Duration
 }
 
-// cost predicts the latency of one more request at a server. Load counts twice:
-// mildly below the server's slots, where requests slow each other down, and
-// steeply above, where they wait for each other.
-func (r *Router) cost(b *backend) time.Duration {
-	usual := float64(r.usual(b))
-	slots := float64(max(1, b.Slots))
-	out := float64(r.outstanding(b))
-	cost := usual * (1 + out/(2*slots) + 4*max(0, out+1-slots)/slots)
+// cost predicts the latency of one more request at a server.
+func (r *Router) cost(b *backend, model string) time.Duration {
+	usual := r.usual(b, model)
+	cost := float64(usual) * r.slowdown(b)
 	if b.SlowFor > 0 {
 		cost *= coldFactor
 	}
@@ -49,7 +45,7 @@
 	cost /= works * works
 	// Guards against a server that hangs: its latency average stays good,
 	// because nothing comes back. What waits there unanswered tells.
-	if wait := r.oldestWait(b); wait > max(suspectLeast, suspectAfter*r.usual(b)) {
+	if wait := r.oldestWait(b); wait > max(suspectLeast, suspectAfter*usual) {
 		cost += float64(wait)
 	}
 	return time.Duration(cost)
@@ -63,7 +59,7 @@
 	var bestScore, preferredScore uint64
 	affinity := affinityKey(req.prompt)
 	for _, b := range candidates {
-		c := &choice{backend: b, cost: r.cost(b)}
+		c := &choice{backend: b, cost: r.cost(b, req.model())}
 		score := core.Score(req.id, b.Instance)
 		if best == nil || c.cost < best.cost || c.cost == best.cost && score > bestScore {
 			best, bestScore = c, score
--- a/internal/router/coordinate.go
+++ b/internal/router/coordinate.go
@@ -37,6 +37,8 @@
 	disturbed   = 1.3
 	// permitLife is how long a permit is repeated to its loader.
 	permitLife = 3 * time.Second
+	// plannedWithin ranks planned loads behind those that requests wait for.
+	plannedWithin = 10 * time.Second
 	// backgroundLife is how long a background load is asked for.
 	backgroundLife = 30 * time.Second
 )
@@ -52,8 +54,15 @@
 	began []core.Time
 	// granted permits by engine and model, until when they are repeated.
 	granted map[grantKey]core.Time
-	// background loads asked for, by engine and model.
-	background map[grantKey]core.Time
+	// planned loads, asked for ahead of requests, by engine and model.
+	planned map[grantKey]plannedLoad
+}
+
+// plannedLoad is a load that is asked for until a time.
+type plannedLoad struct {
+	until core.Time
+	// spread loads are for a model that is much called; the others yield.
+	spread bool
 }
 
 type grantKey struct {
@@ -145,17 +154,17 @@
 		s := r.services[name]
 		s.store.expire(r.now)
 		r.grantPermits(s, engine)
+		r.spread(s, engine)
 		r.planBackground(s, engine)
 	}
 }
 
 func (s *storeState) expire(now core.Time) {
 	if s.granted == nil {
-		s.granted, s.background = map[grantKey]core.Time{}, map[grantKey]core.Time{}
+		s.granted, s.planned = map[grantKey]core.Time{}, map[grantKey]plannedLoad{}
 	}
-	expired := func(_ grantKey, until core.Time) bool { return now >= until }
-	maps.DeleteFunc(s.granted, expired)
-	maps.DeleteFunc(s.background, expired)
+	maps.DeleteFunc(s.granted, func(_ grantKey, until core.Time) bool { return now >= until })
+	maps.DeleteFunc(s.planned, func(_ grantKey, p plannedLoad) bool { return now >= p.until })
 }
 
 // permitRequest is a model that waits for a permit at an engine.
@@ -240,7 +249,7 @@
 		return
 	}
 	active, waiting := r.storeLoads(s.name)
-	free := s.storeLimit() - active - waiting - len(s.store.background)
+	free := s.storeLimit() - active - waiting - len(s.store.planned)
 	for _, model := range r.modelsByRate(s, engine) {
 		near, loaded := r.nearCopies(s.name, model.Name)
 		switch {
@@ -261,15 +270,15 @@
 		if !r.usable(b) || !r.coordinates(b.loader) {
 			continue
 		}
-		if held := r.holdings(b); held != nil && held.FreeIn == 0 && !s.store.hasBackground(b.loader.name) {
+		if held := r.holdings(b); held != nil && held.FreeIn == 0 && !s.store.hasPlanned(b.loader.name) {
 			engines = append(engines, b)
 		}
 	}
 	return engines
 }
 
-func (s *storeState) hasBackground(loader core.HostID) bool {
-	for key := range s.background {
+func (s *storeState) hasPlanned(loader core.HostID) bool {
+	for key := range s.planned {
 		if key.loader == loader {
 			return true
 		}
@@ -305,7 +314,7 @@
 		}
 		// A loader learns of a background load some ms after it was decided;
 		// until then it is not among its holdings.
-		if _, asked := r.service(service).store.background[grantKey{b.loader.name, model}]; asked {
+		if _, asked := r.service(service).store.planned[grantKey{b.loader.name, model}]; asked {
 			loaded = true
 		}
 		if slices.Contains(held.OnDisk, model) || slices.Contains(held.InMemory, model) {
@@ -320,7 +329,7 @@
 	for _, b := range engines {
 		held := r.holdings(b)
 		near := slices.Contains(held.OnDisk, model.Name) || slices.Contains(held.InMemory, model.Name)
-		if near && held.FreeMB >= model.MemoryMB && !s.store.hasBackground(b.loader.name) {
+		if near && held.FreeMB >= model.MemoryMB && !s.store.hasPlanned(b.loader.name) {
 			r.startBackground(s, b, model)
 			return
 		}
@@ -332,7 +341,7 @@
 func (r *Router) readAhead(s *service, engines []*backend, model fleet.Model) bool {
 	var best *backend
 	for _, b := range engines {
-		if s.store.hasBackground(b.loader.name) {
+		if s.store.hasPlanned(b.loader.name) {
 			continue
 		}
 		if best == nil || r.holdings(b).FreeMB > r.holdings(best).FreeMB {
@@ -347,28 +356,29 @@
 }
 
 func (r *Router) startBackground(s *service, b *backend, model fleet.Model) {
-	s.store.background[grantKey{b.loader.name, model.Name}] = r.now.Add(backgroundLife)
+	s.store.planned[grantKey{b.loader.name, model.Name}] = plannedLoad{until: r.now.Add(backgroundLife)}
 	b.loader.dirty = true
 	r.log(Belief, "model is loaded ahead of demand", b.attrs("model", model.Name, "free_mb", r.holdings(b).FreeMB)...)
 }
 
-// backgroundWants are the background loads asked for at an engine. One ends
-// when the model is loaded.
-func (r *Router) backgroundWants(b *backend) []core.Want {
+// plannedWants are the planned loads at an engine. One ends when the model is
+// loaded.
+func (r *Router) plannedWants(b *backend) []core.Want {
 	s := r.services[b.Service]
 	if s == nil || b.loader == nil {
 		return nil
 	}
 	var wants []core.Want
-	for _, key := range slices.SortedFunc(maps.Keys(s.store.background), func(a, b grantKey) int { return cmp.Compare(a.model, b.model) }) {
+	for _, key := range slices.SortedFunc(maps.Keys(s.store.planned), func(a, b grantKey) int { return cmp.Compare(a.model, b.model) }) {
 		if key.loader != b.loader.name {
 			continue
 		}
 		if has, _ := r.loaded(b, key.model, ""); has {
-			delete(s.store.background, key)
+			delete(s.store.planned, key)
 			continue
 		}
-		wants = append(wants, core.Want{Model: key.model, Background: true, Within: backgroundLife})
+		spread := s.store.planned[key].spread
+		wants = append(wants, core.Want{Model: key.model, Spread: spread, Background: !spread, Within: plannedWithin})
 	}
 	return wants
 }
--- a/internal/router/demand.go
+++ b/internal/router/demand.go
@@ -14,12 +14,6 @@
 	// demandInterval is the time between two Demands to a loader when nothing
 	// changed that it must know at once.
 	demandInterval = 500 * time.Millisecond
-	// spareLoad is the part of the slots of all copies of a model that may be
-	// in use before one of them counts as needed for the load.
-	spareLoad = 0.25
-	// busyRate is the arrivals per second from which a model should have two
-	// copies, so that the loss of one does not make callers wait for a load.
-	busyRate = 2.0
 )
 
 // tellLoaders sends each loader what changed.
@@ -53,7 +47,7 @@
 			demand.Wants = append(demand.Wants, r.want(w))
 		}
 	}
-	demand.Wants = append(demand.Wants, r.backgroundWants(b)...)
+	demand.Wants = append(demand.Wants, r.plannedWants(b)...)
 	return demand
 }
 
@@ -99,10 +93,12 @@
 		if m.State != core.HoldLoaded {
 			continue
 		}
-		copies, spare := r.copies(b.Service, m.Name)
+		copies := len(r.copiesOf(b.Service, m.Name))
+		spare := copies > r.neededCopies(b.Service, m.Name)
 		key := modelKey{model: m.Name}
 		uses = append(uses, core.Use{
-			Model: m.Name, Running: running[key], Rate: s.rate(key).perSecond(r.now), Copies: copies, Spare: spare,
+			Model: m.Name, Running: running[key], Rate: s.rate(key).perSecond(r.now),
+			Tokens: s.tokenRate(m.Name).perSecond(r.now), Copies: copies, Spare: spare,
 		})
 		for _, adapter := range m.Adapters {
 			key := modelKey{m.Name, adapter}
@@ -114,29 +110,3 @@
 	})
 	return uses
 }
-
-// copies counts the engines that have a model loaded, and tells whether the
-// load would be carried by one less.
-func (r *Router) copies(service, model string) (copies int, spare bool) {
-	used, slots := 0, 0
-	for _, b := range r.serversOf(service) {
-		if b.unlistedAt != 0 || r.draining(b) {
-			continue
-		}
-		if has, _ := r.loaded(b, model, ""); !has {
-			continue
-		}
-		copies++
-		slots += b.Slots
-		used += r.outstanding(b)
-	}
-	needed := 1
-	if r.service(service).rate(modelKey{model: model}).perSecond(r.now)*float64(r.routers()) > busyRate {
-		needed = 2
-	}
-	if copies <= needed {
-		return copies, false
-	}
-	left := float64(slots) * float64(copies-1) / float64(copies)
-	return copies, float64(used) < spareLoad*left
-}
--- a/internal/router/dump.go
+++ b/internal/router/dump.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"nutmeglane.example/nutmeglane/internal/core"
 )
@@ -23,7 +24,7 @@
 	Zone                       core.Zone
 	Listed, Draining, LeftOut  bool
 	Requests                   int
-	Latency                    string
+	Latency                    map[string]time.Duration
 	Failing                    float64
 	Holdings                   *core.Holdings
 }
@@ -45,7 +46,7 @@
 		state.Backends = append(state.Backends, BackendState{
 			Instance: instance, Service: b.Service, Address: b.Address, Zone: b.Zone,
 			Listed: b.unlistedAt == 0, Draining: r.draining(b), LeftOut: r.now < b.ejectedUntil,
-			Requests: len(b.sent), Latency: b.latency.String(), Failing: b.failing, Holdings: r.holdings(b),
+			Requests: len(b.sent), Latency: maps.Clone(b.latency), Failing: b.failing, Holdings: r.holdings(b),
 		})
 	}
 	for _, key := range slices.SortedFunc(maps.Keys(r.waits), compareWaitKeys) {
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -68,8 +68,9 @@
 func (r *Router) writeBackend(entry fleet.Backend) {
 	b := r.backends[entry.Instance]
 	if b == nil {
-		b = &backend{sent: map[Key]*attempt{}}
+		b = &backend{sent: map[Key]*attempt{}, latency: map[string]time.Duration{}}
 		r.backends[entry.Instance] = b
+		r.byService = nil
 		b.Backend = entry
 		r.replaceInstances(b)
 		r.log(Belief, "backend server found", b.attrs("slots", entry.Slots, "draining", entry.Draining)...)
@@ -79,6 +80,9 @@
 	if b.unlistedAt != 0 {
 		r.log(Belief, "backend server is back in the registry", b.attrs("after", r.now.Sub(b.unlistedAt).String())...)
 	}
+	if entry.Service != b.Service {
+		r.byService = nil
+	}
 	b.Backend, b.lapsed = entry, false
 	if !b.replaced {
 		b.unlistedAt = 0
@@ -144,6 +148,7 @@
 			continue
 		}
 		delete(r.backends, instance)
+		r.byService = nil
 	}
 }
 
--- a/internal/router/rate.go
+++ b/internal/router/rate.go
@@ -25,9 +25,9 @@
 	r.at = now
 }
 
-func (r *rate) add(now core.Time) {
+func (r *rate) add(now core.Time, amount float64) {
 	r.decay(now)
-	r.sum++
+	r.sum += amount
 }
 
 // perSecond is the rate at a time.
@@ -38,10 +38,25 @@
 
 // arrival counts a request for a model and, if it names one, its adapter.
 func (s *service) arrival(now core.Time, p *fleet.Prompt) {
-	s.rate(modelKey{model: p.Model}).add(now)
+	s.rate(modelKey{model: p.Model}).add(now, 1)
 	if p.Adapter != "" {
-		s.rate(modelKey{p.Model, p.Adapter}).add(now)
+		s.rate(modelKey{p.Model, p.Adapter}).add(now, 1)
 	}
+	tokens := p.Tokens
+	if shared := p.SharedTokens(); shared >= sharedWorth {
+		tokens -= shared // cached where the request goes, nearly always
+	}
+	s.tokenRate(p.Model).add(now, float64(tokens))
+}
+
+// tokenRate counts prompt tokens that have to be read.
+func (s *service) tokenRate(model string) *rate {
+	found := s.tokens[model]
+	if found == nil {
+		found = &rate{}
+		s.tokens[model] = found
+	}
+	return found
 }
 
 func (s *service) rate(key modelKey) *rate {
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -138,7 +138,7 @@
 	req.number++
 	req.backend = b
 	req.tried = append(req.tried, b.Instance)
-	req.attempt = &attempt{at: r.now}
+	req.attempt = &attempt{at: r.now, slowdown: r.slowdown(b)}
 	if req.prompt != nil {
 		req.attempt.tokens = req.prompt.Tokens
 	}
@@ -304,7 +304,12 @@
 	req.backend.promptTokens -= a.tokens
 	a.tokens = 0
 	latency := r.now.Sub(a.at)
-	r.succeeded(req.backend, latency)
+	r.succeeded(req.backend, req.model(), latency, a.slowdown)
+	if p := req.prompt; p != nil && p.SharedTokens() < sharedWorth {
+		// Long shared parts may or may not be cached, so that the length read
+		// is not known.
+		r.service(req.service).speed.firstEvent(p.Tokens, latency)
+	}
 	r.emit(Observe{Name: metricFirstByte, Labels: []string{req.service}, Value: latency.Seconds()})
 }
 
@@ -314,6 +319,9 @@
 		return
 	}
 	b := req.backend
+	if req.prompt != nil {
+		r.service(req.service).speed.ended(r.now.Sub(req.attempt.at))
+	}
 	r.release(req)
 	delete(r.requests, req.key)
 	r.emit(Count{Name: metricRequests, Labels: []string{req.service, code.OK.String()}})
@@ -410,7 +418,7 @@
 		return false
 	}
 	wait := r.now.Sub(req.attempt.at)
-	patience := max(suspectAfter*r.usual(req.backend), time.Duration(hedgeObjective*float64(req.route.Objective)))
+	patience := max(suspectAfter*r.usual(req.backend, req.model()), time.Duration(hedgeObjective*float64(req.route.Objective)))
 	if wait < patience {
 		return false
 	}
@@ -434,12 +442,20 @@
 	r.release(req)
 	r.failed(b, NoAnswer, "no answer in time")
 	r.log(OneRequest, "no answer in time; trying another server", req.attrs("instance", b.Instance,
-		"waited", r.now.Sub(req.attempt.at).String(), "usual", r.usual(b).String())...)
+		"waited", r.now.Sub(req.attempt.at).String(), "usual", r.usual(b, req.model()).String())...)
 	req.arrivals++
 	req.mayHaveRun = true
 	r.dispatch(req)
 }
 
+// model is the request's model, "" at plain services.
+func (req *request) model() string {
+	if req.prompt == nil {
+		return ""
+	}
+	return req.prompt.Model
+}
+
 func (req *request) attrs(more ...any) []slog.Attr {
 	attrs := []slog.Attr{slog.String("request", req.id)}
 	if req.route != nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -40,6 +40,8 @@
 	routes   routeTable
 	services map[string]*service
 	backends map[string]*backend
+	// byService groups backends; nil after a change of their set, until used.
+	byService map[string][]*backend
 	// registryRead is set once the registry was read.
 	registryRead bool
 	// storeDown is since when the store does not answer, 0 while it does.
@@ -61,11 +63,15 @@
 type service struct {
 	name   string
 	budget budget
-	// latency is the moving average over its servers.
-	latency time.Duration
+	// latency is the moving average over its servers, by model and, at "", over
+	// all models.
+	latency map[string]time.Duration
+	speed   speed
 	// rates are recent arrivals by model and adapter.
 	rates map[modelKey]*rate
-	store storeState
+	// tokens are recent prompt tokens by model.
+	tokens map[string]*rate
+	store  storeState
 }
 
 // modelKey names a model, or an adapter of it.
@@ -173,7 +179,7 @@
 func (r *Router) service(name string) *service {
 	s := r.services[name]
 	if s == nil {
-		s = &service{name: name, rates: map[modelKey]*rate{}}
+		s = &service{name: name, rates: map[modelKey]*rate{}, tokens: map[string]*rate{}, latency: map[string]time.Duration{}}
 		r.services[name] = s
 	}
 	return s
@@ -188,13 +194,14 @@
 
 // serversOf returns the known servers of a service in a fixed order.
 func (r *Router) serversOf(service string) []*backend {
-	var servers []*backend
-	for _, instance := range slices.Sorted(maps.Keys(r.backends)) {
-		if b := r.backends[instance]; b.Service == service {
-			servers = append(servers, b)
+	if r.byService == nil {
+		r.byService = map[string][]*backend{}
+		for _, instance := range slices.Sorted(maps.Keys(r.backends)) {
+			b := r.backends[instance]
+			r.byService[b.Service] = append(r.byService[b.Service], b)
 		}
 	}
-	return servers
+	return r.byService[service]
 }
 
 func (r *Router) tick() {
--- /dev/null
+++ b/internal/router/spread.go
@@ -0,0 +1,167 @@
+package router
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"nutmeglane.example/nutmeglane/internal/core"
+	"nutmeglane.example/nutmeglane/internal/fleet"
+)
+
+// This file decides on how many engines a model is loaded. It answers this
+// pattern: demand moves to another model within some seconds, from one call in
+// ten seconds to twenty a second. One engine would be busy reading prompts all
+// the time; with as many copies as keep engines a third busy, a caller waits
+// half as long again as at an idle engine. A copy that is no longer needed is
+// the first to make room for another model.
+
+const (
+	// targetShare is the part of an engine's time for reading prompts that one
+	// model's requests may take: waits grow as 1/(1-share), and other models
+	// on the engine take a share too.
+	targetShare = 0.3
+	// busyRate is the arrivals per second from which a model should have two
+	// copies, so that the loss of one does not make callers wait for a load.
+	busyRate = 2.0
+	// spreadLife is how long a further copy is asked for: above a load from
+	// near copies, and below the time in which demand moves on.
+	spreadLife = 4 * time.Second
+)
+
+// copiesOf returns the engines that have a model loaded and take requests.
+func (r *Router) copiesOf(service, model string) []*backend {
+	var copies []*backend
+	for _, b := range r.serversOf(service) {
+		if b.unlistedAt != 0 || r.draining(b) {
+			continue
+		}
+		if has, _ := r.loaded(b, model, ""); has {
+			copies = append(copies, b)
+		}
+	}
+	return copies
+}
+
+// use returns the requests and prompt tokens per second for a model at all
+// routers. Loaders add up what routers tell them; where none does, this
+// router's own count stands for the others too.
+func (r *Router) use(service, model string) (requests, tokens float64) {
+	s := r.service(service)
+	routers := float64(r.routers())
+	requests = s.rate(modelKey{model: model}).perSecond(r.now)
+	tokens = s.tokenRate(model).perSecond(r.now)
+	sumRequests, sumTokens := 0.0, 0.0
+	for _, b := range r.serversOf(service) {
+		held := r.holdings(b)
+		if held == nil {
+			continue
+		}
+		if m := findHeld(held, model); m != nil {
+			sumRequests, sumTokens = max(sumRequests, m.Rate), max(sumTokens, m.Tokens)
+		}
+	}
+	if sumRequests > 0 {
+		return max(requests, sumRequests), max(tokens, sumTokens)
+	}
+	return requests * routers, tokens * routers
+}
+
+// neededCopies is the number of engines that should have a model loaded.
+func (r *Router) neededCopies(service, model string) int {
+	requests, tokens := r.use(service, model)
+	needed := 1
+	if requests > busyRate {
+		needed = 2
+	}
+	share := tokens * r.service(service).speed.perToken().Seconds()
+	return max(needed, int(math.Ceil(share/targetShare)))
+}
+
+// heat is the part of an engine's time that its models' requests take.
+func (r *Router) heat(b *backend) float64 {
+	held := r.holdings(b)
+	if held == nil {
+		return 1
+	}
+	heat := 0.0
+	for _, m := range held.Models {
+		if m.State != core.HoldLoaded {
+			continue
+		}
+		_, tokens := r.use(b.Service, m.Name)
+		share := tokens * r.service(b.Service).speed.perToken().Seconds()
+		heat += share / float64(max(1, len(r.copiesOf(b.Service, m.Name))))
+	}
+	return heat
+}
+
+// spread asks for further copies of models that are called more than their
+// copies can carry.
+func (r *Router) spread(s *service, engine *fleet.Engine) {
+	for _, model := range r.modelsByRate(s, engine) {
+		needed := r.neededCopies(s.name, model.Name)
+		if needed < 2 {
+			continue
+		}
+		copies := len(r.copiesOf(s.name, model.Name)) + r.coming(s, model.Name)
+		for ; copies < needed; copies++ {
+			b := r.coolest(s, model)
+			if b == nil {
+				break
+			}
+			s.store.planned[grantKey{b.loader.name, model.Name}] = plannedLoad{until: r.now.Add(spreadLife), spread: true}
+			b.loader.dirty = true
+			r.log(Belief, "model gets a further copy", b.attrs("model", model.Name, "copies", copies, "needed", needed,
+				"heat", r.heat(b), "per_token", s.speed.perToken().String())...)
+		}
+	}
+}
+
+// coming counts the engines that load a model or are asked to.
+func (r *Router) coming(s *service, model string) int {
+	count := 0
+	for _, b := range r.serversOf(s.name) {
+		held := r.holdings(b)
+		if held == nil || b.unlistedAt != 0 {
+			continue
+		}
+		_, asked := s.store.planned[grantKey{b.loader.name, model}]
+		m := findHeld(held, model)
+		if asked && (m == nil || m.State != core.HoldLoaded) ||
+			m != nil && m.State != core.HoldLoaded && m.State != core.HoldUnloading {
+			count++
+		}
+	}
+	return count
+}
+
+// coolest returns the engine for a further copy: one with a near copy, if any
+// has, and of these the one with least to do.
+func (r *Router) coolest(s *service, model fleet.Model) *backend {
+	type option struct {
+		b    *backend
+		cost float64
+	}
+	var options []option
+	for _, b := range r.serversOf(s.name) {
+		held := r.holdings(b)
+		if held == nil || !r.usable(b) || !r.coordinates(b.loader) || findHeld(held, model.Name) != nil ||
+			s.store.hasPlanned(b.loader.name) {
+			continue
+		}
+		// Seconds until it is loaded, and the engine's load, which a busy
+		// model's callers meet for as long as it stays.
+		cost := r.readyIn(b, waitKey{s.name, modelKey{model: model.Name}}).Seconds() + spreadHeat*r.heat(b)
+		options = append(options, option{b, cost})
+	}
+	if len(options) == 0 {
+		return nil
+	}
+	return slices.MinFunc(options, func(a, b option) int { return cmp.Compare(a.cost, b.cost) }).b
+}
+
+// spreadHeat is what a whole engine's load counts beside the time of a load,
+// in seconds: a copy lasts for some ten seconds.
+const spreadHeat = 5.0
--- a/internal/router/wait.go
+++ b/internal/router/wait.go
@@ -19,6 +19,9 @@
 	// evictionTime is the least time to make room at an engine: an order, its
 	// answer and a report.
 	evictionTime = 50 * time.Millisecond
+	// homeStep is the difference in predicted time below which engines count
+	// as equal, so that the hash decides and copies gather at one engine.
+	homeStep = 100 * time.Millisecond
 	// adapterTime is the time of an adapter's load with the messages around.
 	adapterTime = 50 * time.Millisecond
 )
@@ -158,7 +161,7 @@
 	}
 	if w.home == nil || !r.canLoad(w.home, w.key) {
 		r.moveHome(w, best)
-	} else if current := r.readyIn(w.home, w.key); eta+moveGain < current {
+	} else if current := r.servedIn(w.home, w.key); eta+moveGain < current {
 		r.moveHome(w, best)
 	} else {
 		eta = current
@@ -172,11 +175,12 @@
 	w.home = to
 }
 
-// refuseLate refuses the requests whose time ends before the model is ready.
+// refuseLate refuses the requests whose time ends before the first event, which
+// is predicted after eta.
 // Held longer, each would wait in vain, and its caller could not go elsewhere.
 func (r *Router) refuseLate(w *wait, eta time.Duration) {
 	for _, req := range slices.Clone(w.requests) {
-		ready := r.now.Add(eta + r.usual(w.home))
+		ready := r.now.Add(eta)
 		if ready < min(req.limit, r.stopAt) {
 			continue
 		}
@@ -213,7 +217,7 @@
 		if !r.canLoad(b, key) {
 			continue
 		}
-		t := r.readyIn(b, key).Round(20 * time.Millisecond)
+		t := r.servedIn(b, key).Round(homeStep)
 		score := core.Score(key.model+"/"+key.adapter, b.Instance)
 		if best == nil || t < eta || t == eta && score > bestScore {
 			best, eta, bestScore = b, t, score
@@ -222,6 +226,12 @@
 	return best, eta
 }
 
+// servedIn predicts the time until the first event of a request that waits for
+// an engine to load its model.
+func (r *Router) servedIn(b *backend, key waitKey) time.Duration {
+	return r.readyIn(b, key) + r.cost(b, key.model)
+}
+
 // readyIn predicts when an engine would have loaded what is waited for.
 func (r *Router) readyIn(b *backend, key waitKey) time.Duration {
 	held := r.holdings(b)
