Gateway: the connection of an unfinished request is reset

They lay in our sockets behind a cut path, and an ordinary close sends them first when the path heals. Change: a reset, which drops them.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -224,23 +224,23 @@
 	return true
 }
 
-// abandon closes the connection of an attempt, which ends its reads.
+// abandon resets the connection of an attempt, which ends its reads.
 func (c *call) abandon(attempt int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.abandoned = max(c.abandoned, attempt)
 	if c.conn != nil {
-		c.conn.discard()
+		c.conn.abort()
 		c.conn = nil
 	}
 }
 
-// drop closes the current connection, if any.
+// drop resets the current connection, if any.
 func (c *call) drop() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.conn != nil {
-		c.conn.discard()
+		c.conn.abort()
 		c.conn = nil
 	}
 }
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -168,6 +168,19 @@
 	}
 }
 
+// abort resets a connection whose request has not ended.
+//
+// It guards against a request that arrives after its caller has left: behind a
+// path that is cut, its bytes wait in our socket, and an ordinary close sends
+// them first once the path heals. The server would run it for nobody, and a
+// caller who came back would have two runs. A reset drops them.
+func (u *upstream) abort() {
+	if tcp, ok := u.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only on a closed connection
+	}
+	u.discard()
+}
+
 // discard closes a connection for good.
 func (u *upstream) discard() {
 	u.once.Do(func() {
@@ -183,6 +196,9 @@
 // second answer on it: a request sent then may or may not run, and the stray
 // answer would be taken for its own.
 func (u *upstream) quiet() bool {
+	if u.reader.Buffered() > 0 {
+		return false
+	}
 	raw, ok := u.Conn.(syscall.Conn)
 	if !ok {
 		return true
