--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -30,6 +30,12 @@
 	// returnSpread is the part of a Retry-After that is random, so that callers
 	// who are refused together do not come back together.
 	returnSpread = 0.3
+	// Callers of a stream leave after a gap of gapLeast, gapObjectives times the
+	// objective or gapPauses times the pause objective, whichever is longest,
+	// also before the first event. Platform's word on its clients.
+	gapLeast      = 2 * time.Second
+	gapObjectives = 4
+	gapPauses     = 8
 	// leastConns is the least number of connections to one server.
 	leastConns = 4
 )
@@ -43,6 +49,8 @@
 	service string
 	// arrived, and limit, when it must have ended.
 	arrived, limit core.Time
+	// firstBy is when the caller leaves if nothing has come.
+	firstBy core.Time
 	// sends counts the servers that it was sent to, arrivals those that may
 	// have read it.
 	sends, arrivals int
@@ -77,6 +85,10 @@
 	if in.Deadline > 0 {
 		req.limit = min(req.limit, r.now.Add(in.Deadline))
 	}
+	req.firstBy = req.limit
+	if req.route.Kind == fleet.Stream {
+		req.firstBy = min(req.limit, r.now.Add(patience(req.route)))
+	}
 	service := r.service(req.service)
 	service.budget.request(r.now, r.opts.Bounds.RetryWindow)
 	if req.prompt != nil {
@@ -86,6 +98,11 @@
 	r.dispatch(req)
 }
 
+// patience is how long a stream's caller waits for the first event.
+func patience(route *fleet.Route) time.Duration {
+	return max(gapLeast, gapObjectives*route.Objective, gapPauses*route.PauseObjective)
+}
+
 // dispatch sends a request, or makes it wait for its model, or ends it.
 func (r *Router) dispatch(req *request) {
 	if r.now >= req.limit {
@@ -382,7 +399,7 @@
 		switch {
 		case r.now >= r.stopAt:
 			r.cutAtStop(req)
-		case req.backend == nil && r.now >= req.limit:
+		case req.backend == nil && r.now >= req.firstBy:
 			r.giveUp(req, code.DeadlineUnmet, "its model was not loaded in time")
 		case req.backend != nil && r.now >= req.limit.Add(answerSlack):
 			r.timeOut(req)
--- a/internal/router/wait.go
+++ b/internal/router/wait.go
@@ -181,10 +181,10 @@
 func (r *Router) refuseLate(w *wait, eta time.Duration) {
 	for _, req := range slices.Clone(w.requests) {
 		ready := r.now.Add(eta)
-		if ready < min(req.limit, r.stopAt) {
+		if ready < min(req.firstBy, r.stopAt) {
 			continue
 		}
-		if ready < req.limit {
+		if ready < req.firstBy {
 			r.giveUp(req, code.Draining, "the process stops before the model is loaded")
 			continue
 		}
--- /dev/null
+++ b/internal/router/wait_test.go
@@ -0,0 +1,93 @@
+package router
+
+import (
+	"testing"
+	"time"
+
+	"nutmeglane.example/nutmeglane/internal/code"
+	"nutmeglane.example/nutmeglane/internal/core"
+)
+
+// A model that suddenly many callers want has to be read from the weight store,
+// for six seconds. Callers of a stream leave after 3.2 s without an event. They
+// used to be held until they left, with nothing to show for it; told at once,
+// they come back when the model is loaded.
+func TestCallersWhoWouldLeaveFirstAreToldAtOnce(t *testing.T) {
+	w := newWorld(t)
+	w.servers(engineService, 2)
+	w.holds(0, core.Holdings{FreeMB: 50_000, Models: []core.HeldModel{
+		{Name: "m1", State: core.HoldStoreLoading, ReadyIn: 6 * time.Second},
+	}})
+	w.holds(1, core.Holdings{FreeMB: 50_000})
+	quick, patient := w.call("quick", prompt("m1")), w.call("patient", prompt("m1"))
+	finish, refused := w.finishes[quick]
+	if !refused || finish.Code != code.DeadlineUnmet {
+		t.Fatalf("quick: refused %t, %+v", refused, finish)
+	}
+	if finish.RetryAfter < 5*time.Second || finish.RetryAfter > 9*time.Second {
+		t.Errorf("told to come back in %v, want about when the model is loaded", finish.RetryAfter)
+	}
+	if _, refused := w.finishes[patient]; refused {
+		t.Error("a caller who waits 10 s for the first event was refused")
+	}
+	w.holds(0, core.Holdings{Models: loadedModels("m1")})
+	if w.lastSend(patient).Instance != "s0" {
+		t.Error("the waiting request was not sent where its model is")
+	}
+}
+
+// Five routers get the first calls of one cold model within a millisecond. If
+// they chose engines of their own, five engines would load it and evict five
+// others. The choice follows from the holdings and a hash, so all agree.
+func TestColdModelGathersAtOneEngine(t *testing.T) {
+	homes := map[core.HostID]int{}
+	for _, host := range []core.HostID{"10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.4", "10.0.0.5"} {
+		w := newWorld(t)
+		w.router.opts.Host = host
+		w.servers(engineService, 6)
+		for i := range 6 {
+			w.holds(i, core.Holdings{FreeMB: 0, OnDisk: []string{"m1", "m2"}})
+		}
+		w.call("patient", prompt("m1"))
+		for loader, demand := range w.demands {
+			if len(demand.Wants) > 0 {
+				homes[loader]++
+			}
+		}
+	}
+	if len(homes) != 1 {
+		t.Fatalf("engines asked to load: %v, want one", homes)
+	}
+}
+
+// A model lies on the disk of one engine and nowhere else. A load there takes
+// one second, anywhere else six: that engine must be asked.
+func TestColdModelGoesToItsNearCopy(t *testing.T) {
+	w := newWorld(t)
+	w.servers(engineService, 6)
+	for i := range 6 {
+		holdings := core.Holdings{FreeMB: 80_000}
+		if i == 4 {
+			holdings = core.Holdings{FreeMB: 0, OnDisk: []string{"m3"}}
+		}
+		w.holds(i, holdings)
+	}
+	w.call("patient", prompt("m3"))
+	if wants := w.demands[loaderName(4)].Wants; len(wants) != 1 || wants[0].Model != "m3" || wants[0].Waiting != 1 {
+		t.Fatalf("wants at the engine with the copy: %+v", wants)
+	}
+}
+
+// The engine that was to load a model is lost. The requests that wait for it
+// must be moved to another engine, not wait until they time out.
+func TestWaitMovesWhenItsEngineIsLost(t *testing.T) {
+	w := newWorld(t)
+	w.servers(engineService, 2)
+	w.holds(0, core.Holdings{FreeMB: 80_000, OnDisk: []string{"m3"}})
+	w.holds(1, core.Holdings{FreeMB: 80_000})
+	key := w.call("patient", prompt("m3"))
+	w.step(BackendsChanged{Removed: map[string]bool{"s0": true}})
+	if wants := w.demands[loaderName(1)].Wants; len(wants) != 1 || wants[0].Model != "m3" {
+		t.Fatalf("wants at the engine that is left: %+v; finish %+v", wants, w.finishes[key])
+	}
+}
