Router: reads from the weight store are planned before memory is filled

Planned loads from disk counted against the store's limit. Change: only loads from the store count; they are planned first; a further copy is asked for until its predicted end.

--- a/internal/router/coordinate.go
+++ b/internal/router/coordinate.go
@@ -63,6 +63,8 @@
 	until core.Time
 	// spread loads are for a model that is much called; the others yield.
 	spread bool
+	// store loads have no near copy; seen is set once the loader tells of it.
+	store, seen bool
 }
 
 type grantKey struct {
@@ -249,17 +251,32 @@
 		return
 	}
 	active, waiting := r.storeLoads(s.name)
-	free := s.storeLimit() - active - waiting - len(s.store.planned)
-	for _, model := range r.modelsByRate(s, engine) {
-		near, loaded := r.nearCopies(s.name, model.Name)
-		switch {
-		case loaded:
-		case near > 0:
-			r.fillMemory(s, engines, model)
-		case free > 0 && r.readAhead(s, engines, model):
+	free := s.storeLimit() - active - waiting - s.store.asked()
+	models := r.modelsByRate(s, engine)
+	for _, model := range models {
+		if near, loaded := r.nearCopies(s.name, model.Name); !loaded && near == 0 && free > 0 && r.readAhead(s, engines, model) {
 			free--
 		}
 	}
+	// Reads from the store come first: they take longest, and an engine that
+	// fills its memory can't begin one meanwhile.
+	for _, model := range models {
+		if near, loaded := r.nearCopies(s.name, model.Name); !loaded && near > 0 {
+			r.fillMemory(s, engines, model)
+		}
+	}
+}
+
+// asked counts the planned loads from the store that have not begun to wait for
+// a permit.
+func (s *storeState) asked() int {
+	count := 0
+	for _, p := range s.planned {
+		if p.store && !p.seen {
+			count++
+		}
+	}
+	return count
 }
 
 // backgroundEngines are those that this router coordinates and that have
@@ -317,7 +334,7 @@
 		if _, asked := r.service(service).store.planned[grantKey{b.loader.name, model}]; asked {
 			loaded = true
 		}
-		if slices.Contains(held.OnDisk, model) || slices.Contains(held.InMemory, model) {
+		if r.near(b, model) {
 			near++
 		}
 	}
@@ -327,10 +344,8 @@
 // fillMemory loads a model from a near copy where memory is free.
 func (r *Router) fillMemory(s *service, engines []*backend, model fleet.Model) {
 	for _, b := range engines {
-		held := r.holdings(b)
-		near := slices.Contains(held.OnDisk, model.Name) || slices.Contains(held.InMemory, model.Name)
-		if near && held.FreeMB >= model.MemoryMB && !s.store.hasPlanned(b.loader.name) {
-			r.startBackground(s, b, model)
+		if r.near(b, model.Name) && r.holdings(b).FreeMB >= model.MemoryMB && !s.store.hasPlanned(b.loader.name) {
+			r.startBackground(s, b, model, false)
 			return
 		}
 	}
@@ -351,12 +366,12 @@
 	if best == nil {
 		return false
 	}
-	r.startBackground(s, best, model)
+	r.startBackground(s, best, model, true)
 	return true
 }
 
-func (r *Router) startBackground(s *service, b *backend, model fleet.Model) {
-	s.store.planned[grantKey{b.loader.name, model.Name}] = plannedLoad{until: r.now.Add(backgroundLife)}
+func (r *Router) startBackground(s *service, b *backend, model fleet.Model, store bool) {
+	s.store.planned[grantKey{b.loader.name, model.Name}] = plannedLoad{until: r.now.Add(backgroundLife), store: store}
 	b.loader.dirty = true
 	r.log(Belief, "model is loaded ahead of demand", b.attrs("model", model.Name, "free_mb", r.holdings(b).FreeMB)...)
 }
@@ -365,7 +380,7 @@
 // loaded.
 func (r *Router) plannedWants(b *backend) []core.Want {
 	s := r.services[b.Service]
-	if s == nil || b.loader == nil {
+	if s == nil || r.holdings(b) == nil {
 		return nil
 	}
 	var wants []core.Want
@@ -377,7 +392,12 @@
 			delete(s.store.planned, key)
 			continue
 		}
-		spread := s.store.planned[key].spread
+		planned := s.store.planned[key]
+		if m := findHeld(r.holdings(b), key.model); m != nil && !planned.seen {
+			planned.seen = true
+			s.store.planned[key] = planned
+		}
+		spread := planned.spread
 		wants = append(wants, core.Want{Model: key.model, Spread: spread, Background: !spread, Within: plannedWithin})
 	}
 	return wants
--- /dev/null
+++ b/internal/router/coordinate_test.go
@@ -0,0 +1,91 @@
+package router
+
+import (
+	"testing"
+	"time"
+
+	"nutmeglane.example/nutmeglane/internal/core"
+)
+
+// At the start some models have no copy near any engine, and all engines have
+// free memory to fill from their disks. Filling used to count against the loads
+// from the store, so that none was read before callers came, and the first
+// calls of those models waited six seconds.
+func TestReadsAheadWhileMemoryIsFilled(t *testing.T) {
+	w := newWorld(t)
+	w.servers(engineService, 6)
+	for i := range 6 {
+		w.holds(i, core.Holdings{FreeMB: 80_000, OnDisk: []string{"m0", "m1", "m2", "m3", "m4"}})
+	}
+	w.run(planInterval + tickInterval)
+	ahead := map[string]int{}
+	for _, demand := range w.demands {
+		for _, want := range demand.Wants {
+			ahead[want.Model]++
+		}
+	}
+	fromStore := 0
+	for _, model := range []string{"m5", "m6", "m7", "m8", "m9"} {
+		fromStore += ahead[model]
+	}
+	if fromStore != firstStoreLimit {
+		t.Errorf("%d models asked from the store, want %d: %v", fromStore, firstStoreLimit, ahead)
+	}
+	if len(ahead) <= fromStore {
+		t.Errorf("no model is loaded from disk ahead: %v", ahead)
+	}
+	for model, n := range ahead {
+		if n > 1 {
+			t.Errorf("%s is asked for at %d engines", model, n)
+		}
+	}
+}
+
+// Twelve engines want models from the store at once. Were all let in, each load
+// would take three times as long; two must begin, and more once the first show
+// that the store carries more.
+func TestStoreLoadsBeginInOrder(t *testing.T) {
+	w := newWorld(t)
+	w.servers(engineService, 8)
+	permit := []core.HeldModel{{Name: "m1", State: core.HoldPermit, ReadyIn: 6 * time.Second}}
+	for i := range 8 {
+		w.holds(i, core.Holdings{Models: permit})
+	}
+	w.run(planInterval + tickInterval)
+	var granted []int
+	for i := range 8 {
+		if len(w.demands[loaderName(i)].Permits) > 0 {
+			granted = append(granted, i)
+		}
+	}
+	if len(granted) != firstStoreLimit {
+		t.Fatalf("%d loads may begin, want %d", len(granted), firstStoreLimit)
+	}
+	for _, i := range granted {
+		w.holds(i, core.Holdings{Models: []core.HeldModel{{Name: "m1", State: core.HoldStoreLoading, ReadyIn: 6 * time.Second}}})
+	}
+	for _, i := range granted {
+		w.holds(i, core.Holdings{Models: loadedModels("m1"), StoreLoad: &core.StoreLoadResult{
+			Sequence: 1, Took: 6 * time.Second, Nominal: 6 * time.Second,
+		}})
+	}
+	if got := w.router.services[engineService].storeLimit(); got <= firstStoreLimit {
+		t.Errorf("limit %d after loads at full speed, want more", got)
+	}
+}
+
+// The store serves one load at full speed. Two at once took twice the time: the
+// limit must fall to one, or every load is late for as long as any waits.
+func TestStoreLimitFalls(t *testing.T) {
+	w := newWorld(t)
+	w.servers(engineService, 2)
+	for i := range 2 {
+		w.holds(i, core.Holdings{Models: []core.HeldModel{{Name: "m1", State: core.HoldStoreLoading, ReadyIn: 6 * time.Second}}})
+	}
+	w.holds(0, core.Holdings{Models: loadedModels("m1"), StoreLoad: &core.StoreLoadResult{
+		Sequence: 1, Took: 12 * time.Second, Nominal: 6 * time.Second,
+	}})
+	if got := w.router.services[engineService].storeLimit(); got != 1 {
+		t.Errorf("limit %d, want 1", got)
+	}
+}
--- a/internal/router/spread.go
+++ b/internal/router/spread.go
@@ -25,9 +25,9 @@
 	// busyRate is the arrivals per second from which a model should have two
 	// copies, so that the loss of one does not make callers wait for a load.
 	busyRate = 2.0
-	// spreadLife is how long a further copy is asked for: above a load from
-	// near copies, and below the time in which demand moves on.
-	spreadLife = 4 * time.Second
+	// spreadLife is how long beyond its predicted end a further copy is asked
+	// for: an order may have to be sent again, but demand also moves on.
+	spreadLife = 3 * time.Second
 )
 
 // copiesOf returns the engines that have a model loaded and take requests.
@@ -111,7 +111,10 @@
 			if b == nil {
 				break
 			}
-			s.store.planned[grantKey{b.loader.name, model.Name}] = plannedLoad{until: r.now.Add(spreadLife), spread: true}
+			ready := r.readyIn(b, waitKey{s.name, modelKey{model: model.Name}})
+			s.store.planned[grantKey{b.loader.name, model.Name}] = plannedLoad{
+				until: r.now.Add(ready + spreadLife), spread: true, store: !r.near(b, model.Name),
+			}
 			b.loader.dirty = true
 			r.log(Belief, "model gets a further copy", b.attrs("model", model.Name, "copies", copies, "needed", needed,
 				"heat", r.heat(b), "per_token", s.speed.perToken().String())...)
@@ -119,6 +122,12 @@
 	}
 }
 
+// near tells whether an engine has a copy of a model on disk or in memory.
+func (r *Router) near(b *backend, model string) bool {
+	held := r.holdings(b)
+	return held != nil && (slices.Contains(held.OnDisk, model) || slices.Contains(held.InMemory, model))
+}
+
 // coming counts the engines that load a model or are asked to.
 func (r *Router) coming(s *service, model string) int {
 	count := 0
