Load share learnt from pauses; loaded models stay; busy ones are not evicted

Ruled out: a slope by model (waits still bend it). Change: the share of an engine that a request takes is learnt from how much the pauses between events grow; a loaded model stays a second; a model in use goes only if the others can't make room at all.

--- a/internal/core/loading.go
+++ b/internal/core/loading.go
@@ -58,10 +58,8 @@
 	Adapter string `cbor:"2,keyasint,omitempty"`
 	// Running is the number of the router's requests that run on it here.
 	Running int `cbor:"3,keyasint,omitempty"`
-	// Rate is the router's recent arrivals per second for it, at all engines,
-	// and Tokens their prompt tokens per second.
-	Rate   float64 `cbor:"4,keyasint,omitempty"`
-	Tokens float64 `cbor:"7,keyasint,omitempty"`
+	// Rate is the router's recent arrivals per second for it, at all engines.
+	Rate float64 `cbor:"4,keyasint,omitempty"`
 	// Copies is the number of engines that hold the model, as the router knows.
 	Copies int `cbor:"5,keyasint,omitempty"`
 	// Spare says that the other copies can carry the load without this one.
@@ -134,9 +132,8 @@
 	Adapters []string `cbor:"4,keyasint,omitempty"`
 	// Waiting is the number of requests that wait for it, at all routers.
 	Waiting int `cbor:"5,keyasint,omitempty"`
-	// Rate and Tokens are the sums of what routers told of their use.
-	Rate   float64 `cbor:"6,keyasint,omitempty"`
-	Tokens float64 `cbor:"7,keyasint,omitempty"`
+	// Rate is the sum of the rates that routers told.
+	Rate float64 `cbor:"6,keyasint,omitempty"`
 }
 
 func (Demand) message()   {}
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -39,10 +39,33 @@
 	// body is the whole body of an answer that was held, and whole is set.
 	body  []byte
 	whole bool
+	pace  pace
 	// sentAll is set if the request was written whole.
 	sentAll bool
 }
 
+// pace is how fast the events of a stream come.
+type pace struct {
+	events      int
+	first, last time.Time
+}
+
+// add notes that so many events have come by now.
+func (p *pace) add(events int, now time.Time) {
+	if p.events == 0 {
+		p.first = now
+	}
+	p.events, p.last = events, now
+}
+
+// pause is the mean pause between events.
+func (p *pace) pause() time.Duration {
+	if p.events < 2 {
+		return 0
+	}
+	return p.last.Sub(p.first) / time.Duration(p.events-1)
+}
+
 func (c *call) now() core.Time { return clock.Now() }
 
 // reusable tells whether the connection may serve another request.
@@ -163,7 +186,7 @@
 // end ends a request whose answer was passed on whole.
 func (c *call) end(a *answer) {
 	c.giveBack(a)
-	c.gateway.Step(router.Done{Key: c.key, Attempt: a.attempt})
+	c.gateway.Step(router.Done{Key: c.key, Attempt: a.attempt, Events: a.pace.events, Pause: a.pace.pause()})
 }
 
 // relayStream passes whole events on as they come. The head goes with the
@@ -178,6 +201,7 @@
 		}
 		n, err := a.response.Body.Read(chunk)
 		if events := s.take(chunk[:n]); len(events) > 0 {
+			a.pace.add(s.count, time.Now())
 			if !c.passEvents(a, events, &first) {
 				return c.breakOff(a, s.lastID, router.Broken, errors.New("the caller does not read"))
 			}
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -9,6 +9,8 @@
 	buffer []byte
 	// lastID is the id of the last whole event.
 	lastID string
+	// count is the number of whole events so far.
+	count int
 }
 
 var (
@@ -28,6 +30,7 @@
 			break
 		}
 		s.readID(s.buffer[end : end+size])
+		s.count++
 		end += size
 	}
 	events := bytes.Clone(s.buffer[:end])
--- a/internal/loader/decide.go
+++ b/internal/loader/decide.go
@@ -19,6 +19,10 @@
 	// model may be evicted for one that nobody waits for yet. A model called
 	// more often would be missed sooner than the other is called.
 	backgroundEvicts = 0.5
+	// residence is how long a loaded model stays at least: a message to the
+	// routers, their requests' way here, and their next demand, which comes
+	// every 500 ms, with a margin of as much.
+	residence = time.Second
 	// evictTime is what it takes to evict an idle model: an order, its answer
 	// and a report.
 	evictTime = 30 * time.Millisecond
@@ -43,7 +47,6 @@
 type used struct {
 	running int
 	rate    float64
-	tokens  float64
 	copies  int
 	spare   bool
 }
@@ -155,7 +158,6 @@
 			sum, seen := uses[key]
 			sum.running += u.Running
 			sum.rate += u.Rate
-			sum.tokens += u.Tokens
 			sum.copies = max(sum.copies, u.Copies)
 			sum.spare = u.Spare && (sum.spare || !seen)
 			uses[key] = sum
@@ -241,16 +243,48 @@
 // can't be made now. It is the first of the cheapest set of models that makes
 // room, so that two are evicted only where no single one is large enough, or
 // where the two together are missed less.
+//
+// A model that requests run on and that is needed here goes only if the others
+// can't make room at all. It guards against this: the others are protected for a
+// moment, the busiest model is not, and is evicted. The engine lets its requests
+// end first, for seconds, in which it takes no order, and the model's callers
+// crowd at the copies that are left.
 func (l *Loader) victim(w wanted, wants []wanted, uses map[modelKey]used, need float64) string {
-	var candidates []candidate
+	var now, inUse []candidate
+	later := 0.0
 	for _, m := range l.engine.report.Models {
 		use := uses[modelKey{model: m.Name}]
-		if l.wantedWith(wants, m.Name) || w.background && (use.running > 0 || !use.spare && use.rate > backgroundEvicts) {
-			continue
+		c := candidate{m.Name, l.sizeOf(m), evictionCost(use)}
+		protected := l.wantedWith(wants, m.Name) || l.justLoaded(m.Name)
+		switch {
+		case use.running > 0 && !use.spare:
+			if !protected {
+				inUse = append(inUse, c)
+			}
+		case w.background && !use.spare && use.rate > backgroundEvicts:
+		case protected:
+			later += c.mb
+		default:
+			later += c.mb
+			now = append(now, c)
 		}
-		candidates = append(candidates, candidate{m.Name, l.sizeOf(m), evictionCost(use)})
 	}
-	return cheapestSet(candidates, need)
+	if later < need && !w.background {
+		now = append(now, inUse...)
+	}
+	return cheapestSet(now, need)
+}
+
+// justLoaded tells that a model was loaded so recently that those who waited
+// for it may not have been served yet.
+//
+// It guards against thrashing: the moment a model is loaded nobody waits for it
+// any more, and routers have not yet told that requests run on it. It looked
+// like the least used one and was evicted within 50 ms, for the next in the
+// queue, while its callers' requests were on their way.
+func (l *Loader) justLoaded(model string) bool {
+	at, ok := l.loadedAt[model]
+	return ok && l.now.Sub(at) < residence
 }
 
 // candidate is a loaded model that may be evicted.
--- a/internal/loader/decide_test.go
+++ b/internal/loader/decide_test.go
@@ -135,3 +135,53 @@
 		t.Fatalf("loaded: %+v, want m3", w.engine.report.Models)
 	}
 }
+
+// Three models are wanted one after the other where only one fits. Each used to
+// be evicted for the next as soon as it was loaded, 50 ms later, while the
+// requests that had waited for it were on their way: they were refused and
+// waited again. A loaded model stays until its callers can have been served.
+func TestLoadedModelStaysForItsCallers(t *testing.T) {
+	w := newWorld(t)
+	want := func(models ...string) {
+		var wants []core.Want
+		for _, model := range models {
+			wants = append(wants, core.Want{Model: model, Waiting: 1, Within: time.Second})
+		}
+		w.demand("10.0.0.1", core.Demand{Wants: wants})
+	}
+	want("m1", "m3", "m5")
+	w.run(2200 * time.Millisecond)
+	if !w.has("m1") || !w.has("m3") {
+		t.Fatalf("loaded: %+v, want m1 and m3", w.engine.report.Models)
+	}
+	want("m5") // the routers send what waited for m1 and m3
+	w.run(500 * time.Millisecond)
+	if !w.has("m3") {
+		t.Fatalf("m3 was evicted %v after its load", 500*time.Millisecond)
+	}
+	w.run(3 * time.Second)
+	if !w.has("m5") {
+		t.Fatalf("loaded: %+v, want m5", w.engine.report.Models)
+	}
+}
+
+// Many callers use m1, a single one was just served by m3, and m5 is wanted.
+// The engine used to evict m1, since m3 was protected for a moment: it let m1's
+// requests end, for seconds, and m1's callers crowded at other engines. It must
+// wait that moment and evict m3.
+func TestBusyModelIsNotEvictedForAMoment(t *testing.T) {
+	w := newWorld(t, "m1")
+	w.demand("10.0.0.1", core.Demand{
+		Wants: []core.Want{{Model: "m3", Waiting: 1, Within: time.Second}},
+		Uses:  []core.Use{{Model: "m1", Rate: 20, Running: 9, Copies: 2}},
+	})
+	w.run(1100 * time.Millisecond)
+	w.demand("10.0.0.1", core.Demand{
+		Wants: []core.Want{{Model: "m5", Waiting: 1, Within: time.Second}},
+		Uses:  []core.Use{{Model: "m1", Rate: 20, Running: 9, Copies: 2}, {Model: "m3", Rate: 0.1, Copies: 1}},
+	})
+	w.run(4 * time.Second)
+	if !w.has("m1") || !w.has("m5") || w.has("m3") {
+		t.Fatalf("loaded: %+v, want m1 and m5", w.engine.report.Models)
+	}
+}
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -56,6 +56,8 @@
 	// task is the order for a model that the engine carries out.
 	task *task
 
+	// loadedAt is when models were loaded in this process's life.
+	loadedAt   map[string]core.Time
 	storeLoads int
 	lastStore  *core.StoreLoadResult
 	told       told
@@ -95,7 +97,7 @@
 
 // New returns a loader that knows nothing yet.
 func New(opts Options) *Loader {
-	return &Loader{opts: opts, routers: map[core.HostID]*router{}, told: told{known: map[core.HostID]bool{}}}
+	return &Loader{opts: opts, routers: map[core.HostID]*router{}, loadedAt: map[string]core.Time{}, told: told{known: map[core.HostID]bool{}}}
 }
 
 // Step handles an event. The effects are valid until the next step.
@@ -195,6 +197,7 @@
 	if t.order.Kind != fleet.OrderLoad {
 		return
 	}
+	l.loadedAt[t.order.Model] = l.now
 	l.emit(Observe{Name: metricLoadSeconds, Labels: []string{t.tier.String()}, Value: took.Seconds()})
 	if t.tier == tierStore {
 		l.storeLoads++
--- a/internal/router/backend.go
+++ b/internal/router/backend.go
@@ -72,6 +72,10 @@
 	answered bool
 	// slowdown is the predicted effect of the load when it was sent.
 	slowdown float64
+	// first is the time until the first answer, once it has come.
+	first time.Duration
+	// beside is how many other requests were at the server at its first event.
+	beside int
 }
 
 // draining reports whether the server, by the registry or its loader, leaves.
--- a/internal/router/demand.go
+++ b/internal/router/demand.go
@@ -98,7 +98,7 @@
 		key := modelKey{model: m.Name}
 		uses = append(uses, core.Use{
 			Model: m.Name, Running: running[key], Rate: s.rate(key).perSecond(r.now),
-			Tokens: s.tokenRate(m.Name).perSecond(r.now), Copies: copies, Spare: spare,
+			Copies: copies, Spare: spare,
 		})
 		for _, adapter := range m.Adapters {
 			key := modelKey{m.Name, adapter}
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"time"
+
 	"nutmeglane.example/nutmeglane/internal/core"
 	"nutmeglane.example/nutmeglane/internal/fleet"
 )
@@ -101,6 +103,9 @@
 type Done struct {
 	Key     Key
 	Attempt int
+	// Events is the number of events of a stream, and Pause their mean pause.
+	Events int
+	Pause  time.Duration
 }
 
 // Gone ends a request whose caller left.
--- a/internal/router/rate.go
+++ b/internal/router/rate.go
@@ -42,21 +42,6 @@
 	if p.Adapter != "" {
 		s.rate(modelKey{p.Model, p.Adapter}).add(now, 1)
 	}
-	tokens := p.Tokens
-	if shared := p.SharedTokens(); shared >= sharedWorth {
-		tokens -= shared // cached where the request goes, nearly always
-	}
-	s.tokenRate(p.Model).add(now, float64(tokens))
-}
-
-// tokenRate counts prompt tokens that have to be read.
-func (s *service) tokenRate(model string) *rate {
-	found := s.tokens[model]
-	if found == nil {
-		found = &rate{}
-		s.tokens[model] = found
-	}
-	return found
 }
 
 func (s *service) rate(key modelKey) *rate {
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -66,7 +66,9 @@
 	// run.
 	mayHaveRun bool
 	waiting    *wait
-	waited     time.Duration
+	// waited is how long it waited for its model, first the time until its
+	// first answer or event; both count from its arrival.
+	waited, first time.Duration
 }
 
 func (r *Router) arrived(key Key, in fleet.Request) {
@@ -321,12 +323,10 @@
 	req.backend.promptTokens -= a.tokens
 	a.tokens = 0
 	latency := r.now.Sub(a.at)
+	a.first = latency
+	req.first = r.now.Sub(req.arrived)
+	a.beside = r.outstanding(req.backend) - 1
 	r.succeeded(req.backend, req.model(), latency, a.slowdown)
-	if p := req.prompt; p != nil && p.SharedTokens() < sharedWorth {
-		// Long shared parts may or may not be cached, so that the length read
-		// is not known.
-		r.service(req.service).speed.firstEvent(p.Tokens, latency)
-	}
 	r.emit(Observe{Name: metricFirstByte, Labels: []string{req.service}, Value: latency.Seconds()})
 }
 
@@ -337,13 +337,16 @@
 	}
 	b := req.backend
 	if req.prompt != nil {
-		r.service(req.service).speed.ended(r.now.Sub(req.attempt.at))
+		r.service(req.service).speed.answerEnded(answer{
+			model: req.model(), events: e.Events, pause: e.Pause,
+			first: req.attempt.first, beside: req.attempt.beside,
+		})
 	}
 	r.release(req)
 	delete(r.requests, req.key)
 	r.emit(Count{Name: metricRequests, Labels: []string{req.service, code.OK.String()}})
 	r.log(OneRequest, "request served", req.attrs("instance", b.Instance, "attempts", req.number,
-		"waited", req.waited.String(), "took", r.now.Sub(req.arrived).String())...)
+		"waited", req.waited.String(), "first", req.first.String(), "took", r.now.Sub(req.arrived).String())...)
 }
 
 func (r *Router) gone(key Key) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -69,9 +69,7 @@
 	speed   speed
 	// rates are recent arrivals by model and adapter.
 	rates map[modelKey]*rate
-	// tokens are recent prompt tokens by model.
-	tokens map[string]*rate
-	store  storeState
+	store storeState
 }
 
 // modelKey names a model, or an adapter of it.
@@ -179,7 +177,7 @@
 func (r *Router) service(name string) *service {
 	s := r.services[name]
 	if s == nil {
-		s = &service{name: name, rates: map[modelKey]*rate{}, tokens: map[string]*rate{}, latency: map[string]time.Duration{}}
+		s = &service{name: name, rates: map[modelKey]*rate{}, latency: map[string]time.Duration{}, speed: newSpeed()}
 		r.services[name] = s
 	}
 	return s
--- a/internal/router/speed.go
+++ b/internal/router/speed.go
@@ -1,96 +1,108 @@
 package router
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
-// This file learns how fast engines are, from answers alone. It answers this
-// pattern: a model that many callers use sits on two engines, and its prompts
-// come as fast as these can read them. Their slots are then nearly all free (20
-// of 128 used), yet callers wait seconds, because an engine reads the prompts of
-// all its requests one piece after the other. So load is measured in time to
-// read prompts, not in slots:
+// This file learns how much engines are slowed down by their load, from answers
+// alone. It answers this pattern: a model that many callers use sits on two
+// engines, and its prompts come nearly as fast as these can read them. Their
+// slots are then mostly free (20 of 128 used), yet callers wait seconds, because
+// reading prompts takes the time in which answers would go on.
+//
+// With u the part of its time that an engine reads prompts, the pause between
+// two events of an answer grows by 1/(1-u). In a steady state u/(1-u) is the
+// number of running requests times a constant of the service, its share: the
+// time to read a prompt over the time of an undisturbed answer. So
 //
-//	share of an engine that a request takes = tokens x time per token
+//	pause = undisturbed pause x (1 + share x running requests)
 //
-// The time per token is the slope of first-event latency over prompt length. A
-// slope does not mind what else a latency contains (network, a fixed first
-// step, the wait behind others), as long as that does not depend on the length.
+// which gives the share from each answer that ends, without knowing the
+// engine's speed or a prompt's length, both of which differ between models.
 
 const (
-	// speedMemory is the weight that a sample keeps with each further one:
-	// about the last 200 count, some 10 s of a router's requests.
-	speedMemory = 0.995
-	// speedSamples is the least weight of samples for a slope to count.
-	speedSamples = 15
-	// leastSpread is the least standard deviation of lengths, as a part of their
-	// mean, for a slope to count: with less it is made of noise.
-	leastSpread = 0.05
-	// slowestToken bounds a slope that chance made steep: 1,000 tokens a
-	// second is far below any engine in use.
-	slowestToken = time.Millisecond
-	// fullShare is the share of an engine in use from which a queue is taken
-	// to be as long as there.
-	fullShare = 0.9
+	// shareMemory is the weight of a new sample of the share: the last 50
+	// answers count, some seconds of a router's requests.
+	shareMemory = 0.02
+	// largestShare bounds a share that chance or a slow engine made large.
+	largestShare = 0.5
+	// leastEvents is the least number of events of an answer for its mean
+	// pause to count.
+	leastEvents = 5
+	// leastRunning is the least number of requests beside which an answer
+	// tells of the load; beside fewer, the difference is noise.
+	leastRunning = 2
+	// leastRise is by how much a least time rises with each answer, so that one
+	// that chance made short is forgotten.
+	leastRise = 1.0005
 )
 
-// slope is a linear regression with exponential forgetting.
-type slope struct{ n, x, y, xx, xy float64 }
+// speed is what is known of a service's engines.
+type speed struct {
+	models map[string]*modelSpeed
+	share  float64
+}
 
-func (s *slope) add(x, y float64) {
-	s.n = s.n*speedMemory + 1
-	s.x = s.x*speedMemory + x
-	s.y = s.y*speedMemory + y
-	s.xx = s.xx*speedMemory + x*x
-	s.xy = s.xy*speedMemory + x*y
+// modelSpeed is how an engine answers for a model without load.
+type modelSpeed struct {
+	// pause is the least mean pause between events, first the least time to
+	// the first event.
+	pause, first time.Duration
+	// events is the moving average of an answer's events.
+	events float64
 }
 
-// perUnit is the slope, 0 while too little is known.
-func (s *slope) perUnit() float64 {
-	spread := s.n*s.xx - s.x*s.x
-	if s.n < speedSamples || spread <= leastSpread*leastSpread*s.x*s.x {
-		return 0
-	}
-	return max(0, (s.n*s.xy-s.x*s.y)/spread)
+// undisturbed is the time of a whole answer without load.
+func (m *modelSpeed) undisturbed() time.Duration {
+	return m.first + time.Duration(m.events*float64(m.pause))
 }
 
-// speed is what is known of a service's engines.
-type speed struct {
-	reading slope
-	// tokens is the moving average of a prompt's length without shared parts,
-	// run that of the time from sending to the end.
-	tokens float64
-	run    time.Duration
+func newSpeed() speed { return speed{models: map[string]*modelSpeed{}} }
+
+// answer is what an answer that has ended tells of its engine.
+type answer struct {
+	model  string
+	events int
+	// first is the time to the first event, pause the mean pause after it.
+	first, pause time.Duration
+	// beside is the number of requests that ran beside it.
+	beside int
 }
 
-// firstEvent learns from the first event of an answer.
-func (s *speed) firstEvent(tokens int, latency time.Duration) {
-	s.reading.add(float64(tokens), float64(latency))
-	if s.tokens == 0 {
-		s.tokens = float64(tokens)
+// answerEnded learns from an answer.
+func (s *speed) answerEnded(a answer) {
+	if a.events < leastEvents || a.pause <= 0 {
+		return
+	}
+	m := s.models[a.model]
+	if m == nil {
+		m = &modelSpeed{pause: a.pause, first: a.first, events: float64(a.events)}
+		s.models[a.model] = m
+	}
+	m.pause = least(m.pause, a.pause)
+	m.first = least(m.first, a.first)
+	m.events += smoothing * (float64(a.events) - m.events)
+	if a.beside < leastRunning {
+		return
 	}
-	s.tokens += smoothing * (float64(tokens) - s.tokens)
+	slowdown := float64(a.pause) / float64(m.pause)
+	sample := min(largestShare, (slowdown-1)/float64(a.beside))
+	s.share += shareMemory * (sample - s.share)
 }
 
-// ended learns from the end of an answer.
-func (s *speed) ended(took time.Duration) { s.run = average(s.run, took) }
-
-// perToken is the time that an engine takes to read a token, 0 if unknown.
-func (s *speed) perToken() time.Duration {
-	return min(slowestToken, time.Duration(s.reading.perUnit()))
+// least is the least sample so far, with a slow rise.
+func least(old, sample time.Duration) time.Duration {
+	return min(sample, time.Duration(float64(old)*leastRise))
 }
 
-// share is the part of an engine that one running request takes on average.
-func (s *speed) share() float64 {
-	if s.run <= 0 {
+// queueFactor is by how much an engine with so many requests is slower than an
+// idle one.
+func (s *speed) queueFactor(requests int) float64 { return 1 + s.share*float64(requests) }
+
+// load is the part of one engine's time that requests for a model take, at so
+// many a second.
+func (s *speed) load(model string, perSecond float64) float64 {
+	m := s.models[model]
+	if m == nil {
 		return 0
 	}
-	return s.tokens * float64(s.perToken()) / float64(s.run)
-}
-
-// queueFactor is by how much an engine with so many requests is slower than an
-// idle one: the mean wait of a queue with one server.
-func (s *speed) queueFactor(requests int) float64 {
-	return 1 / (1 - math.Min(fullShare, float64(requests)*s.share()))
+	return perSecond * m.undisturbed().Seconds() * s.share
 }
--- a/internal/router/spread.go
+++ b/internal/router/spread.go
@@ -18,10 +18,9 @@
 // the first to make room for another model.
 
 const (
-	// targetShare is the part of an engine's time for reading prompts that one
-	// model's requests may take: waits grow as 1/(1-share), and other models
-	// on the engine take a share too.
-	targetShare = 0.3
+	// targetLoad is the part of an engine's time that one model's requests may
+	// take: waits grow as 1/(1-load), and other models on the engine add to it.
+	targetLoad = 0.3
 	// busyRate is the arrivals per second from which a model should have two
 	// copies, so that the loss of one does not make callers wait for a load.
 	busyRate = 2.0
@@ -44,57 +43,42 @@
 	return copies
 }
 
-// use returns the requests and prompt tokens per second for a model at all
-// routers. Loaders add up what routers tell them; where none does, this
-// router's own count stands for the others too.
-func (r *Router) use(service, model string) (requests, tokens float64) {
-	s := r.service(service)
-	routers := float64(r.routers())
-	requests = s.rate(modelKey{model: model}).perSecond(r.now)
-	tokens = s.tokenRate(model).perSecond(r.now)
-	sumRequests, sumTokens := 0.0, 0.0
+// rate returns the requests per second for a model at all routers. Loaders add
+// up what routers tell them; where none does, this router's own count stands
+// for the others too.
+func (r *Router) rate(service, model string) float64 {
+	own := r.service(service).rate(modelKey{model: model}).perSecond(r.now)
+	sum := 0.0
 	for _, b := range r.serversOf(service) {
 		held := r.holdings(b)
 		if held == nil {
 			continue
 		}
 		if m := findHeld(held, model); m != nil {
-			sumRequests, sumTokens = max(sumRequests, m.Rate), max(sumTokens, m.Tokens)
+			sum = max(sum, m.Rate)
 		}
 	}
-	if sumRequests > 0 {
-		return max(requests, sumRequests), max(tokens, sumTokens)
+	if sum > 0 {
+		return max(own, sum)
 	}
-	return requests * routers, tokens * routers
+	return own * float64(r.routers())
 }
 
 // neededCopies is the number of engines that should have a model loaded.
 func (r *Router) neededCopies(service, model string) int {
-	requests, tokens := r.use(service, model)
+	perSecond := r.rate(service, model)
 	needed := 1
-	if requests > busyRate {
+	if perSecond > busyRate {
 		needed = 2
 	}
-	share := tokens * r.service(service).speed.perToken().Seconds()
-	return max(needed, int(math.Ceil(share/targetShare)))
+	load := r.service(service).speed.load(model, perSecond)
+	return max(needed, int(math.Ceil(load/targetLoad)))
 }
 
-// heat is the part of an engine's time that its models' requests take.
+// heat is the part of an engine's time that the requests there take.
 func (r *Router) heat(b *backend) float64 {
-	held := r.holdings(b)
-	if held == nil {
-		return 1
-	}
-	heat := 0.0
-	for _, m := range held.Models {
-		if m.State != core.HoldLoaded {
-			continue
-		}
-		_, tokens := r.use(b.Service, m.Name)
-		share := tokens * r.service(b.Service).speed.perToken().Seconds()
-		heat += share / float64(max(1, len(r.copiesOf(b.Service, m.Name))))
-	}
-	return heat
+	factor := r.service(b.Service).speed.queueFactor(r.outstanding(b))
+	return 1 - 1/factor
 }
 
 // spread asks for further copies of models that are called more than their
@@ -117,7 +101,7 @@
 			}
 			b.loader.dirty = true
 			r.log(Belief, "model gets a further copy", b.attrs("model", model.Name, "copies", copies, "needed", needed,
-				"heat", r.heat(b), "per_token", s.speed.perToken().String())...)
+				"heat", r.heat(b), "rate", r.rate(s.name, model.Name), "share", s.speed.share)...)
 		}
 	}
 }
