Router: requests spread evenly over copies, rare models away from busy engines

Cause: busiest/mean of the engines stayed near 2: the loaders' word on all routers' requests is 250 ms old, so that five routers send to the same engine until the next; and rare models were loaded at busy engines. Change: half of the estimate of a server's requests is this router's own count times the routers; an engine's load counts when a rare model's home is chosen.

--- a/internal/router/backend.go
+++ b/internal/router/backend.go
@@ -130,8 +130,13 @@
 	return nil
 }
 
-// outstanding is the number of requests at a server, those of other routers
-// included as far as they are known.
+// outstanding estimates the number of requests at a server.
+//
+// It guards against a herd: what loaders tell of all routers' requests is some
+// 250 ms old. Were it taken as it is, all routers would see the same server as
+// the least loaded and send everything there until the next word. So half of
+// the estimate is what the server would have if all routers sent as much as
+// this one, which spreads its requests evenly and is never late.
 func (r *Router) outstanding(b *backend) int {
 	own := len(b.sent)
 	others := 0
@@ -139,8 +144,11 @@
 		others = held.Running + held.Waiting - b.loader.ownThen
 	} else if b.load != nil && r.now.Sub(b.loadAt) < loadFresh {
 		others = b.load.Running + b.load.Waiting - b.loadOwn
+	} else {
+		return own
 	}
-	return own + max(0, others)
+	told := own + max(0, others)
+	return (told + own*r.routers() + 1) / 2
 }
 
 // usual is a server's usual latency for a model, "" at plain services, without
--- /dev/null
+++ b/internal/router/choose_test.go
@@ -0,0 +1,113 @@
+package router
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"nutmeglane.example/nutmeglane/internal/core"
+	"nutmeglane.example/nutmeglane/internal/fleet"
+)
+
+// Ten requests a second reach each of five routers for a model with four
+// copies, and the word of the loaders is a quarter of a second old. All routers
+// used to send to the same copy until the next word. Each must spread its
+// requests, whatever the old word says.
+func TestRequestsSpreadDespiteOldWord(t *testing.T) {
+	w := newWorld(t)
+	w.servers(engineService, 4)
+	for i := range 4 {
+		running := 10
+		if i == 2 {
+			running = 7 // least loaded, by the old word
+		}
+		w.step(LoaderUp{Loader: loaderName(i)})
+		w.step(LoaderSaid{Loader: loaderName(i), Holdings: core.Holdings{
+			Models: loadedModels("m1"), Running: running, Routers: 5, Coordinator: "10.0.0.9",
+		}})
+	}
+	w.router.services[engineService].speed.share = 0.04
+	got := map[string]int{}
+	for range 12 {
+		got[w.lastSend(w.call("quick", prompt("m1"))).Instance]++
+	}
+	for i := range 4 {
+		if n := got[fmt.Sprintf("s%d", i)]; n < 1 || n > 6 {
+			t.Fatalf("requests by server: %v, want them spread", got)
+		}
+	}
+}
+
+// A server hangs: it takes requests and answers none, while its registry entry
+// is good. After the first few wait too long, the others must get the requests.
+func TestHangingServerIsAvoided(t *testing.T) {
+	w := newWorld(t)
+	w.servers(plainService, 3)
+	toHung := 0
+	for i := range 60 {
+		key := w.call("once", nil)
+		send := w.lastSend(key)
+		if send.Instance == "s1" {
+			if i >= 30 {
+				toHung++
+			}
+		} else {
+			w.now = w.now.Add(30 * time.Millisecond)
+			w.step(Answered{Key: key, Attempt: send.Attempt, Answer: fleet.Answer{Status: 200}})
+			w.step(Done{Key: key, Attempt: send.Attempt})
+		}
+		w.run(50 * time.Millisecond)
+	}
+	if toHung > 3 {
+		t.Fatalf("%d of the last 30 requests went to the server that hangs", toHung)
+	}
+}
+
+// A grey server fails what it gets, quickly, and so always looks idle. It must
+// not attract the requests that the others would serve.
+func TestGreyServerDoesNotAttract(t *testing.T) {
+	w := newWorld(t)
+	w.servers(plainService, 3)
+	toGrey := 0
+	for i := range 90 {
+		key := w.call("once", nil)
+		send := w.lastSend(key)
+		status := 200
+		if send.Instance == "s1" {
+			status = 500
+			if i >= 30 {
+				toGrey++
+			}
+		}
+		w.run(50 * time.Millisecond)
+		w.step(Answered{Key: key, Attempt: send.Attempt, Answer: fleet.Answer{Status: status}})
+		w.step(Done{Key: key, Attempt: send.Attempt})
+	}
+	if toGrey > 6 {
+		t.Fatalf("%d of the last 60 requests went to the grey server", toGrey)
+	}
+}
+
+// Long prompts share their first 6,000 tokens. Read anew at each engine they
+// cost a third of a second each time; they must go where they are cached.
+func TestLongSharedPromptsGather(t *testing.T) {
+	w := newWorld(t)
+	w.servers(engineService, 4)
+	for i := range 4 {
+		w.holds(i, core.Holdings{Models: loadedModels("m1")})
+	}
+	got := map[string]bool{}
+	for i := range 8 {
+		p := &fleet.Prompt{Model: "m1", Tokens: 9000, Parts: []fleet.PromptPart{
+			{ID: "a", Tokens: 2500}, {ID: "b", Tokens: 3500}, {ID: fmt.Sprintf("own%d", i), Tokens: 3000},
+		}}
+		key := w.call("quick", p)
+		send := w.lastSend(key)
+		got[send.Instance] = true
+		w.step(Answered{Key: key, Attempt: 1, Answer: fleet.Answer{Status: 200}})
+		w.step(Done{Key: key, Attempt: 1})
+	}
+	if len(got) != 1 {
+		t.Fatalf("sent to %d engines, want one", len(got))
+	}
+}
--- a/internal/router/wait.go
+++ b/internal/router/wait.go
@@ -22,6 +22,11 @@
 	// homeStep is the difference in predicted time below which engines count
 	// as equal, so that the hash decides and copies gather at one engine.
 	homeStep = 100 * time.Millisecond
+	// homeHeat is what a whole engine's load counts when a rare model's home is
+	// chosen. Its request is slowed by a busy model's, and takes memory that a
+	// busy model's copy needs; an engine half busy counts as later by the
+	// time of a load from disk.
+	homeHeat = 2 * time.Second
 	// adapterTime is the time of an adapter's load with the messages around.
 	adapterTime = 50 * time.Millisecond
 )
@@ -217,7 +222,7 @@
 		if !r.canLoad(b, key) {
 			continue
 		}
-		t := r.servedIn(b, key).Round(homeStep)
+		t := (r.servedIn(b, key) + time.Duration(r.heat(b)*float64(homeHeat))).Round(homeStep)
 		score := core.Score(key.model+"/"+key.adapter, b.Instance)
 		if best == nil || t < eta || t == eta && score > bestScore {
 			best, eta, bestScore = b, t, score
