--- a/internal/router/rate.go
+++ b/internal/router/rate.go
@@ -8,39 +8,52 @@
 	"nutmeglane.example/nutmeglane/internal/fleet"
 )
 
-// rateMemory is the time constant of arrival rates: long enough to tell a
-// model called every few seconds from an idle one, short enough to follow a
-// shift of demand within some seconds.
-const rateMemory = 10 * time.Second
+const (
+	// slowMemory is the time constant of the slow rate: long enough to tell a
+	// model called every few seconds from an idle one.
+	slowMemory = 10 * time.Second
+	// fastMemory is that of the fast rate: demand moves to another model
+	// within 4 to 6 s, and the slow rate would show a third of it by then.
+	fastMemory = 2500 * time.Millisecond
+)
 
-// rate is an exponentially decaying arrival rate.
+// rate is an arrival rate, as two exponentially decaying counts.
 type rate struct {
-	// sum is the decayed number of arrivals at the time.
-	sum float64
-	at  core.Time
+	slow, fast float64
+	at         core.Time
 }
 
 func (r *rate) decay(now core.Time) {
-	r.sum *= math.Exp(-float64(now.Sub(r.at)) / float64(rateMemory))
+	past := float64(now.Sub(r.at))
+	r.slow *= math.Exp(-past / float64(slowMemory))
+	r.fast *= math.Exp(-past / float64(fastMemory))
 	r.at = now
 }
 
-func (r *rate) add(now core.Time, amount float64) {
+func (r *rate) add(now core.Time) {
 	r.decay(now)
-	r.sum += amount
+	r.slow++
+	r.fast++
 }
 
-// perSecond is the rate at a time.
+// perSecond is the larger of both rates: it follows a rise at once, and keeps
+// a model that was called some seconds ago apart from an idle one.
 func (r *rate) perSecond(now core.Time) float64 {
+	slow := r.slowly(now)
+	return max(slow, r.fast/fastMemory.Seconds())
+}
+
+// slowly is the slow rate, which one call more or less does not change much.
+func (r *rate) slowly(now core.Time) float64 {
 	r.decay(now)
-	return r.sum / rateMemory.Seconds()
+	return r.slow / slowMemory.Seconds()
 }
 
 // arrival counts a request for a model and, if it names one, its adapter.
 func (s *service) arrival(now core.Time, p *fleet.Prompt) {
-	s.rate(modelKey{model: p.Model}).add(now, 1)
+	s.rate(modelKey{model: p.Model}).add(now)
 	if p.Adapter != "" {
-		s.rate(modelKey{p.Model, p.Adapter}).add(now, 1)
+		s.rate(modelKey{p.Model, p.Adapter}).add(now)
 	}
 }
 
--- a/internal/router/spread.go
+++ b/internal/router/spread.go
@@ -47,7 +47,8 @@
 // up what routers tell them; where none does, this router's own count stands
 // for the others too.
 func (r *Router) rate(service, model string) float64 {
-	own := r.service(service).rate(modelKey{model: model}).perSecond(r.now)
+	rate := r.service(service).rate(modelKey{model: model})
+	own := rate.perSecond(r.now)
 	sum := 0.0
 	for _, b := range r.serversOf(service) {
 		held := r.holdings(b)
@@ -61,7 +62,7 @@
 	if sum > 0 {
 		return max(own, sum)
 	}
-	return own * float64(r.routers())
+	return rate.slowly(r.now) * float64(r.routers())
 }
 
 // neededCopies is the number of engines that should have a model loaded.
