Streams: silence of the only engine ends nothing; busy models stay on two

Change: a stall is told to the reducer, which moves the stream only where its model is loaded; the gateway itself knows after which event to go on, so that events which came meanwhile are not repeated. Cause of the second: copies of busy models were dropped as soon as demand moved on, and made again a few seconds later.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -194,16 +194,18 @@
 func (c *call) relayStream(a *answer) (ended bool) {
 	s := eventScanner{}
 	chunk := make([]byte, streamChunk)
-	first := true
-	for {
-		if d := a.send.StallAfter; d > 0 && !first {
-			_ = a.conn.SetReadDeadline(time.Now().Add(d))
-		}
+	stall := c.watchStall(a)
+	defer stall.Stop()
+	for first := true; ; {
 		n, err := a.response.Body.Read(chunk)
 		if events := s.take(chunk[:n]); len(events) > 0 {
 			a.pace.add(s.count, time.Now())
 			if !c.passEvents(a, events, &first) {
-				return c.breakOff(a, s.lastID, router.Broken, errors.New("the caller does not read"))
+				return c.breakOff(a, errors.New("the caller does not read"))
+			}
+			c.lastEvent = s.lastID
+			if d := a.send.StallAfter; d > 0 {
+				stall.Reset(d)
 			}
 		}
 		switch {
@@ -211,17 +213,18 @@
 		case errors.Is(err, io.EOF):
 			return c.endStream(a, &s)
 		default:
-			return c.breakOff(a, s.lastID, streamFailure(err), err)
+			return c.breakOff(a, err)
 		}
 	}
 }
 
-func streamFailure(err error) router.Failure {
-	var network interface{ Timeout() bool }
-	if errors.As(err, &network) && network.Timeout() {
-		return router.Stalled
-	}
-	return router.Broken
+// watchStall tells the reducer once no event has come for long. The timer
+// starts with the first event.
+func (c *call) watchStall(a *answer) *time.Timer {
+	timer := time.AfterFunc(time.Hour, func() {
+		c.gateway.Step(router.Stalled{Key: c.key, Attempt: a.attempt})
+	})
+	return timer
 }
 
 func (c *call) passEvents(a *answer, events []byte, first *bool) bool {
@@ -244,17 +247,15 @@
 	c.writeHead(a)
 	if rest := s.rest(); len(rest) > 0 {
 		if _, err := c.writer.Write(rest); err != nil {
-			return c.breakOff(a, s.lastID, router.Broken, err)
+			return c.breakOff(a, err)
 		}
 	}
 	c.end(a)
 	return true
 }
 
-func (c *call) breakOff(a *answer, lastID string, failure router.Failure, err error) bool {
+func (c *call) breakOff(a *answer, err error) bool {
 	c.drop()
-	c.gateway.Step(router.AttemptFailed{
-		Key: c.key, Attempt: a.attempt, Failure: failure, LastEvent: lastID, Cause: err.Error(),
-	})
+	c.gateway.Step(router.AttemptFailed{Key: c.key, Attempt: a.attempt, Failure: router.Broken, Cause: err.Error()})
 	return false
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -43,6 +43,9 @@
 	writer  http.ResponseWriter
 	answer  *answer
 	started bool
+	// lastEvent is the id of the last event that was passed on. A further
+	// attempt goes on after it.
+	lastEvent string
 }
 
 // ServeHTTP serves one request of a caller.
@@ -167,7 +170,7 @@
 	}
 	_ = conn.SetDeadline(deadline)
 	header := platform.RequestHeader(c.request.Header, platform.Sending{
-		Instance: d.Instance, Remaining: limit, Priority: d.Priority, LastEvent: d.LastEvent,
+		Instance: d.Instance, Remaining: limit, Priority: d.Priority, LastEvent: c.lastEvent,
 	})
 	wrote, err := c.write(conn, header)
 	if err != nil && wrote == 0 && !conn.used {
--- a/internal/router/effect.go
+++ b/internal/router/effect.go
@@ -11,8 +11,8 @@
 // Effect is an output of the reducer.
 type Effect interface{ effect() }
 
-// Send sends a request to a backend server. AttemptFailed, Answered or Gone
-// follows.
+// Send sends a request to a backend server, from the event on that was passed
+// on last. AttemptFailed, Answered or Gone follows.
 type Send struct {
 	Key     Key
 	Attempt int
@@ -25,9 +25,7 @@
 	Until core.Time
 	// Priority is 0 to 9, 0 first.
 	Priority int
-	// LastEvent resumes a stream after this event.
-	LastEvent string
-	// StallAfter, if not 0, is the longest pause before Stalled.
+	// StallAfter, if not 0, is the pause after which Stalled is told.
 	StallAfter time.Duration
 }
 
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -66,13 +66,11 @@
 	BadAnswer
 	// Broken: the answer broke off.
 	Broken
-	// Stalled: no event came within Send.StallAfter.
-	Stalled
 )
 
 // String names the failure for logs.
 func (f Failure) String() string {
-	return [...]string{"not sent", "no answer", "bad answer", "broken off", "stalled"}[f]
+	return [...]string{"not sent", "no answer", "bad answer", "broken off"}[f]
 }
 
 // AttemptFailed ends an attempt.
@@ -80,12 +78,17 @@
 	Key     Key
 	Attempt int
 	Failure Failure
-	// LastEvent is the last event that was passed on, "" if none.
-	LastEvent string
 	// Cause is for logs.
 	Cause string
 }
 
+// Stalled tells that no event of a stream has come for Send.StallAfter. The
+// attempt goes on.
+type Stalled struct {
+	Key     Key
+	Attempt int
+}
+
 // Answered is the head of an answer. Forward, Send or Finish follows.
 type Answered struct {
 	Key     Key
@@ -122,6 +125,7 @@
 func (LoaderSaid) event()      {}
 func (Arrived) event()         {}
 func (AttemptFailed) event()   {}
+func (Stalled) event()         {}
 func (Answered) event()        {}
 func (FirstEvent) event()      {}
 func (Done) event()            {}
--- /dev/null
+++ b/internal/router/members_test.go
@@ -0,0 +1,94 @@
+package router
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"nutmeglane.example/nutmeglane/internal/fleet"
+)
+
+func removeAll(n int) map[string]bool {
+	removed := map[string]bool{}
+	for i := range n {
+		removed[fmt.Sprintf("s%d", i)] = true
+	}
+	return removed
+}
+
+// The store is away, the registry's entries lapse, and once it is back all
+// servers seem removed for a second or two. Users would be refused by a fleet
+// that is well. The servers are kept until they can have registered again.
+func TestLapsedServersAreKept(t *testing.T) {
+	w := newWorld(t)
+	w.servers(plainService, 3)
+	w.step(StoreState{Reachable: false})
+	w.run(5 * time.Second)
+	w.step(StoreState{Reachable: true})
+	w.step(BackendsChanged{Removed: removeAll(3)})
+	w.lastSend(w.call("once", nil))
+	w.step(BackendsChanged{Written: map[string]fleet.Backend{"s1": w.server(plainService, 1)}})
+	w.run(relistWithin + 2*tickInterval)
+	for range 6 {
+		if send := w.lastSend(w.call("once", nil)); send.Instance != "s1" {
+			t.Fatalf("sent to %s, which did not register again", send.Instance)
+		}
+	}
+}
+
+// In ordinary times a removal means that the server leaves: requests sent later
+// may be lost with it.
+func TestRemovedServerGetsNothing(t *testing.T) {
+	w := newWorld(t)
+	w.servers(plainService, 3)
+	w.step(BackendsChanged{Removed: removeAll(2)})
+	for range 6 {
+		if send := w.lastSend(w.call("once", nil)); send.Instance != "s2" {
+			t.Fatalf("sent to %s, which was removed", send.Instance)
+		}
+	}
+}
+
+// A server crashed and started again at its address. The old instance's entry
+// stays for seconds, and a late heartbeat writes it once more. Requests for it
+// would be refused by the new instance.
+func TestReplacedInstanceGetsNothing(t *testing.T) {
+	w := newWorld(t)
+	w.servers(plainService, 1)
+	old := w.server(plainService, 0)
+	again := old
+	again.Instance = "n0"
+	w.step(BackendsChanged{Written: map[string]fleet.Backend{"n0": again}})
+	w.step(BackendsChanged{Written: map[string]fleet.Backend{"s0": old}})
+	if send := w.lastSend(w.call("once", nil)); send.Instance != "n0" {
+		t.Fatalf("sent to %s, want the new instance", send.Instance)
+	}
+}
+
+// A server announces that it leaves. What is sent later reaches a server that
+// may be gone.
+func TestDrainingServerGetsNothing(t *testing.T) {
+	w := newWorld(t)
+	w.servers(plainService, 2)
+	leaving := w.server(plainService, 0)
+	leaving.Draining = true
+	w.step(BackendsChanged{Written: map[string]fleet.Backend{"s0": leaving}})
+	for range 6 {
+		if send := w.lastSend(w.call("once", nil)); send.Instance != "s1" {
+			t.Fatalf("sent to the server that leaves")
+		}
+	}
+}
+
+// A read that was under way during a change delivers the older version after
+// the newer one. The configuration must not go back.
+func TestConfigurationDoesNotGoBack(t *testing.T) {
+	w := newWorld(t)
+	newer := testConfig()
+	newer.Version = 7
+	w.step(ConfigRead{Config: newer})
+	w.step(ConfigRead{Config: testConfig()})
+	if got := w.router.config.Version; got != 7 {
+		t.Fatalf("version %d in force, want 7", got)
+	}
+}
--- a/internal/router/rate.go
+++ b/internal/router/rate.go
@@ -15,16 +15,20 @@
 	// fastMemory is that of the fast rate: demand moves to another model
 	// within 4 to 6 s, and the slow rate would show a third of it by then.
 	fastMemory = 2500 * time.Millisecond
+	// longMemory is that of the long rate, which tells a model that was busy
+	// within the last half minute: demand that left it may come back.
+	longMemory = 30 * time.Second
 )
 
-// rate is an arrival rate, as two exponentially decaying counts.
+// rate is an arrival rate, as exponentially decaying counts.
 type rate struct {
-	slow, fast float64
-	at         core.Time
+	long, slow, fast float64
+	at               core.Time
 }
 
 func (r *rate) decay(now core.Time) {
 	past := float64(now.Sub(r.at))
+	r.long *= math.Exp(-past / float64(longMemory))
 	r.slow *= math.Exp(-past / float64(slowMemory))
 	r.fast *= math.Exp(-past / float64(fastMemory))
 	r.at = now
@@ -32,6 +36,7 @@
 
 func (r *rate) add(now core.Time) {
 	r.decay(now)
+	r.long++
 	r.slow++
 	r.fast++
 }
@@ -49,6 +54,12 @@
 	return r.slow / slowMemory.Seconds()
 }
 
+// overLong is the long rate.
+func (r *rate) overLong(now core.Time) float64 {
+	r.decay(now)
+	return r.long / longMemory.Seconds()
+}
+
 // arrival counts a request for a model and, if it names one, its adapter.
 func (s *service) arrival(now core.Time, p *fleet.Prompt) {
 	s.rate(modelKey{model: p.Model}).add(now)
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -61,7 +61,6 @@
 	attempt *attempt
 	// forwarded is set once a part of an answer was passed on.
 	forwarded bool
-	lastEvent string
 	// mayHaveRun is set unless every server that got it proved that it did not
 	// run.
 	mayHaveRun bool
@@ -165,7 +164,7 @@
 	b.promptTokens += req.attempt.tokens
 	send := Send{
 		Key: req.key, Attempt: req.number, Instance: b.Instance, Address: b.Address,
-		MaxConns: r.connShare(req.service), Until: req.limit, LastEvent: req.lastEvent,
+		MaxConns: r.connShare(req.service), Until: req.limit,
 		Priority: enginePriority(req.route),
 	}
 	if req.route.Kind == fleet.Stream && req.route.Resumable {
@@ -174,7 +173,7 @@
 	r.emit(send)
 	if req.number > 1 {
 		r.log(OneRequest, "request sent again", req.attrs("instance", b.Instance,
-			"attempt", req.number, "predicted", c.cost.String(), "after", req.lastEvent)...)
+			"attempt", req.number, "predicted", c.cost.String())...)
 	}
 }
 
@@ -227,9 +226,6 @@
 	b := req.backend
 	r.release(req)
 	r.failed(b, e.Failure, e.Cause)
-	if e.LastEvent != "" {
-		req.lastEvent = e.LastEvent
-	}
 	r.log(OneRequest, "attempt failed", req.attrs("instance", b.Instance, "attempt", e.Attempt,
 		"failure", e.Failure.String(), "cause", e.Cause)...)
 	if e.Failure == NotSent {
@@ -245,6 +241,10 @@
 // repeat sends a request again if it may run once more, else ends it.
 func (r *Router) repeat(req *request, why string) {
 	if req.route.Repeatable() && (!req.forwarded || req.route.Kind == fleet.Stream) {
+		if req.forwarded {
+			// Its caller has just had an event, and waits as long again.
+			req.firstBy = min(req.limit, r.now.Add(patience(req.route)))
+		}
 		r.dispatch(req)
 		return
 	}
@@ -455,6 +455,17 @@
 	return false
 }
 
+// stalled moves a stream whose server has gone silent to another server that
+// has its model loaded. Without one it goes on waiting: a server under load may
+// be silent for seconds and still end the answer.
+func (r *Router) stalled(e Stalled) {
+	req := r.current(e.Key, e.Attempt)
+	if req == nil || !req.route.Repeatable() || req.sends >= req.route.MaxAttempts || !r.loadedElsewhere(req) {
+		return
+	}
+	r.hedge(req)
+}
+
 // hedge gives the current attempt up and tries another server.
 func (r *Router) hedge(req *request) {
 	b := req.backend
--- /dev/null
+++ b/internal/router/request_test.go
@@ -0,0 +1,146 @@
+package router
+
+import (
+	"testing"
+	"time"
+
+	"nutmeglane.example/nutmeglane/internal/code"
+	"nutmeglane.example/nutmeglane/internal/core"
+	"nutmeglane.example/nutmeglane/internal/fleet"
+)
+
+// An engine under load sends no event for over a second, and is the only one
+// with the model. The stream used to be given up for that, half answered; it
+// must go on, since the engine ends it in time.
+func TestSilenceOfTheOnlyServerEndsNothing(t *testing.T) {
+	w := newWorld(t)
+	w.servers(engineService, 2)
+	w.holds(0, core.Holdings{Models: loadedModels("m1")})
+	w.holds(1, core.Holdings{})
+	key := w.call("patient", prompt("m1"))
+	w.step(Answered{Key: key, Attempt: 1, Answer: fleet.Answer{Status: 200}})
+	w.step(FirstEvent{Key: key, Attempt: 1})
+	w.step(Stalled{Key: key, Attempt: 1})
+	if _, ended := w.finishes[key]; ended || w.abandons[key] != 0 {
+		t.Fatal("the stream was given up")
+	}
+	w.holds(1, core.Holdings{Models: loadedModels("m1")})
+	w.step(Stalled{Key: key, Attempt: 1})
+	if w.abandons[key] != 1 || w.lastSend(key).Instance != "s1" {
+		t.Fatal("the stream was not moved to the other server with its model")
+	}
+}
+
+// A charge is sent, and the server's answer is lost. The user must not be
+// charged twice, nor be told that nothing happened.
+func TestLostAnswerOfNonIdempotentRequest(t *testing.T) {
+	w := newWorld(t)
+	w.servers(plainService, 3)
+	key := w.call("once", nil)
+	w.step(AttemptFailed{Key: key, Attempt: 1, Failure: NoAnswer, Cause: "reset"})
+	if n := len(w.sends[key]); n != 1 {
+		t.Fatalf("sent %d times", n)
+	}
+	if finish := w.finishes[key]; finish.Code != code.OutcomeUnknown || finish.RetryAfter != 0 {
+		t.Fatalf("finish %+v, want OutcomeUnknown without a time to come back", finish)
+	}
+}
+
+// The server that was chosen has died; the connection is refused. Nothing was
+// sent, so that another server may get the request, also one that runs once.
+func TestRefusedConnectionIsTriedElsewhere(t *testing.T) {
+	w := newWorld(t)
+	w.servers(plainService, 3)
+	key := w.call("once", nil)
+	first := w.lastSend(key)
+	w.step(AttemptFailed{Key: key, Attempt: first.Attempt, Failure: NotSent, Cause: "connection refused"})
+	second := w.lastSend(key)
+	if second.Instance == first.Instance || second.Attempt != 2 {
+		t.Fatalf("sent to %s again: %+v", first.Instance, second)
+	}
+}
+
+// A server says that it did not run a request whose route allows one server
+// only. That proof lets the user come back at once, and must reach the user.
+func TestRejectedRequestIsRefusedTruthfully(t *testing.T) {
+	w := newWorld(t)
+	w.servers(plainService, 3)
+	key := w.call("once", nil)
+	w.step(Answered{Key: key, Attempt: 1, Answer: fleet.Answer{Status: 503, NotRun: true}})
+	if finish := w.finishes[key]; !finish.Code.NotRun() || finish.RetryAfter <= 0 {
+		t.Fatalf("finish %+v, want a refusal that promises not run", finish)
+	}
+}
+
+// The first server failed an idempotent request, the second refused it. The
+// request may have run at the first, so the answer must not say otherwise.
+func TestRefusalAfterAFailureDoesNotPromise(t *testing.T) {
+	w := newWorld(t)
+	w.servers(plainService, 3)
+	key := w.call("again", nil)
+	w.step(AttemptFailed{Key: key, Attempt: 1, Failure: NoAnswer})
+	w.step(Answered{Key: key, Attempt: 2, Answer: fleet.Answer{Status: 503, NotRun: true}})
+	if finish := w.finishes[key]; finish.Code.NotRun() || finish.Code == code.OK {
+		t.Fatalf("finish %+v promises that the request did not run", finish)
+	}
+}
+
+// Half of all answers are lost. Each loss may lead to a repeat, but all repeats
+// together must keep to the budget, or the servers that are left get a multiple
+// of the load.
+func TestRepeatsKeepToTheBudget(t *testing.T) {
+	w := newWorld(t)
+	w.servers(plainService, 3)
+	repeats := 0
+	const requests = 400
+	for range requests {
+		key := w.call("again", nil)
+		w.step(AttemptFailed{Key: key, Attempt: 1, Failure: NoAnswer})
+		if len(w.sends[key]) > 1 {
+			repeats++
+			w.step(Answered{Key: key, Attempt: 2, Answer: fleet.Answer{Status: 200}})
+			w.step(Done{Key: key, Attempt: 2})
+		}
+	}
+	bounds := testBounds()
+	if most := int(bounds.RetryRatio*requests) + bounds.RetrySlack; repeats > most || repeats < most/2 {
+		t.Fatalf("%d repeats of %d requests, want up to %d", repeats, requests, most)
+	}
+}
+
+// A server hangs. An idempotent request there is tried elsewhere while it can
+// still be in time; the hung attempt is given up, so that it costs nothing.
+func TestHungRequestIsTriedElsewhere(t *testing.T) {
+	w := newWorld(t)
+	w.servers(plainService, 3)
+	key := w.call("again", nil)
+	w.run(400 * time.Millisecond)
+	if n := len(w.sends[key]); n != 2 {
+		t.Fatalf("sent %d times, want 2", n)
+	}
+	if w.abandons[key] != 1 {
+		t.Error("the first attempt was left running")
+	}
+}
+
+// Nothing answers until the route's timeout. The user gets a final answer then,
+// not when the connection breaks.
+func TestTimeoutIsAnswered(t *testing.T) {
+	w := newWorld(t)
+	w.servers(plainService, 1)
+	key := w.call("once", nil)
+	w.run(800*time.Millisecond + answerSlack + 2*tickInterval)
+	if finish := w.finishes[key]; finish.Code != code.TimedOut {
+		t.Fatalf("finish %+v, want TimedOut", finish)
+	}
+}
+
+// Before any configuration is known nothing can be said about routes: a 404
+// would tell a user for good that a service does not exist.
+func TestNoConfigurationIsNoUnknownRoute(t *testing.T) {
+	w := &world{t: t, now: 1, router: New(Options{Host: "10.0.0.1"}), finishes: map[Key]Finish{}}
+	key := w.call("once", nil)
+	if finish := w.finishes[key]; finish.Code != code.NotReady || finish.RetryAfter <= 0 {
+		t.Fatalf("finish %+v, want NotReady", finish)
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -116,6 +116,8 @@
 		r.arrived(e.Key, e.Request)
 	case AttemptFailed:
 		r.attemptFailed(e)
+	case Stalled:
+		r.stalled(e)
 	case Answered:
 		r.answered(e)
 	case FirstEvent:
--- a/internal/router/speed.go
+++ b/internal/router/speed.go
@@ -50,11 +50,6 @@
 	events float64
 }
 
-// undisturbed is the time of a whole answer without load.
-func (m *modelSpeed) undisturbed() time.Duration {
-	return m.first + time.Duration(m.events*float64(m.pause))
-}
-
 func newSpeed() speed { return speed{models: map[string]*modelSpeed{}} }
 
 // answer is what an answer that has ended tells of its engine.
@@ -79,7 +74,7 @@
 	}
 	m.pause = least(m.pause, a.pause)
 	m.first = least(m.first, a.first)
-	m.events += smoothing * (float64(a.events) - m.events)
+	m.events += shareMemory * (float64(a.events) - m.events)
 	if a.beside < leastRunning {
 		return
 	}
@@ -97,12 +92,17 @@
 // idle one.
 func (s *speed) queueFactor(requests int) float64 { return 1 + s.share*float64(requests) }
 
-// load is the part of one engine's time that requests for a model take, at so
-// many a second.
-func (s *speed) load(model string, perSecond float64) float64 {
+// undisturbed is the time of an answer of a model without load, 0 if unknown.
+func (s *speed) undisturbed(model string) time.Duration {
 	m := s.models[model]
 	if m == nil {
 		return 0
 	}
-	return perSecond * m.undisturbed().Seconds() * s.share
+	return m.first + time.Duration(m.events*float64(m.pause))
+}
+
+// load is the part of one engine's time that requests for a model take, at so
+// many a second.
+func (s *speed) load(model string, perSecond float64) float64 {
+	return perSecond * s.undisturbed(model).Seconds() * s.share
 }
--- a/internal/router/spread.go
+++ b/internal/router/spread.go
@@ -24,6 +24,10 @@
 	// busyRate is the arrivals per second from which a model should have two
 	// copies, so that the loss of one does not make callers wait for a load.
 	busyRate = 2.0
+	// warmRate is the arrivals per second over half a minute from which a model
+	// keeps two copies: demand moves between a few busy models, and comes back
+	// faster than copies are made. A rare model is called once in ten seconds.
+	warmRate = 0.5
 	// spreadLife is how long beyond its predicted end a further copy is asked
 	// for: an order may have to be sent again, but demand also moves on.
 	spreadLife = 3 * time.Second
@@ -68,8 +72,9 @@
 // neededCopies is the number of engines that should have a model loaded.
 func (r *Router) neededCopies(service, model string) int {
 	perSecond := r.rate(service, model)
+	long := r.service(service).rate(modelKey{model: model}).overLong(r.now) * float64(r.routers())
 	needed := 1
-	if perSecond > busyRate {
+	if perSecond > busyRate || long > warmRate {
 		needed = 2
 	}
 	load := r.service(service).speed.load(model, perSecond)
@@ -102,7 +107,7 @@
 			}
 			b.loader.dirty = true
 			r.log(Belief, "model gets a further copy", b.attrs("model", model.Name, "copies", copies, "needed", needed,
-				"heat", r.heat(b), "rate", r.rate(s.name, model.Name), "share", s.speed.share)...)
+				"heat", r.heat(b), "rate", r.rate(s.name, model.Name), "share", s.speed.share, "undisturbed", s.speed.undisturbed(model.Name).String())...)
 		}
 	}
 }
