dev up: the printed call is served

Cause: the line to try came when the declarations were accepted; slots get their owners later, and the call was refused with 503 NoBackend. Change: the line waits for the condition Available of each resource.

--- a/internal/dev/up.go
+++ b/internal/dev/up.go
@@ -17,6 +17,7 @@
 	"nutmeglane.example/nutmeglane/internal/core"
 	"nutmeglane.example/nutmeglane/internal/daemon"
 	"nutmeglane.example/nutmeglane/internal/operator/client"
+	"nutmeglane.example/nutmeglane/internal/operator/status"
 	"nutmeglane.example/nutmeglane/internal/settings"
 	"nutmeglane.example/nutmeglane/internal/standin/engine"
 	"nutmeglane.example/nutmeglane/internal/standin/hosts"
@@ -195,17 +196,59 @@
 	for {
 		result, err := operators.Apply(ctx, resources, client.ApplyOptions{})
 		if err == nil {
-			u.greet(len(resources), result.Revision)
+			if u.awaitAvailable(ctx, operators, resources) {
+				u.greet(len(resources), result.Revision)
+			}
 			return nil
 		}
-		select {
-		case <-ctx.Done():
+		if !pause(ctx, applyRetry) {
 			return nil
-		case <-time.After(applyRetry):
 		}
 	}
 }
 
+// awaitAvailable waits until the entry would serve a request to each resource,
+// and reports false if ctx ends first. Slots get their owners some seconds
+// after the declarations are in force; a line to try that is printed earlier
+// leads a new user to a refusal.
+func (u *up) awaitAvailable(ctx context.Context, operators *client.Client, resources []api.Resource) bool {
+	for _, r := range resources {
+		for !available(ctx, operators, r.Key()) {
+			if !pause(ctx, applyRetry) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// available reports whether a resource's status says so. Resources that take
+// no requests have no such condition.
+func available(ctx context.Context, operators *client.Client, key api.Key) bool {
+	item, err := operators.Get(ctx, key)
+	if err != nil {
+		return false // the entry is starting: asked again
+	}
+	for _, condition := range item.Status.Conditions {
+		if condition.Type == status.Available {
+			return condition.Status == status.True
+		}
+	}
+	return true
+}
+
+// pause reports false if ctx ends meanwhile.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
 func quickstart() ([]api.Resource, error) {
 	var resources []api.Resource
 	files, err := fs.Glob(examples.Quickstart, "quickstart/*")
