--- a/internal/api/bind.go
+++ b/internal/api/bind.go
@@ -88,7 +88,7 @@
 				return kind, true
 			}
 		}
-		b.report("kind", &m.Value, "one of "+kindNames())
+		b.report("kind", &m.Value, kindWanted(m.Value))
 		return "", false
 	}
 	b.problems = append(b.problems, Problem{
@@ -98,6 +98,19 @@
 	return "", false
 }
 
+// formerKinds are kinds that have other names now.
+var formerKinds = map[string]Kind{"Customer": KindClientAccount}
+
+// kindWanted tells what a wrong kind should be.
+func kindWanted(v hujson.Value) string {
+	if literal, ok := v.Value.(hujson.Literal); ok && literal.Kind() == '"' {
+		if now, known := formerKinds[literal.String()]; known {
+			return string(now) + ", as this kind is named now"
+		}
+	}
+	return "one of " + kindNames()
+}
+
 func kindNames() string {
 	names := make([]string, 0, len(Kinds()))
 	for _, k := range Kinds() {
--- a/internal/api/build.go
+++ b/internal/api/build.go
@@ -12,7 +12,7 @@
 	s := &Snapshot{
 		Revision: revision,
 		Models:   map[string]*Model{}, Adapters: map[string]*Adapter{},
-		Services: map[string]*Service{}, Customers: map[string]*Customer{},
+		Services: map[string]*Service{}, ClientAccounts: map[string]*ClientAccount{},
 		Deployment: &DeploymentSpec{},
 	}
 	for _, r := range resources {
@@ -34,8 +34,8 @@
 		s.Adapters[name] = &Adapter{Metadata: r.Metadata, Spec: *spec}
 	case *ServiceSpec:
 		s.Services[name] = &Service{Metadata: r.Metadata, Spec: *spec}
-	case *CustomerSpec:
-		s.Customers[name] = &Customer{Metadata: r.Metadata, Spec: *spec}
+	case *ClientAccountSpec:
+		s.ClientAccounts[name] = &ClientAccount{Metadata: r.Metadata, Spec: *spec}
 	case *DeploymentSpec:
 		metadata, deployment := r.Metadata, *spec
 		s.Deployment, s.DeploymentMetadata = &deployment, &metadata
@@ -44,7 +44,7 @@
 
 // Size returns the number of declared resources.
 func (s *Snapshot) Size() int {
-	size := len(s.Models) + len(s.Adapters) + len(s.Services) + len(s.Customers)
+	size := len(s.Models) + len(s.Adapters) + len(s.Services) + len(s.ClientAccounts)
 	if s.DeploymentMetadata != nil {
 		size++
 	}
@@ -67,8 +67,8 @@
 		if v := s.Services[key.Name]; v != nil {
 			r.Metadata, r.Spec = v.Metadata, &v.Spec
 		}
-	case KindCustomer:
-		if c := s.Customers[key.Name]; c != nil {
+	case KindClientAccount:
+		if c := s.ClientAccounts[key.Name]; c != nil {
 			r.Metadata, r.Spec = c.Metadata, &c.Spec
 		}
 	case KindDeployment:
@@ -88,8 +88,8 @@
 		return sortedNames(s.Adapters)
 	case KindService:
 		return sortedNames(s.Services)
-	case KindCustomer:
-		return sortedNames(s.Customers)
+	case KindClientAccount:
+		return sortedNames(s.ClientAccounts)
 	case KindDeployment:
 		if s.DeploymentMetadata != nil {
 			return []string{DeploymentName}
--- a/internal/api/crosscheck.go
+++ b/internal/api/crosscheck.go
@@ -32,8 +32,8 @@
 	switch spec := r.Spec.(type) {
 	case *AdapterSpec:
 		s.adapter(r, spec)
-	case *CustomerSpec:
-		s.customer(r, spec)
+	case *ClientAccountSpec:
+		s.account(r, spec)
 	}
 }
 
@@ -79,10 +79,10 @@
 	}
 }
 
-func (s *set) customer(r Resource, spec *CustomerSpec) {
+func (s *set) account(r Resource, spec *ClientAccountSpec) {
 	for i, digest := range spec.APIKeySHA256 {
 		if owner, taken := s.digests[digest]; taken {
-			s.report(r, fmt.Sprintf("spec.apiKeySHA256[%d]", i), "a digest also in "+owner.String(), "a key of one customer, listed once")
+			s.report(r, fmt.Sprintf("spec.apiKeySHA256[%d]", i), "a digest also in "+owner.String(), "a key of one client account, listed once")
 			continue
 		}
 		s.digests[digest] = r.Key()
--- a/internal/api/defaults.go
+++ b/internal/api/defaults.go
@@ -40,7 +40,7 @@
 			spec.IdempotentMethods = defaultIdempotentMethods()
 		}
 		defaults.Set(&spec.MaxConcurrent, DefaultServiceConcurrent)
-	case *CustomerSpec:
+	case *ClientAccountSpec:
 		defaults.Set(&spec.Weight, DefaultWeight)
 	case *DeploymentSpec:
 		defaultDeployment(spec)
--- a/internal/api/parse_test.go
+++ b/internal/api/parse_test.go
@@ -37,8 +37,9 @@
 		{"nesting", strings.Repeat("[", 100), []string{"f: got deeper nesting, wanted at most 32 levels"}},
 		{"nesting hidden by comments", "/* \" */" + strings.Repeat("[/* ] */", 100), []string{"f: got deeper nesting, wanted at most 32 levels"}},
 		{"not an object", "[7]", []string{"f:1: got 7, wanted a resource object"}},
-		{"no kind", "{}", []string{"f:1: kind: got nothing, wanted one of Model, Adapter, Service, Customer, Deployment"}},
-		{"unknown kind", `{"kind": "Modell"}`, []string{`f:1: kind: got "Modell", wanted one of Model, Adapter, Service, Customer, Deployment`}},
+		{"no kind", "{}", []string{"f:1: kind: got nothing, wanted one of Model, Adapter, Service, ClientAccount, Deployment"}},
+		{"former kind", `{"kind": "Customer"}`, []string{`f:1: kind: got "Customer", wanted ClientAccount, as this kind is named now`}},
+		{"unknown kind", `{"kind": "Modell"}`, []string{`f:1: kind: got "Modell", wanted one of Model, Adapter, Service, ClientAccount, Deployment`}},
 		{
 			"all problems of all resources",
 			"[" + declare("Model", "m", `{"version": "1",`+"\n"+`"memory": 7, "memoryMiB": "7"}`) + ",\n" +
@@ -74,11 +75,11 @@
 			},
 		},
 		{
-			"customer values", "[" + declare("Customer", "c", `{"weight": -1}`) + "," + declare("Customer", "d", `{"apiKeySHA256": ["key"]}`) + "]",
+			"client account values", "[" + declare("ClientAccount", "c", `{"weight": -1}`) + "," + declare("ClientAccount", "d", `{"apiKeySHA256": ["key"]}`) + "]",
 			[]string{
-				"f:1: Customer/c: spec.apiKeySHA256: got 0, wanted 1 to 64 digests",
-				"f:1: Customer/c: spec.weight: got -1, wanted 1 to 1000000",
-				`f:1: Customer/d: spec.apiKeySHA256[0]: got "key", wanted a SHA-256 digest of 64 lower-case hexadecimal digits`,
+				"f:1: ClientAccount/c: spec.apiKeySHA256: got 0, wanted 1 to 64 digests",
+				"f:1: ClientAccount/c: spec.weight: got -1, wanted 1 to 1000000",
+				`f:1: ClientAccount/d: spec.apiKeySHA256[0]: got "key", wanted a SHA-256 digest of 64 lower-case hexadecimal digits`,
 			},
 		},
 		{
@@ -113,8 +114,8 @@
 		declare("Adapter", "m", `{"base": "m", "version": "1", "memoryMiB": 1}`),
 		declare("Adapter", "a", `{"base": "m", "version": "1", "memoryMiB": 1, "replicas": {"max": 2}}`),
 		declare("Adapter", "b", `{"base": "n", "version": "1", "memoryMiB": 1}`),
-		declare("Customer", "c", `{"apiKeySHA256": ["`+digest+`"]}`),
-		declare("Customer", "d", `{"apiKeySHA256": ["`+digest+`"]}`),
+		declare("ClientAccount", "c", `{"apiKeySHA256": ["`+digest+`"]}`),
+		declare("ClientAccount", "d", `{"apiKeySHA256": ["`+digest+`"]}`),
 	}, ",\n") + "]"
 	resources, err := ParseFile("f", []byte(input))
 	if err != nil {
@@ -126,7 +127,7 @@
 		`f:3: Adapter/m: metadata.name: got "m", wanted a name that no Model has`,
 		"f:4: Adapter/a: spec.replicas.max: got 2, wanted at most the limit of its base m (1)",
 		`f:5: Adapter/b: spec.base: got "n", wanted the name of a declared Model`,
-		"f:7: Customer/d: spec.apiKeySHA256[0]: got a digest also in Customer/c, wanted a key of one customer, listed once",
+		"f:7: ClientAccount/d: spec.apiKeySHA256[0]: got a digest also in ClientAccount/c, wanted a key of one client account, listed once",
 	}
 	if diff := cmp.Diff(want, messages(t, err)); diff != "" {
 		t.Error(diff)
@@ -157,8 +158,8 @@
 		Services: map[string]*Service{"s": {Metadata{Name: "s"}, ServiceSpec{
 			IdempotentMethods: []string{"GET", "HEAD", "OPTIONS", "PUT", "DELETE"}, MaxConcurrent: 16,
 		}}},
-		Customers:  map[string]*Customer{},
-		Deployment: &DeploymentSpec{ColdStartPrice: 1, IdleHourPrice: 20, StoreLoadsPerSecond: 5, StoreLanes: 4},
+		ClientAccounts: map[string]*ClientAccount{},
+		Deployment:     &DeploymentSpec{ColdStartPrice: 1, IdleHourPrice: 20, StoreLoadsPerSecond: 5, StoreLanes: 4},
 	}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Error(diff)
@@ -169,7 +170,7 @@
 // whatever is refused is refused with a reason.
 func FuzzParseFile(f *testing.F) {
 	f.Add(declare("Model", "m", `{"version": "1", "memoryMiB": 7}`))
-	f.Add("[" + declare("Customer", "c", `{"apiKeySHA256": ["`+digest+`"], "weight": 3,}`) + "]")
+	f.Add("[" + declare("ClientAccount", "c", `{"apiKeySHA256": ["`+digest+`"], "weight": 3,}`) + "]")
 	f.Add(declare("Service", "s", `{"nonIdempotentPaths": ["/x"]} // comment`))
 	f.Add(`[{"kind": "Deployment", "spec": {"coldStartPrice": 1e400}}]`)
 	f.Add(strings.Repeat("[", 40))
--- a/internal/api/patch.go
+++ b/internal/api/patch.go
@@ -48,8 +48,8 @@
 	if changed[KindService] {
 		s.Services = maps.Clone(s.Services)
 	}
-	if changed[KindCustomer] {
-		s.Customers = maps.Clone(s.Customers)
+	if changed[KindClientAccount] {
+		s.ClientAccounts = maps.Clone(s.ClientAccounts)
 	}
 }
 
@@ -61,8 +61,8 @@
 		delete(s.Adapters, key.Name)
 	case KindService:
 		delete(s.Services, key.Name)
-	case KindCustomer:
-		delete(s.Customers, key.Name)
+	case KindClientAccount:
+		delete(s.ClientAccounts, key.Name)
 	case KindDeployment:
 		s.Deployment, s.DeploymentMetadata = &DeploymentSpec{}, nil
 	}
@@ -106,7 +106,7 @@
 // CheckPatch finds the problems that Check would find in all resources after a
 // patch, if it finds none in s. Only what the patch can break is looked at:
 // the resources put, adapters of a changed base or with a changed model's
-// name, and, if a customer changed, the keys of all customers.
+// name, and, if a client account changed, the keys of all client accounts.
 func (s *Snapshot) CheckPatch(put []Resource, deleted []Key) error {
 	after := &set{byKey: map[Key]Resource{}, digests: map[string]Key{}, before: s, deleted: map[Key]bool{}}
 	for _, key := range deleted {
@@ -127,12 +127,12 @@
 // affected lists the resources whose cross-checks a patch may have changed, by
 // kind and name, as Check is given them.
 func (s *set) affected(put []Resource, deleted []Key) []Resource {
-	models, customers := map[string]bool{}, false
+	models, accounts := map[string]bool{}, false
 	touch := func(key Key) {
 		if key.Kind == KindModel {
 			models[key.Name] = true
 		}
-		customers = customers || key.Kind == KindCustomer
+		accounts = accounts || key.Kind == KindClientAccount
 	}
 	for _, r := range put {
 		touch(r.Key())
@@ -155,9 +155,9 @@
 			}
 		}
 	}
-	if customers {
-		for name := range s.before.Customers {
-			keep(Key{Kind: KindCustomer, Name: name})
+	if accounts {
+		for name := range s.before.ClientAccounts {
+			keep(Key{Kind: KindClientAccount, Name: name})
 		}
 	}
 	slices.SortStableFunc(resources, func(a, b Resource) int { return a.Key().Compare(b.Key()) })
--- a/internal/api/patch_test.go
+++ b/internal/api/patch_test.go
@@ -93,8 +93,8 @@
 		r.Spec = &AdapterSpec{Base: name, Version: "1", MemoryMiB: 1, Replicas: ReplicaLimits{Max: number}, Priority: priority}
 	case KindService:
 		r.Spec = &ServiceSpec{IdempotentMethods: []string{"GET"}, MaxConcurrent: number}
-	case KindCustomer:
-		r.Spec = &CustomerSpec{APIKeySHA256: []string{strings.Repeat(fmt.Sprint(number), 64)}, Weight: number}
+	case KindClientAccount:
+		r.Spec = &ClientAccountSpec{APIKeySHA256: []string{strings.Repeat(fmt.Sprint(number), 64)}, Weight: number}
 	case KindDeployment:
 		r.Metadata.Name = DeploymentName
 		r.Spec = &DeploymentSpec{ColdStartPrice: float64(number)}
--- a/internal/api/resource.go
+++ b/internal/api/resource.go
@@ -30,7 +30,7 @@
 	APIVersion string   `json:"apiVersion"`
 	Kind       Kind     `json:"kind"`
 	Metadata   Metadata `json:"metadata"`
-	// Spec is a *ModelSpec, *AdapterSpec, *ServiceSpec, *CustomerSpec or
+	// Spec is a *ModelSpec, *AdapterSpec, *ServiceSpec, *ClientAccountSpec or
 	// *DeploymentSpec, as Kind says.
 	Spec any `json:"spec"`
 
@@ -42,7 +42,7 @@
 
 // Kinds returns all resource kinds, in the order they are listed to users.
 func Kinds() []Kind {
-	return []Kind{KindModel, KindAdapter, KindService, KindCustomer, KindDeployment}
+	return []Kind{KindModel, KindAdapter, KindService, KindClientAccount, KindDeployment}
 }
 
 // Plural returns the kind's name in paths of the operators' API.
@@ -67,8 +67,8 @@
 		return &AdapterSpec{}
 	case KindService:
 		return &ServiceSpec{}
-	case KindCustomer:
-		return &CustomerSpec{}
+	case KindClientAccount:
+		return &ClientAccountSpec{}
 	case KindDeployment:
 		return &DeploymentSpec{}
 	default:
--- a/internal/api/schema.go
+++ b/internal/api/schema.go
@@ -81,8 +81,8 @@
 		"spec.nonIdempotentPaths": {elements(0, MaxListed, "^/")},
 		"spec.maxConcurrent":      {numbers(0, MaxConcurrentLimit)},
 	},
-	KindCustomer: {
-		"spec.apiKeySHA256": {required, elements(1, MaxKeysPerCustomer, digestPattern.String())},
+	KindClientAccount: {
+		"spec.apiKeySHA256": {required, elements(1, MaxKeysPerAccount, digestPattern.String())},
 		"spec.weight":       {numbers(0, MaxWeight)},
 	},
 	KindDeployment: {
--- a/internal/api/types.go
+++ b/internal/api/types.go
@@ -11,11 +11,11 @@
 
 // The resource kinds.
 const (
-	KindModel      Kind = "Model"
-	KindAdapter    Kind = "Adapter"
-	KindService    Kind = "Service"
-	KindCustomer   Kind = "Customer"
-	KindDeployment Kind = "Deployment"
+	KindModel         Kind = "Model"
+	KindAdapter       Kind = "Adapter"
+	KindService       Kind = "Service"
+	KindClientAccount Kind = "ClientAccount"
+	KindDeployment    Kind = "Deployment"
 )
 
 // Priority orders requests: interactive work goes before batch work.
@@ -98,9 +98,9 @@
 	MaxConcurrent int `json:"maxConcurrent,omitempty"`
 }
 
-// CustomerSpec declares a customer.
-type CustomerSpec struct {
-	// APIKeySHA256 lists the hexadecimal SHA-256 digests of the customer's
+// ClientAccountSpec declares a client account.
+type ClientAccountSpec struct {
+	// APIKeySHA256 lists the hexadecimal SHA-256 digests of the client account's
 	// API keys. Keys themselves are never stored.
 	APIKeySHA256 []string `json:"apiKeySHA256"`
 	// Weight is the share of capacity under overload. Default 1.
@@ -144,21 +144,21 @@
 	Spec     ServiceSpec `json:"spec"`
 }
 
-// Customer is a declared customer.
-type Customer struct {
-	Metadata Metadata     `json:"metadata"`
-	Spec     CustomerSpec `json:"spec"`
+// ClientAccount is a declared client account.
+type ClientAccount struct {
+	Metadata Metadata          `json:"metadata"`
+	Spec     ClientAccountSpec `json:"spec"`
 }
 
 // Snapshot is one accepted configuration: all resources at one revision, with
 // defaults filled in. It is immutable once built.
 type Snapshot struct {
 	// Revision grows by one with each accepted change and never reverts.
-	Revision  int64                `json:"revision"`
-	Models    map[string]*Model    `json:"models"`
-	Adapters  map[string]*Adapter  `json:"adapters"`
-	Services  map[string]*Service  `json:"services"`
-	Customers map[string]*Customer `json:"customers"`
+	Revision       int64                     `json:"revision"`
+	Models         map[string]*Model         `json:"models"`
+	Adapters       map[string]*Adapter       `json:"adapters"`
+	Services       map[string]*Service       `json:"services"`
+	ClientAccounts map[string]*ClientAccount `json:"clientAccounts"`
 	// Deployment is never nil in a snapshot built by this package.
 	Deployment *DeploymentSpec `json:"deployment"`
 	// DeploymentMetadata is nil when no Deployment is declared.
--- a/internal/api/validate.go
+++ b/internal/api/validate.go
@@ -19,7 +19,7 @@
 	MaxReplicas        = 1024
 	MaxConcurrentLimit = 4096
 	MaxWeight          = 1_000_000
-	MaxKeysPerCustomer = 64
+	MaxKeysPerAccount  = 64
 	MaxListed          = 64
 	MaxPrice           = 1e9
 	MaxStoreLanes      = 1024
@@ -95,8 +95,8 @@
 		c.adapter(spec)
 	case *ServiceSpec:
 		c.service(spec)
-	case *CustomerSpec:
-		c.customer(spec)
+	case *ClientAccountSpec:
+		c.account(spec)
 	case *DeploymentSpec:
 		c.deployment(spec)
 	}
@@ -159,9 +159,9 @@
 	}
 }
 
-func (c *checker) customer(spec *CustomerSpec) {
-	if n := len(spec.APIKeySHA256); n < 1 || n > MaxKeysPerCustomer {
-		c.report("spec.apiKeySHA256", n, fmt.Sprintf("1 to %d digests", MaxKeysPerCustomer))
+func (c *checker) account(spec *ClientAccountSpec) {
+	if n := len(spec.APIKeySHA256); n < 1 || n > MaxKeysPerAccount {
+		c.report("spec.apiKeySHA256", n, fmt.Sprintf("1 to %d digests", MaxKeysPerAccount))
 	}
 	for i, digest := range spec.APIKeySHA256 {
 		if !digestPattern.MatchString(digest) {
--- a/internal/bench/capacity/world.go
+++ b/internal/bench/capacity/world.go
@@ -171,7 +171,7 @@
 		id[i] = byte(r.Uint32())
 	}
 	w.post(w.entry, core.RequestArrived{
-		ID: id, Customer: "bench", Target: target, Priority: api.PriorityInteractive,
+		ID: id, ClientAccount: "bench", Target: target, Priority: api.PriorityInteractive,
 		Timeout: time.Minute, Idempotent: true,
 	})
 }
--- a/internal/bench/fleet/declare.go
+++ b/internal/bench/fleet/declare.go
@@ -8,7 +8,7 @@
 	"nutmeglane.example/nutmeglane/internal/api"
 )
 
-// APIKey is the key of the customer that Declare declares.
+// APIKey is the key of the client account that Declare declares.
 const APIKey = "nk-bench-0123456789"
 
 // CheckpointVersion is the version in force of all models and adapters that
@@ -40,7 +40,7 @@
 func Declare(d Declaration) []api.Resource {
 	digest := sha256.Sum256([]byte(APIKey))
 	resources := []api.Resource{
-		resource(api.KindCustomer, "bench", &api.CustomerSpec{APIKeySHA256: []string{hex.EncodeToString(digest[:])}, Weight: 1}),
+		resource(api.KindClientAccount, "bench", &api.ClientAccountSpec{APIKeySHA256: []string{hex.EncodeToString(digest[:])}, Weight: 1}),
 	}
 	for i := range d.Models {
 		resources = append(resources, resource(api.KindModel, ModelName(i), &api.ModelSpec{
--- a/internal/bench/overload/plan.go
+++ b/internal/bench/overload/plan.go
@@ -8,12 +8,12 @@
 	"nutmeglane.example/nutmeglane/internal/load"
 )
 
-// customer is one who calls the system.
-type customer struct{ name, key string }
+// client account is one who calls the system.
+type account struct{ name, key string }
 
 var (
-	large = customer{"large", "nk-bench-large-0123456789"}
-	small = customer{"small", "nk-bench-small-0123456789"}
+	large = account{"large", "nk-bench-large-0123456789"}
+	small = account{"small", "nk-bench-small-0123456789"}
 )
 
 const (
@@ -54,7 +54,7 @@
 }
 
 // class is steady interactive traffic at a multiple of the capacity.
-func (b *bench) class(c customer, multiplier float64) load.Class {
+func (b *bench) class(c account, multiplier float64) load.Class {
 	class := b.calls(c, callTimeout)
 	class.Priority = api.PriorityInteractive
 	class.Poisson = &load.Poisson{PerSecond: multiplier * b.opts.capacity()}
@@ -71,7 +71,7 @@
 	return class
 }
 
-// batch is patient work of the large customer, more than the system carries.
+// batch is patient work of the large client account, more than the system carries.
 func (b *bench) batch() load.Class {
 	class := b.calls(large, batchTimeout)
 	class.Priority = api.PriorityBatch
@@ -79,7 +79,7 @@
 	return class
 }
 
-func (b *bench) calls(c customer, timeout time.Duration) load.Class {
+func (b *bench) calls(c account, timeout time.Duration) load.Class {
 	return load.Class{
 		Name: c.name, APIKey: c.key, StreamShare: 1, Timeout: load.Duration(timeout),
 		Calls:     []load.Call{{Models: []string{fleet.ModelName(0)}}},
--- a/internal/bench/overload/result.go
+++ b/internal/bench/overload/result.go
@@ -72,7 +72,7 @@
 }
 
 // traffic takes the faults of the whole run: referees judge no class.
-func traffic(s *load.Summary, c customer) Traffic {
+func traffic(s *load.Summary, c account) Traffic {
 	i := slices.IndexFunc(s.Series, func(s load.Series) bool { return s.Class == c.name && s.Phase == measuredPhase })
 	series := s.Series[i]
 	return Traffic{
@@ -122,7 +122,7 @@
 	}
 	fmt.Fprintf(table, "goodput at the highest load / peak: %.2f\n\n", r.GoodputKept())
 	fmt.Fprintln(table, "class\tsent\tok\trefused\trefusal p99\tfirst token p50\tfirst token p99\tp99 ratio\tfaults\tload average\t")
-	writeComparison(table, "small customer", "large customer, flood", r.Flood)
+	writeComparison(table, "small client account", "large client account, flood", r.Flood)
 	writeComparison(table, "interactive burst", "batch", r.Burst)
 	if err := table.Flush(); err != nil {
 		return errors.Wrap(err, "write result")
--- a/internal/bench/overload/run.go
+++ b/internal/bench/overload/run.go
@@ -59,9 +59,9 @@
 }
 
 const (
-	// floodMultiplier is the load of the customer that floods the system.
+	// floodMultiplier is the load of the client account that floods the system.
 	floodMultiplier = 10
-	// smallShare is the load of the small customer, as a part of the capacity.
+	// smallShare is the load of the small client account, as a part of the capacity.
 	smallShare = 0.1
 	// batchMultiplier is the load of batch work around the burst.
 	batchMultiplier = 2
@@ -103,7 +103,7 @@
 	return b.result, nil
 }
 
-// measurePoints sends one customer's load at each multiple of the capacity.
+// measurePoints sends one client account's load at each multiple of the capacity.
 func (b *bench) measurePoints(ctx context.Context) error {
 	for _, multiplier := range b.opts.Multipliers {
 		summary, err := b.load(ctx, b.class(large, multiplier))
@@ -116,12 +116,12 @@
 	return nil
 }
 
-// measureFlood compares the small customer's first tokens without and with the
-// large customer's flood.
+// measureFlood compares the small client account's first tokens without and with the
+// large client account's flood.
 func (b *bench) measureFlood(ctx context.Context) error {
 	alone, err := b.load(ctx, b.class(small, smallShare))
 	if err != nil {
-		return errors.Wrap(err, "small customer alone")
+		return errors.Wrap(err, "small client account alone")
 	}
 	beside, err := b.load(ctx, b.class(small, smallShare), b.class(large, floodMultiplier))
 	if err != nil {
--- a/internal/bench/overload/warm.go
+++ b/internal/bench/overload/warm.go
@@ -18,7 +18,7 @@
 // warmRetry is the pause between two looks whether the model is loaded.
 const warmRetry = 100 * time.Millisecond
 
-// warm declares the model and the customers, waits until every engine has the
+// warm declares the model and the client accounts, waits until every engine has the
 // model loaded, and sends light load so that durations are learned.
 func (b *bench) warm(ctx context.Context) error {
 	limited, cancel := context.WithTimeout(ctx, warmLimit)
@@ -49,11 +49,11 @@
 	resources := fleet.Declare(fleet.Declaration{
 		Models: 1, Replicas: b.opts.Agents, KeepLoaded: b.opts.Agents, MaxConcurrent: b.opts.MaxConcurrent,
 	})
-	for _, c := range []customer{large, small} {
+	for _, c := range []account{large, small} {
 		digest := sha256.Sum256([]byte(c.key))
 		resources = append(resources, api.Resource{
-			APIVersion: api.Version, Kind: api.KindCustomer, Metadata: api.Metadata{Name: c.name},
-			Spec: &api.CustomerSpec{APIKeySHA256: []string{hex.EncodeToString(digest[:])}, Weight: 1},
+			APIVersion: api.Version, Kind: api.KindClientAccount, Metadata: api.Metadata{Name: c.name},
+			Spec: &api.ClientAccountSpec{APIKeySHA256: []string{hex.EncodeToString(digest[:])}, Weight: 1},
 		})
 	}
 	return resources
--- a/internal/bench/policy/measure.go
+++ b/internal/bench/policy/measure.go
@@ -59,7 +59,7 @@
 	s.floor, s.first = m.wait(m.floors, a, m.nearest)
 	s.storeFloor, _ = m.wait(m.storeFloors, a, func(sizes) core.Tier { return core.TierRemote })
 	s.outcome = m.world.Request(entryName(a.entry), core.RequestArrived{
-		Customer: "bench", Target: a.target, Priority: priorityOf(a.batch), Timeout: a.timeout, Idempotent: true,
+		ClientAccount: "bench", Target: a.target, Priority: priorityOf(a.batch), Timeout: a.timeout, Idempotent: true,
 	}, a.tokens)
 	m.samples = append(m.samples, s)
 }
--- a/internal/cli/bench.go
+++ b/internal/cli/bench.go
@@ -124,7 +124,7 @@
 }
 
 func benchOverloadCommand(out, errOut io.Writer) *cli.Command {
-	const usage = "goodput and refusals at multiples of the capacity, a flood of one customer, a burst in batch work"
+	const usage = "goodput and refusals at multiples of the capacity, a flood of one client account, a burst in batch work"
 	flags := []cli.Flag{
 		&cli.IntFlag{Name: "entries", Usage: "entries", Value: 2},
 		&cli.IntFlag{Name: "agents", Usage: "agents, each with a replica of the model", Value: 2},
--- a/internal/cli/operators_test.go
+++ b/internal/cli/operators_test.go
@@ -30,7 +30,7 @@
 	digestOne = "9b346041bc9a49574eb2665b2ad2a0a3f9f9cce4e42f5d1f26deb8a256b5966a"
 	declared  = `[
   {"apiVersion": "nutmeglane/v1", "kind": "Service", "metadata": {"name": "akte"}, "spec": {"maxConcurrent": 4}},
-  {"apiVersion": "nutmeglane/v1", "kind": "Customer", "metadata": {"name": "helvarin"}, "spec": {"apiKeySHA256": ["` + digestOne + `"]}},
+  {"apiVersion": "nutmeglane/v1", "kind": "ClientAccount", "metadata": {"name": "helvarin"}, "spec": {"apiKeySHA256": ["` + digestOne + `"]}},
 ]`
 )
 
--- a/internal/core/agent/admit.go
+++ b/internal/core/agent/admit.go
@@ -123,7 +123,7 @@
 	if p.engineLost() && !t.loaded() {
 		return 0, refusal{code.LoadFailed, max(backoff(p.inventory.failures), minRetryAfter)}
 	}
-	starts := p.startsIn(t, classOfPriority(m.Priority), m.Customer)
+	starts := p.startsIn(t, classOfPriority(m.Priority), m.ClientAccount)
 	ready := p.readyIn(t)
 	inTime := p.finishes(t.slot.runTime[classOfPriority(m.Priority)], starts-ready, m.Remaining-ready)
 	if p.lacksMemory(t) {
@@ -185,7 +185,7 @@
 func (p *Part) shed() {
 	for p.backlog.full() {
 		j := p.backlog.victim()
-		wait := p.startsIn(j.target, j.class, j.start.Customer)
+		wait := p.startsIn(j.target, j.class, j.start.ClientAccount)
 		p.refuse(j, code.QueueFull, max(wait, minRetryAfter))
 	}
 }
--- a/internal/core/agent/backlog.go
+++ b/internal/core/agent/backlog.go
@@ -1,22 +1,22 @@
 package agent
 
-// share is one customer's waiting requests of one class, the first to be shed
+// share is one client account's waiting requests of one class, the first to be shed
 // on top.
 type share struct {
-	customer string
-	weight   int64
-	jobs     heap[*job]
-	pos      int
+	account string
+	weight  int64
+	jobs    heap[*job]
+	pos     int
 }
 
 type shareKey struct {
-	class    class
-	customer string
+	class   class
+	account string
 }
 
 // backlog bounds the waiting requests of the whole agent, in count and bytes
 // of their bodies, and knows which one to shed: batch before interactive, then
-// of the customer with the most waiting for its weight, then the one with the
+// of the client account with the most waiting for its weight, then the one with the
 // latest deadline.
 type backlog struct {
 	maxCount, maxBytes int
@@ -42,16 +42,16 @@
 	if left != right {
 		return left > right
 	}
-	return a.customer < b.customer
+	return a.account < b.account
 }
 
 func (b *backlog) full() bool { return b.count > b.maxCount || b.bytes > b.maxBytes }
 
 func (b *backlog) add(j *job) {
-	key := shareKey{j.class, j.start.Customer}
+	key := shareKey{j.class, j.start.ClientAccount}
 	s := b.shares[key]
 	if s == nil {
-		s = &share{customer: j.start.Customer, weight: j.weight, jobs: heap[*job]{
+		s = &share{account: j.start.ClientAccount, weight: j.weight, jobs: heap[*job]{
 			less: func(a, b *job) bool { return jobBefore(b, a) },
 			pos:  func(j *job) *int { return &j.sharePos },
 		}}
@@ -75,7 +75,7 @@
 	if j.sharePos == 0 {
 		return
 	}
-	key := shareKey{j.class, j.start.Customer}
+	key := shareKey{j.class, j.start.ClientAccount}
 	s := b.shares[key]
 	s.jobs.remove(j)
 	b.count--
--- a/internal/core/agent/checkpoint.go
+++ b/internal/core/agent/checkpoint.go
@@ -139,10 +139,10 @@
 	return defaultModelConcurrency
 }
 
-// customerWeight returns the customer's share of capacity under overload.
-func (p *Part) customerWeight(name string) int64 {
-	if customer := p.snapshot.Customers[name]; customer != nil && customer.Spec.Weight > 0 {
-		return int64(customer.Spec.Weight)
+// accountWeight returns the client account's share of capacity under overload.
+func (p *Part) accountWeight(name string) int64 {
+	if account := p.snapshot.ClientAccounts[name]; account != nil && account.Spec.Weight > 0 {
+		return int64(account.Spec.Weight)
 	}
 	return 1
 }
--- a/internal/core/agent/job.go
+++ b/internal/core/agent/job.go
@@ -58,7 +58,7 @@
 	p.jobCount++
 	j := &job{
 		start: m, order: p.jobCount, class: classOfPriority(m.Priority),
-		weight: p.customerWeight(m.Customer), target: t, state: jobWaiting,
+		weight: p.accountWeight(m.ClientAccount), target: t, state: jobWaiting,
 		deadline: p.now.Add(m.Remaining), arrivedAt: p.now,
 	}
 	j.answer.seq = m.ResumeFrom
@@ -139,7 +139,7 @@
 			continue
 		}
 		if p.tooLate(j) {
-			p.refuse(j, code.DeadlineUnmet, max(p.startsIn(j.target, j.class, j.start.Customer), minRetryAfter))
+			p.refuse(j, code.DeadlineUnmet, max(p.startsIn(j.target, j.class, j.start.ClientAccount), minRetryAfter))
 			continue
 		}
 		p.run(j)
--- a/internal/core/agent/keyed.go
+++ b/internal/core/agent/keyed.go
@@ -9,13 +9,13 @@
 	"nutmeglane.example/nutmeglane/internal/core"
 )
 
-// jobKey is a caller's idempotency key within its customer.
+// jobKey is a caller's idempotency key within its client account.
 type jobKey struct {
-	customer string
-	key      string
+	account string
+	key     string
 }
 
-// hashRequest tells requests apart that carry the same key. A customer can
+// hashRequest tells requests apart that carry the same key. A client account can
 // only collide with itself.
 func hashRequest(m core.Start) uint64 {
 	var d xxhash.Digest
@@ -33,7 +33,7 @@
 	if j.start.Key == "" {
 		return
 	}
-	j.key = jobKey{j.start.Customer, j.start.Key}
+	j.key = jobKey{j.start.ClientAccount, j.start.Key}
 	j.hash = hashRequest(j.start)
 	j.answer.keepAll = true
 	p.keyed[j.key] = j
@@ -51,7 +51,7 @@
 	if m.Key == "" {
 		return false
 	}
-	j := p.keyed[jobKey{m.Customer, m.Key}]
+	j := p.keyed[jobKey{m.ClientAccount, m.Key}]
 	if j == nil {
 		return false
 	}
--- a/internal/core/agent/predict.go
+++ b/internal/core/agent/predict.go
@@ -150,15 +150,15 @@
 	return starts == 0 || starts+starts/waitMargin+run.known() < remaining
 }
 
-// startsIn predicts when a request of a customer that arrives now starts.
+// startsIn predicts when a request of a client account that arrives now starts.
 //
-// Failure: were the whole queue counted, a flood of one customer would have
+// Failure: were the whole queue counted, a flood of one client account would have
 // the requests of all others refused at the door, though their turn in the
 // queue is near. Guard: only what the fair queue runs before it is counted.
-func (p *Part) startsIn(t *target, c class, customer string) time.Duration {
+func (p *Part) startsIn(t *target, c class, account string) time.Duration {
 	s := t.slot
 	parked := s.waitingBefore(c) - s.ready.lenBefore(c)
-	return p.startsBehind(t, c, parked+s.ready.ahead(c, customer, p.customerWeight(customer)))
+	return p.startsBehind(t, c, parked+s.ready.ahead(c, account, p.accountWeight(account)))
 }
 
 // startsLast predicts the start of an interactive request behind all others.
@@ -166,7 +166,7 @@
 	return p.startsBehind(t, classInteractive, t.slot.waitingBefore(classInteractive))
 }
 
-// startsFirst predicts the start of an interactive request of a customer that
+// startsFirst predicts the start of an interactive request of a client account that
 // has none waiting.
 func (p *Part) startsFirst(t *target) time.Duration {
 	return p.startsIn(t, classInteractive, "")
--- a/internal/core/agent/queue.go
+++ b/internal/core/agent/queue.go
@@ -9,13 +9,13 @@
 	classCount
 )
 
-// shareUnit is the virtual cost of one request of a customer with weight 1.
+// shareUnit is the virtual cost of one request of a client account with weight 1.
 const shareUnit = 1 << 20
 
-// lane holds one customer's requests that are ready to run, by deadline.
+// lane holds one client account's requests that are ready to run, by deadline.
 type lane struct {
-	customer string
-	weight   int64
+	account string
+	weight  int64
 	// start and finish are the virtual times of the lane's next and of its
 	// last request.
 	start, finish int64
@@ -25,7 +25,7 @@
 
 // laneSet orders lanes by start-time fair queueing: the lane whose virtual
 // start is earliest goes first and is charged shareUnit/weight. While others
-// wait a customer gets its weight's share and no more, however many requests
+// wait a client account gets its weight's share and no more, however many requests
 // it sends.
 type laneSet struct {
 	lanes  map[string]*lane
@@ -35,7 +35,7 @@
 }
 
 // fairQueue orders the ready requests of one replica: interactive before
-// batch, then by fair share among customers, then by earliest deadline.
+// batch, then by fair share among client accounts, then by earliest deadline.
 type fairQueue struct {
 	sets [classCount]laneSet
 }
@@ -79,9 +79,9 @@
 	return n
 }
 
-// ahead counts the requests that would run before a new one of a customer.
-func (q *fairQueue) ahead(c class, customer string, weight int64) int {
-	n := q.sets[c].ahead(customer, weight)
+// ahead counts the requests that would run before a new one of a client account.
+func (q *fairQueue) ahead(c class, account string, weight int64) int {
+	n := q.sets[c].ahead(account, weight)
 	if c > classInteractive {
 		n += q.lenBefore(c - 1)
 	}
@@ -103,29 +103,29 @@
 }
 
 func (s *laneSet) lane(j *job) *lane {
-	l := s.lanes[j.start.Customer]
+	l := s.lanes[j.start.ClientAccount]
 	if l == nil {
-		l = &lane{customer: j.start.Customer, jobs: heap[*job]{
+		l = &lane{account: j.start.ClientAccount, jobs: heap[*job]{
 			less: jobBefore,
 			pos:  func(j *job) *int { return &j.lanePos },
 		}}
-		s.lanes[l.customer] = l
+		s.lanes[l.account] = l
 	}
 	l.weight = j.weight
 	return l
 }
 
 // ahead counts the waiting requests with a virtual start up to the one that a
-// new request of the customer would get: all of its own, and of each other lane
+// new request of the client account would get: all of its own, and of each other lane
 // as many as its weight earns by then.
-func (s *laneSet) ahead(customer string, weight int64) int {
+func (s *laneSet) ahead(account string, weight int64) int {
 	start, n := s.clock, 0
-	if own := s.lanes[customer]; own != nil {
+	if own := s.lanes[account]; own != nil {
 		n = own.jobs.len()
 		start = max(s.clock, own.finish) + int64(n)*shareUnit/weight
 	}
 	for _, l := range s.active.items {
-		if l.customer != customer && l.start <= start {
+		if l.account != account && l.start <= start {
 			n += min(l.jobs.len(), int((start-l.start)*l.weight/shareUnit)+1)
 		}
 	}
@@ -156,7 +156,7 @@
 }
 
 func (s *laneSet) remove(j *job) {
-	l := s.lanes[j.start.Customer]
+	l := s.lanes[j.start.ClientAccount]
 	l.jobs.remove(j)
 	s.taken(l)
 }
--- a/internal/core/agent/script_test.go
+++ b/internal/core/agent/script_test.go
@@ -54,7 +54,7 @@
 		s.create(w)
 	case "boot":
 		s.boot()
-	case "model", "adapter", "service", "customer":
+	case "model", "adapter", "service", "account":
 		s.declare(w)
 	case "config":
 		s.configure()
--- a/internal/core/agent/scriptargs_test.go
+++ b/internal/core/agent/scriptargs_test.go
@@ -95,7 +95,7 @@
 func emptySnapshot() *api.Snapshot {
 	return &api.Snapshot{
 		Models: map[string]*api.Model{}, Adapters: map[string]*api.Adapter{},
-		Services: map[string]*api.Service{}, Customers: map[string]*api.Customer{},
+		Services: map[string]*api.Service{}, ClientAccounts: map[string]*api.ClientAccount{},
 		Deployment: &api.DeploymentSpec{},
 	}
 }
@@ -117,8 +117,8 @@
 		}}
 	case "service":
 		s.snapshot.Services[name] = &api.Service{Metadata: meta, Spec: api.ServiceSpec{MaxConcurrent: concurrent}}
-	case "customer":
-		s.snapshot.Customers[name] = &api.Customer{Metadata: meta, Spec: api.CustomerSpec{Weight: int(w.number("weight", 1))}}
+	case "account":
+		s.snapshot.ClientAccounts[name] = &api.ClientAccount{Metadata: meta, Spec: api.ClientAccountSpec{Weight: int(w.number("weight", 1))}}
 	}
 }
 
@@ -181,7 +181,7 @@
 func startOf(w words, a core.AttemptID) core.Start {
 	slot := slotOf(w.text("slot", "small/0"))
 	m := core.Start{
-		Attempt: a, Slot: slot, Generation: 1, Customer: w.text("customer", "c"),
+		Attempt: a, Slot: slot, Generation: 1, ClientAccount: w.text("account", "c"),
 		Target:   core.Target{Model: slot.Model, Adapter: w.text("adapter", "")},
 		Priority: api.Priority(w.text("priority", "interactive")),
 		Key:      w.text("key", ""), Body: []byte(w.text("body", "x")),
--- a/internal/core/agent/viewer.go
+++ b/internal/core/agent/viewer.go
@@ -171,7 +171,7 @@
 	v.next, v.acked, v.allowed = number, number, m.Frames
 	v.headSent = m.HaveHead
 	if v.job.state == jobWaiting {
-		p.sendTo(v, core.Accepted{Attempt: v.attempt, StartsIn: p.startsIn(v.job.target, v.job.class, v.job.start.Customer)})
+		p.sendTo(v, core.Accepted{Attempt: v.attempt, StartsIn: p.startsIn(v.job.target, v.job.class, v.job.start.ClientAccount)})
 	}
 	p.pump(v)
 	p.trim(v.job)
--- a/internal/core/agent/yield.go
+++ b/internal/core/agent/yield.go
@@ -11,9 +11,9 @@
 
 // yieldPlaces takes places from running jobs for the interactive ones that wait.
 //
-// Failure: the places are full of batch work, or of one customer's flood, and a
+// Failure: the places are full of batch work, or of one client account's flood, and a
 // wind advisory waits until one of these runs ends by itself. Guard: a batch
-// run, else a run of a customer above its share, is broken off at the engine
+// run, else a run of a client account above its share, is broken off at the engine
 // and goes on later from the token reached; its caller sees a pause. Only runs
 // that may be repeated yield, and a job that ran is never refused as not run.
 func (p *Part) yieldPlaces(s *slot) {
@@ -55,7 +55,7 @@
 
 // yielder returns the running job that gives up its place besides the number
 // that do already, or nil: the batch job that began last, else the last of a
-// customer above its share, if a customer below its own waits.
+// client account above its share, if a client account below its own waits.
 func (p *Part) yielder(s *slot, yielding int) *job {
 	interactive := &s.ready.sets[classInteractive]
 	if yielding >= interactive.count {
@@ -68,7 +68,7 @@
 	if shares.poorest(interactive, yielding) == nil {
 		return nil
 	}
-	return latest(s.running, func(j *job) bool { return shares[j.start.Customer].above() })
+	return latest(s.running, func(j *job) bool { return shares[j.start.ClientAccount].above() })
 }
 
 func latest(running []*job, fits func(*job) bool) *job {
@@ -85,8 +85,8 @@
 	return found
 }
 
-// placeShare compares the places that a customer has with those that its weight
-// gives it among the customers that run or wait.
+// placeShare compares the places that a client account has with those that its weight
+// gives it among the client accounts that run or wait.
 type placeShare struct {
 	running              int64
 	weight, total, limit int64
@@ -94,21 +94,21 @@
 
 func (s placeShare) above() bool { return (s.running-1)*s.total >= s.weight*s.limit }
 
-// below tells whether the customer, with the places promised to it and one
+// below tells whether the client account, with the places promised to it and one
 // more, is within its share.
 func (s placeShare) below(promised int) bool {
 	return (s.running+int64(promised)+1)*s.total <= s.weight*s.limit
 }
 
-// placeShares are the shares by customer.
+// placeShares are the shares by client account.
 type placeShares map[string]placeShare
 
-// poorest returns the first lane in line of a customer below its share that has
+// poorest returns the first lane in line of a client account below its share that has
 // more waiting than the places promised, or nil.
 func (s placeShares) poorest(set *laneSet, promised int) *lane {
 	var first *lane
 	for _, l := range set.active.items {
-		if l.jobs.len() <= promised || !s[l.customer].below(promised) {
+		if l.jobs.len() <= promised || !s[l.account].below(promised) {
 			continue
 		}
 		if first == nil || laneBefore(l, first) {
@@ -118,7 +118,7 @@
 	return first
 }
 
-// nextReady takes out the job to run next. A customer below its share of the
+// nextReady takes out the job to run next. A client account below its share of the
 // places goes first: else the place that a run was broken off for could go to
 // that run again.
 func (p *Part) nextReady(s *slot) *job {
@@ -134,24 +134,24 @@
 func (p *Part) runningShares(s *slot) placeShares {
 	shares := placeShares{}
 	for _, l := range s.ready.sets[classInteractive].active.items {
-		shares[l.customer] = placeShare{weight: l.weight}
+		shares[l.account] = placeShare{weight: l.weight}
 	}
 	for _, j := range s.running {
-		share := shares[j.start.Customer]
+		share := shares[j.start.ClientAccount]
 		share.weight = j.weight
 		if !j.yielding {
 			share.running++
 		}
-		shares[j.start.Customer] = share
+		shares[j.start.ClientAccount] = share
 	}
 	var total int64
-	for _, customer := range core.SortedKeys(shares) {
-		total += shares[customer].weight
+	for _, account := range core.SortedKeys(shares) {
+		total += shares[account].weight
 	}
-	for _, customer := range core.SortedKeys(shares) {
-		share := shares[customer]
+	for _, account := range core.SortedKeys(shares) {
+		share := shares[account]
 		share.total, share.limit = total, int64(p.concurrency(s))
-		shares[customer] = share
+		shares[account] = share
 	}
 	return shares
 }
--- a/internal/core/agent/yield_test.go
+++ b/internal/core/agent/yield_test.go
@@ -12,7 +12,7 @@
 	"nutmeglane.example/nutmeglane/internal/core"
 )
 
-// contest is a loaded model with two places that customers contend for.
+// contest is a loaded model with two places that client accounts contend for.
 type contest struct {
 	t       *rapid.T
 	script  script
@@ -97,10 +97,10 @@
 	m := core.Start{
 		Attempt: a, Slot: core.SlotID{Model: "small"}, Generation: 1,
 		Target: core.Target{Model: "small"}, Body: []byte("x"), Window: 1 << 20,
-		Customer:   rapid.SampledFrom([]string{"big", "big", "big", "little"}).Draw(t, "customer"),
-		Priority:   rapid.SampledFrom([]api.Priority{api.PriorityInteractive, api.PriorityBatch}).Draw(t, "priority"),
-		Idempotent: rapid.Bool().Draw(t, "idempotent"),
-		Remaining:  time.Duration(rapid.IntRange(1, 20).Draw(t, "seconds")) * time.Second,
+		ClientAccount: rapid.SampledFrom([]string{"big", "big", "big", "little"}).Draw(t, "account"),
+		Priority:      rapid.SampledFrom([]api.Priority{api.PriorityInteractive, api.PriorityBatch}).Draw(t, "priority"),
+		Idempotent:    rapid.Bool().Draw(t, "idempotent"),
+		Remaining:     time.Duration(rapid.IntRange(1, 20).Draw(t, "seconds")) * time.Second,
 	}
 	c.starts[a] = m
 	c.step(core.Received{From: "e1", Message: m})
@@ -157,7 +157,7 @@
 	}
 }
 
-// A big customer, a small one and batch work contend for two places; runs are
+// A big client account, a small one and batch work contend for two places; runs are
 // broken off to make room, go on, fail, run out of time, the agent stops. Each
 // caller gets one end; none that ran hears "not run"; what may not be repeated
 // runs once; what goes on goes on from the token reached.
--- a/internal/core/entry/admit.go
+++ b/internal/core/entry/admit.go
@@ -11,23 +11,23 @@
 
 // waitingLoad counts what the entry holds.
 type waitingLoad struct {
-	requests   int // without an answer's head
-	bytes      int64
-	byCustomer map[string]int
+	requests  int // without an answer's head
+	bytes     int64
+	byAccount map[string]int
 }
 
 func (w *waitingLoad) add(r *request) {
 	w.requests++
-	w.byCustomer[r.arrived.Customer]++
+	w.byAccount[r.arrived.ClientAccount]++
 	w.bytes += int64(len(r.arrived.Body))
 }
 
 // headSent takes the request off the waiting ones; its body stays held.
 func (w *waitingLoad) headSent(r *request) {
 	w.requests--
-	customer := r.arrived.Customer
-	if w.byCustomer[customer]--; w.byCustomer[customer] == 0 {
-		delete(w.byCustomer, customer)
+	account := r.arrived.ClientAccount
+	if w.byAccount[account]--; w.byAccount[account] == 0 {
+		delete(w.byAccount, account)
 	}
 }
 
@@ -64,9 +64,9 @@
 	p.route(r, &t)
 }
 
-// room checks the bounded queue. From half full on, batch work and customers
+// room checks the bounded queue. From half full on, batch work and client accounts
 // above their weighted share are refused, the least valuable first: a flood
-// from one customer then leaves the other half to the rest.
+// from one client account then leaves the other half to the rest.
 func (p *Part) room(ev *core.RequestArrived) code.Code {
 	w, limit := &p.waiting, p.limits.QueueRequests
 	if w.requests >= limit || w.bytes+int64(len(ev.Body)) > p.limits.QueueBytes {
@@ -75,36 +75,36 @@
 	if w.requests < limit/2 {
 		return code.OK
 	}
-	if ev.Priority == api.PriorityBatch || w.byCustomer[ev.Customer] >= p.share(ev.Customer) {
+	if ev.Priority == api.PriorityBatch || w.byAccount[ev.ClientAccount] >= p.share(ev.ClientAccount) {
 		return code.QueueFull
 	}
 	return code.OK
 }
 
-// reservedPart: one part in so many of the queue is kept for customers that
+// reservedPart: one part in so many of the queue is kept for client accounts that
 // have nothing waiting yet.
 const reservedPart = 8
 
-// share is a customer's part of the queue among the customers that wait now.
+// share is a client account's part of the queue among the client accounts that wait now.
 //
-// Failure: one customer's flood comes while nobody else waits, so that its share
+// Failure: one client account's flood comes while nobody else waits, so that its share
 // is the whole queue; it fills it to the brim, and the next caller of any other
-// customer is refused. What waits can't be taken back, since it may have been
+// client account is refused. What waits can't be taken back, since it may have been
 // sent. Guard: no share reaches into the reserved part.
-func (p *Part) share(customer string) int {
-	total, own := 0, p.weight(customer)
-	if p.waiting.byCustomer[customer] == 0 {
+func (p *Part) share(account string) int {
+	total, own := 0, p.weight(account)
+	if p.waiting.byAccount[account] == 0 {
 		total = own
 	}
-	for name := range p.waiting.byCustomer { // a sum: order has no effect
+	for name := range p.waiting.byAccount { // a sum: order has no effect
 		total += p.weight(name)
 	}
 	limit := p.limits.QueueRequests
 	return max(1, min(limit*own/total, limit-limit/reservedPart))
 }
 
-func (p *Part) weight(customer string) int {
-	if c := p.snapshot.Customers[customer]; c != nil {
+func (p *Part) weight(account string) int {
+	if c := p.snapshot.ClientAccounts[account]; c != nil {
 		return max(1, c.Spec.Weight)
 	}
 	return 1
--- a/internal/core/entry/agents.go
+++ b/internal/core/entry/agents.go
@@ -19,7 +19,7 @@
 	sent int
 	// readyAt is when the owner predicted that a request would start.
 	readyAt core.Time
-	// firstAt is the same for a customer that has no request waiting there.
+	// firstAt is the same for a client account that has no request waiting there.
 	firstAt core.Time
 }
 
--- a/internal/core/entry/attempt.go
+++ b/internal/core/entry/attempt.go
@@ -48,7 +48,7 @@
 	ev := &r.arrived
 	m := core.Start{
 		Attempt: r.attemptID(), Target: ev.Target, Priority: ev.Priority,
-		Customer: ev.Customer, Remaining: r.deadline.Sub(p.now),
+		ClientAccount: ev.ClientAccount, Remaining: r.deadline.Sub(p.now),
 		Key: ev.Key, Idempotent: ev.Idempotent,
 		Method: ev.Method, Path: ev.Path, Header: ev.Header, Body: ev.Body,
 		ResumeFrom: r.stream.next,
--- a/internal/core/entry/bench_test.go
+++ b/internal/core/entry/bench_test.go
@@ -37,7 +37,7 @@
 	route := func(i int) {
 		id := core.RequestID{byte(i), byte(i >> 8), byte(i >> 16), byte(i >> 24)}
 		for _, effect := range part.Step(core.Time(i), core.RequestArrived{
-			ID: id, Customer: "c", Timeout: time.Minute, Target: targets[i%len(targets)], Key: key,
+			ID: id, ClientAccount: "c", Timeout: time.Minute, Target: targets[i%len(targets)], Key: key,
 		}) {
 			if send, ok := effect.(core.Send); ok {
 				if _, ok := send.Message.(core.Start); ok {
--- a/internal/core/entry/choose.go
+++ b/internal/core/entry/choose.go
@@ -150,9 +150,9 @@
 	return wait
 }
 
-// surelyLate tells that the place is too late for any customer.
+// surelyLate tells that the place is too late for any client account.
 //
-// Failure: the owner's queue is full of one customer's requests up to its
+// Failure: the owner's queue is full of one client account's requests up to its
 // patience, and the entry, which sees one wait for all, refuses the others too.
 // Guard: the entry refuses by itself only what no place in the fair queue
 // could help; the owner, which knows the queue, decides on the rest at once.
--- a/internal/core/entry/entry_test.go
+++ b/internal/core/entry/entry_test.go
@@ -186,7 +186,7 @@
 
 // ask reads "<id> <target> <timeout> [idem] [key=K] [batch] [small]".
 func (w *world) ask(args []string) core.RequestArrived {
-	ev := core.RequestArrived{ID: requestID(args[0]), Customer: "c", Timeout: w.duration(args[2])}
+	ev := core.RequestArrived{ID: requestID(args[0]), ClientAccount: "c", Timeout: w.duration(args[2])}
 	switch args[1] {
 	case "svc", "nosvc":
 		ev.Target.Service = args[1]
@@ -202,7 +202,7 @@
 		case arg == "idem":
 			ev.Idempotent = true
 		case arg == "small":
-			ev.Customer = "small"
+			ev.ClientAccount = "small"
 		case arg == "batch":
 			ev.Priority = api.PriorityBatch
 		}
--- a/internal/core/entry/invariant_test.go
+++ b/internal/core/entry/invariant_test.go
@@ -69,7 +69,7 @@
 
 func (c *checker) ask() {
 	id := core.RequestID{byte('A' + len(c.all)%26), byte('a' + len(c.all)/26)}
-	ev := core.RequestArrived{ID: id, Customer: "c", Timeout: 20 * time.Second,
+	ev := core.RequestArrived{ID: id, ClientAccount: "c", Timeout: 20 * time.Second,
 		Priority: api.PriorityInteractive, Idempotent: rapid.Bool().Draw(c.rt, "idempotent"),
 		Key: rapid.SampledFrom([]string{"", "k"}).Draw(c.rt, "key")}
 	if ev.Target.Model = "m"; rapid.Bool().Draw(c.rt, "service") {
--- a/internal/core/entry/keyed.go
+++ b/internal/core/entry/keyed.go
@@ -25,7 +25,7 @@
 // or a new agent was added that wins the key, meets an agent that does not
 // know the key. A caller that got "outcome unknown" is told just that.
 
-func scopedKey(r *request) string { return r.arrived.Customer + "\x00" + r.arrived.Key }
+func scopedKey(r *request) string { return r.arrived.ClientAccount + "\x00" + r.arrived.Key }
 
 // chooseKeyOwner returns the place of the request's key. It leaves the
 // decision open only for an idempotent request whose owner is not usable.
--- a/internal/core/entry/part.go
+++ b/internal/core/entry/part.go
@@ -53,7 +53,7 @@
 		zones:     map[core.Zone][]core.HostID{},
 		services:  map[string][]*agent{},
 		requests:  map[core.RequestID]*request{},
-		waiting:   waitingLoad{byCustomer: map[string]int{}},
+		waiting:   waitingLoad{byAccount: map[string]int{}},
 		retries:   retryBudget{tokens: retryBurst},
 		ends:      endCounts{},
 	}
--- a/internal/core/entry/size_test.go
+++ b/internal/core/entry/size_test.go
@@ -31,7 +31,7 @@
 		before = report(b, before, benchSlots, "B/replica")
 		for i := range benchAdapters {
 			id := core.RequestID{1, byte(i), byte(i >> 8)}
-			part.Step(0, core.RequestArrived{ID: id, Customer: "c", Timeout: 1e9, Target: core.Target{Adapter: fmt.Sprint("ad", i)}})
+			part.Step(0, core.RequestArrived{ID: id, ClientAccount: "c", Timeout: 1e9, Target: core.Target{Adapter: fmt.Sprint("ad", i)}})
 			part.Step(0, core.CallerGone{ID: id})
 		}
 		report(b, before, benchAdapters, "B/adapter")
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -113,10 +113,10 @@
 
 // RequestArrived is a caller's request, after authentication and parsing.
 type RequestArrived struct {
-	ID       RequestID    `cbor:"1,keyasint"`
-	Customer string       `cbor:"2,keyasint"`
-	Target   Target       `cbor:"3,keyasint"`
-	Priority api.Priority `cbor:"4,keyasint"`
+	ID            RequestID    `cbor:"1,keyasint"`
+	ClientAccount string       `cbor:"2,keyasint"`
+	Target        Target       `cbor:"3,keyasint"`
+	Priority      api.Priority `cbor:"4,keyasint"`
 	// Timeout is the time the caller waits for the whole answer.
 	Timeout    time.Duration `cbor:"5,keyasint"`
 	Key        string        `cbor:"6,keyasint,omitempty"`
--- a/internal/core/message.go
+++ b/internal/core/message.go
@@ -49,7 +49,7 @@
 	// ReadyIn predicts when an interactive request sent now would start behind
 	// all others.
 	ReadyIn time.Duration `cbor:"7,keyasint,omitempty"`
-	// SkipIn is how much sooner one of a customer with none waiting starts.
+	// SkipIn is how much sooner one of a client account with none waiting starts.
 	SkipIn time.Duration `cbor:"8,keyasint,omitempty"`
 }
 
@@ -152,13 +152,13 @@
 
 // Start asks an agent to run a request.
 type Start struct {
-	Attempt  AttemptID    `cbor:"1,keyasint"`
-	Target   Target       `cbor:"2,keyasint"`
-	Priority api.Priority `cbor:"3,keyasint"`
-	Customer string       `cbor:"4,keyasint"`
+	Attempt       AttemptID    `cbor:"1,keyasint"`
+	Target        Target       `cbor:"2,keyasint"`
+	Priority      api.Priority `cbor:"3,keyasint"`
+	ClientAccount string       `cbor:"4,keyasint"`
 	// Remaining is the time left until the caller's deadline.
 	Remaining time.Duration `cbor:"5,keyasint"`
-	// Key is the caller's idempotency key, scoped by customer; may be empty.
+	// Key is the caller's idempotency key, scoped by client account; may be empty.
 	Key        string     `cbor:"6,keyasint,omitempty"`
 	Idempotent bool       `cbor:"7,keyasint,omitempty"`
 	Method     string     `cbor:"8,keyasint,omitempty"`
--- a/internal/examples/examples.go
+++ b/internal/examples/examples.go
@@ -31,11 +31,11 @@
 	tasks    []task
 	variants []string
 	// places times uses are the adapters; the use names the base's task.
-	places    []string
-	uses      []int
-	services  []api.Resource
-	customers []customer
-	prices    api.DeploymentSpec
+	places   []string
+	uses     []int
+	services []api.Resource
+	accounts []account
+	prices   api.DeploymentSpec
 }
 
 type task struct {
@@ -44,7 +44,7 @@
 	priority  api.Priority
 }
 
-type customer struct {
+type account struct {
 	name   string
 	weight int
 }
@@ -75,7 +75,7 @@
 		{"models", f.models()},
 		{"adapters", f.adapters()},
 		{"services", f.services},
-		{"customers", f.customerResources()},
+		{"client-accounts", f.accountResources()},
 		{"deployment", []api.Resource{resource(api.KindDeployment, api.DeploymentName, &f.prices)}},
 	} {
 		data, err := format(f.title+": "+part.name, part.resources)
@@ -138,14 +138,14 @@
 	return adapters
 }
 
-// customerResources gives each customer the example key "nk-example-<name>".
-func (f fleet) customerResources() []api.Resource {
-	var customers []api.Resource
-	for _, c := range f.customers {
+// accountResources gives each client account the example key "nk-example-<name>".
+func (f fleet) accountResources() []api.Resource {
+	var accounts []api.Resource
+	for _, c := range f.accounts {
 		digest := sha256.Sum256([]byte("nk-example-" + c.name))
-		customers = append(customers, resource(api.KindCustomer, c.name, &api.CustomerSpec{
+		accounts = append(accounts, resource(api.KindClientAccount, c.name, &api.ClientAccountSpec{
 			APIKeySHA256: []string{hex.EncodeToString(digest[:])}, Weight: c.weight,
 		}))
 	}
-	return customers
+	return accounts
 }
--- a/internal/examples/fleets.go
+++ b/internal/examples/fleets.go
@@ -43,8 +43,8 @@
 				MaxConcurrent:      api.DefaultServiceConcurrent,
 			}),
 		},
-		customers: []customer{{"helvarin", 100}, {"verwaltung-aare", 5}, {"regie-sarine", 3}},
-		prices:    api.DeploymentSpec{ColdStartPrice: 0.18, IdleHourPrice: 20, StoreLoadsPerSecond: 5, StoreLanes: 4},
+		accounts: []account{{"helvarin", 100}, {"verwaltung-aare", 5}, {"regie-sarine", 3}},
+		prices:   api.DeploymentSpec{ColdStartPrice: 0.18, IdleHourPrice: 20, StoreLoadsPerSecond: 5, StoreLanes: 4},
 	}
 }
 
@@ -82,7 +82,7 @@
 				MaxConcurrent:      api.DefaultServiceConcurrent,
 			}),
 		},
-		customers: []customer{{"agence", 20}, {"festival-yoff", 5}, {"ligue-saint-louis", 2}},
-		prices:    api.DeploymentSpec{ColdStartPrice: 0.45, IdleHourPrice: 60, StoreLoadsPerSecond: 10, StoreLanes: 4},
+		accounts: []account{{"agence", 20}, {"festival-yoff", 5}, {"ligue-saint-louis", 2}},
+		prices:   api.DeploymentSpec{ColdStartPrice: 0.45, IdleHourPrice: 60, StoreLoadsPerSecond: 10, StoreLanes: 4},
 	}
 }
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -38,8 +38,8 @@
 		},
 		Adapters: map[string]*api.Adapter{"bern": {Spec: api.AdapterSpec{Base: "report"}}},
 		Services: map[string]*api.Service{"akte": {Spec: api.ServiceSpec{NonIdempotentPaths: []string{"/charges"}}}},
-		Customers: map[string]*api.Customer{
-			"helvarin": {Spec: api.CustomerSpec{APIKeySHA256: []string{strings.ToUpper(hex.EncodeToString(digest[:]))}}},
+		ClientAccounts: map[string]*api.ClientAccount{
+			"helvarin": {Spec: api.ClientAccountSpec{APIKeySHA256: []string{strings.ToUpper(hex.EncodeToString(digest[:]))}}},
 		},
 	}
 }
--- a/internal/front/incoming.go
+++ b/internal/front/incoming.go
@@ -18,14 +18,14 @@
 
 // incoming is one HTTP request on its way through the front.
 type incoming struct {
-	w        http.ResponseWriter
-	r        *http.Request
-	control  *http.ResponseController
-	opts     Options
-	view     *view
-	id       core.RequestID
-	customer string
-	arrived  time.Time
+	w       http.ResponseWriter
+	r       *http.Request
+	control *http.ResponseController
+	opts    Options
+	view    *view
+	id      core.RequestID
+	account string
+	arrived time.Time
 }
 
 func newIncoming(w http.ResponseWriter, r *http.Request, opts Options) *incoming {
@@ -62,18 +62,18 @@
 	if !strings.EqualFold(scheme, "Bearer") {
 		return &refusal{code: code.UnknownKey, field: headerAuthorization, message: `want "Bearer KEY"`}
 	}
-	customer, ok := in.view.customer(strings.TrimSpace(key))
+	account, ok := in.view.account(strings.TrimSpace(key))
 	if !ok {
 		return &refusal{code: code.UnknownKey, field: headerAuthorization}
 	}
-	in.customer = customer
+	in.account = account
 	return nil
 }
 
 // begin reads the headers and the body and returns the event of the request,
 // but for its target and what depends on it.
 func (in *incoming) begin() (core.RequestArrived, *refusal) {
-	arrived := core.RequestArrived{ID: in.id, Customer: in.customer, Method: in.r.Method}
+	arrived := core.RequestArrived{ID: in.id, ClientAccount: in.account, Method: in.r.Method}
 	headers, refused := parseHeaders(in.r.Header, in.opts)
 	if refused != nil {
 		return arrived, refused
--- a/internal/front/input_test.go
+++ b/internal/front/input_test.go
@@ -131,7 +131,7 @@
 			got := next[core.RequestArrived](h)
 			h.front.Do(core.RespondEnd{ID: got.ID, Code: code.NoBackend})
 			h.wait(done)
-			test.want.Customer = "helvarin"
+			test.want.ClientAccount = "helvarin"
 			if diff := cmp.Diff(test.want, got, cmpopts.IgnoreFields(got, "ID", "Timeout")); diff != "" {
 				t.Errorf("(-want +got):\n%s", diff)
 			}
--- a/internal/front/view.go
+++ b/internal/front/view.go
@@ -13,31 +13,31 @@
 // view is a snapshot with an index of API keys. It is immutable.
 type view struct {
 	*api.Snapshot
-	customers map[[sha256.Size]byte]string
+	accounts map[[sha256.Size]byte]string
 }
 
 // newView ranges in the order of names, so that all entries give a digest that
-// two customers declare to the same one.
+// two client accounts declare to the same one.
 func newView(s *api.Snapshot) *view {
-	v := &view{Snapshot: s, customers: map[[sha256.Size]byte]string{}}
-	for _, name := range core.SortedKeys(s.Customers) {
-		for _, text := range s.Customers[name].Spec.APIKeySHA256 {
+	v := &view{Snapshot: s, accounts: map[[sha256.Size]byte]string{}}
+	for _, name := range core.SortedKeys(s.ClientAccounts) {
+		for _, text := range s.ClientAccounts[name].Spec.APIKeySHA256 {
 			digest, err := hex.DecodeString(text)
 			if err != nil || len(digest) != sha256.Size {
 				continue
 			}
-			if _, taken := v.customers[[sha256.Size]byte(digest)]; !taken {
-				v.customers[[sha256.Size]byte(digest)] = name
+			if _, taken := v.accounts[[sha256.Size]byte(digest)]; !taken {
+				v.accounts[[sha256.Size]byte(digest)] = name
 			}
 		}
 	}
 	return v
 }
 
-// customer looks an API key up by its digest, so that the time of the look-up
+// client account looks an API key up by its digest, so that the time of the look-up
 // tells nothing about keys.
-func (v *view) customer(key string) (string, bool) {
-	name, ok := v.customers[sha256.Sum256([]byte(key))]
+func (v *view) account(key string) (string, bool) {
+	name, ok := v.accounts[sha256.Sum256([]byte(key))]
 	return name, ok
 }
 
--- a/internal/harness/differential_test.go
+++ b/internal/harness/differential_test.go
@@ -115,7 +115,7 @@
 			f.RunFor(s.at)
 			want = append(want, n.serve(s))
 			o := f.Request(entryID(s.entry), core.RequestArrived{
-				Customer: "c", Target: s.target, Timeout: 10 * time.Minute, Key: s.key,
+				ClientAccount: "c", Target: s.target, Timeout: 10 * time.Minute, Key: s.key,
 				Idempotent: i%2 == 0, Method: "POST", Path: "/x",
 			}, s.tokens)
 			outcomes = append(outcomes, func() answer { return answer{o.Code, o.Tokens, f.Referee.Runs(o.ID)} })
--- a/internal/harness/fleet_test.go
+++ b/internal/harness/fleet_test.go
@@ -173,7 +173,7 @@
 		model("m4", "v1", 4<<10, api.ReplicaLimits{Min: 1, Max: 1}), model("m5", "v1", 16<<10, one),
 		adapter("a0", "m0", "v1", one), adapter("a1", "m0", "v1", two), adapter("a2", "m1", "v1", two),
 		resource(api.KindService, "records", &api.ServiceSpec{MaxConcurrent: 16}),
-		resource(api.KindCustomer, "c", &api.CustomerSpec{APIKeySHA256: []string{fmt.Sprintf("%064x", 1)}, Weight: 1}),
+		resource(api.KindClientAccount, "c", &api.ClientAccountSpec{APIKeySHA256: []string{fmt.Sprintf("%064x", 1)}, Weight: 1}),
 	}
 }
 
@@ -211,7 +211,7 @@
 // call sends a request that may be repeated, with a minute to answer it.
 func (f *fleet) call(entry core.HostID, target core.Target, tokens uint64) *harness.Outcome {
 	return f.Request(entry, core.RequestArrived{
-		Customer: "c", Target: target, Timeout: time.Minute, Idempotent: true,
+		ClientAccount: "c", Target: target, Timeout: time.Minute, Idempotent: true,
 	}, tokens)
 }
 
--- a/internal/harness/history_test.go
+++ b/internal/harness/history_test.go
@@ -288,7 +288,7 @@
 	target := h.pick("target", len(targets))
 	tokens := uint64(h.pick("tokens", 120))
 	r := core.RequestArrived{
-		Customer: "c", Target: targets[target], Timeout: time.Second + h.duration("timeout", time.Minute),
+		ClientAccount: "c", Target: targets[target], Timeout: time.Second + h.duration("timeout", time.Minute),
 		Idempotent: h.pick("idempotent", 2) == 0,
 		Priority:   []api.Priority{"", api.PriorityBatch}[h.pick("batch", 2)],
 		Method:     "POST", Path: "/x",
--- a/internal/harness/memory_test.go
+++ b/internal/harness/memory_test.go
@@ -15,7 +15,7 @@
 func TestUnloadedModelStaysAway(t *testing.T) {
 	f := newFleet(t, 40, shortTimings())
 	for range 4 {
-		f.Request("e0", core.RequestArrived{Customer: "c", Target: modelTarget("m5"), Timeout: time.Second}, 5)
+		f.Request("e0", core.RequestArrived{ClientAccount: "c", Target: modelTarget("m5"), Timeout: time.Second}, 5)
 	}
 	f.RunFor(3 * time.Hour)
 	if loads := f.Referee.LoadsOf["m5@v1"]; loads != 1 || f.replicas("m5") != 0 {
--- a/internal/harness/outage_test.go
+++ b/internal/harness/outage_test.go
@@ -322,7 +322,7 @@
 func TestSilentConnection(t *testing.T) {
 	f := newFleet(t, 30, shortTimings())
 	f.serves(modelTarget("m2"))
-	o := f.Request("e0", core.RequestArrived{Customer: "c", Target: modelTarget("m2"), Timeout: time.Minute}, 300)
+	o := f.Request("e0", core.RequestArrived{ClientAccount: "c", Target: modelTarget("m2"), Timeout: time.Minute}, 300)
 	f.RunFor(time.Second)
 	f.Silence("e0", f.owner("m2", 0).Host.ID)
 	f.RunFor(50 * time.Second)
--- a/internal/load/fault_test.go
+++ b/internal/load/fault_test.go
@@ -267,7 +267,7 @@
 	}
 }
 
-// Another customer's charge runs twice while the load runs, and an engine is
+// Another client account's charge runs twice while the load runs, and an engine is
 // overcommitted. No caller of the run sees either; the referees do.
 func TestRefereesFaultsCount(t *testing.T) {
 	s := &system{answer: serveRight, referee: func(read int) refereeReport {
--- a/internal/load/plan.go
+++ b/internal/load/plan.go
@@ -71,7 +71,7 @@
 type Class struct {
 	// Name is unique. Required.
 	Name string `json:"name"`
-	// APIKey is the customer's. Required.
+	// APIKey is the client account's. Required.
 	APIKey string `json:"apiKey"`
 	// Priority is sent along if given.
 	Priority api.Priority `json:"priority,omitempty"`
