--- a/internal/dev/up.go
+++ b/internal/dev/up.go
@@ -209,29 +209,38 @@
 
 // awaitAvailable waits until the entry would serve a request to each resource,
 // and reports false if ctx ends first. Slots get their owners some seconds
-// after the declarations are in force; a line to try that is printed earlier
-// leads a new user to a refusal.
+// after the declarations are in force, and some move once more while the fleet
+// starts, so that all must be in place at the same time; a line to try that is
+// printed earlier leads a new user to a refusal.
 func (u *up) awaitAvailable(ctx context.Context, operators *client.Client, resources []api.Resource) bool {
+	for !allAvailable(ctx, operators, resources) {
+		if !pause(ctx, applyRetry) {
+			return false
+		}
+	}
+	return true
+}
+
+func allAvailable(ctx context.Context, operators *client.Client, resources []api.Resource) bool {
 	for _, r := range resources {
-		for !available(ctx, operators, r.Key()) {
-			if !pause(ctx, applyRetry) {
-				return false
-			}
+		if !available(ctx, operators, r.Key()) {
+			return false
 		}
 	}
 	return true
 }
 
-// available reports whether a resource's status says so. Resources that take
-// no requests have no such condition.
+// available reports whether a resource's status says that it is in place and
+// can be served. Resources that take no requests have no such conditions.
 func available(ctx context.Context, operators *client.Client, key api.Key) bool {
 	item, err := operators.Get(ctx, key)
 	if err != nil {
 		return false // the entry is starting: asked again
 	}
 	for _, condition := range item.Status.Conditions {
-		if condition.Type == status.Available {
-			return condition.Status == status.True
+		needed := condition.Type == status.Available || condition.Type == status.Placed || condition.Type == status.InForce
+		if needed && condition.Status != status.True {
+			return false
 		}
 	}
 	return true
