--- a/internal/loader/decide.go
+++ b/internal/loader/decide.go
@@ -301,6 +301,10 @@
 	// spareCost is the part of a model's rate that is missed when another copy
 	// carries its load.
 	spareCost = 0.05
+	// copyCost is added for each copy of a model whose copies are needed. It
+	// decides only among models that are called equally little: of these, one
+	// that was given several copies is the likelier to be called.
+	copyCost = 0.02
 	// runningCost is added for a model that is in use: the engine lets its
 	// requests end before it unloads, and takes no other order meanwhile.
 	runningCost = 2.0
@@ -313,6 +317,8 @@
 	cost := evictionBase + use.rate
 	if use.spare {
 		cost = evictionBase + spareCost*use.rate
+	} else if use.copies > 1 {
+		cost += copyCost * float64(use.copies)
 	}
 	if use.running > 0 {
 		cost += runningCost
--- a/internal/router/demand.go
+++ b/internal/router/demand.go
@@ -94,7 +94,7 @@
 			continue
 		}
 		copies := len(r.copiesOf(b.Service, m.Name))
-		spare := copies > r.neededCopies(b.Service, m.Name)
+		spare := s.knowsDemand(r.now) && copies > r.neededCopies(b.Service, m.Name)
 		key := modelKey{model: m.Name}
 		uses = append(uses, core.Use{
 			Model: m.Name, Running: running[key], Rate: s.rate(key).perSecond(r.now),
--- a/internal/router/rate.go
+++ b/internal/router/rate.go
@@ -18,6 +18,9 @@
 	// longMemory is that of the long rate, which tells a model that was busy
 	// within the last half minute: demand that left it may come back.
 	longMemory = 30 * time.Second
+	// historyNeeded is two time constants of the fast rate: by then it shows
+	// 0.86 of a steady demand.
+	historyNeeded = 2 * fastMemory
 )
 
 // rate is an arrival rate, as exponentially decaying counts.
@@ -60,8 +63,21 @@
 	return r.long / longMemory.Seconds()
 }
 
+// knowsDemand tells whether arrivals were counted for long enough to say that a
+// model is not called.
+//
+// It guards against a start: a router that knows no rates yet takes all copies
+// of a busy model for spare. After a restart of the whole fleet they were
+// evicted within a second, just when callers came back.
+func (s *service) knowsDemand(now core.Time) bool {
+	return s.firstArrival != 0 && now.Sub(s.firstArrival) > historyNeeded
+}
+
 // arrival counts a request for a model and, if it names one, its adapter.
 func (s *service) arrival(now core.Time, p *fleet.Prompt) {
+	if s.firstArrival == 0 {
+		s.firstArrival = now
+	}
 	s.rate(modelKey{model: p.Model}).add(now)
 	if p.Adapter != "" {
 		s.rate(modelKey{p.Model, p.Adapter}).add(now)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -69,7 +69,9 @@
 	speed   speed
 	// rates are recent arrivals by model and adapter.
 	rates map[modelKey]*rate
-	store storeState
+	// firstArrival is when the first generation arrived in this process's life.
+	firstArrival core.Time
+	store        storeState
 }
 
 // modelKey names a model, or an adapter of it.
--- /dev/null
+++ b/internal/router/spread_test.go
@@ -0,0 +1,80 @@
+package router
+
+import (
+	"testing"
+	"time"
+
+	"nutmeglane.example/nutmeglane/internal/core"
+)
+
+// The whole fleet was restarted. Routers know no rates yet, and took the copies
+// of the busiest model for spare; loaders evicted them for rare models just when
+// its callers came back. Until demand is known no copy is spare.
+func TestNoCopyIsSpareBeforeDemandIsKnown(t *testing.T) {
+	w := newWorld(t)
+	w.servers(engineService, 4)
+	for i := range 4 {
+		w.holds(i, core.Holdings{Models: loadedModels("m1")})
+	}
+	spare := func() int {
+		n := 0
+		for i := range 4 {
+			for _, use := range w.demands[loaderName(i)].Uses {
+				if use.Spare {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	w.call("quick", prompt("m1"))
+	w.run(time.Second)
+	if n := spare(); n != 0 {
+		t.Fatalf("%d copies are spare one second after the first call", n)
+	}
+	for range 20 {
+		for i := range 4 {
+			w.holds(i, core.Holdings{Models: loadedModels("m1")})
+		}
+		w.run(2 * time.Second)
+	}
+	if n := spare(); n == 0 {
+		t.Fatal("no copy of an idle model becomes spare")
+	}
+}
+
+// Demand moves to a model that one engine has: 20 calls a second, each of which
+// takes 4 % of an engine while it runs 0.8 s. Copies must follow within seconds,
+// at the engines with least to do, and no more than the load needs.
+func TestBusyModelGetsCopies(t *testing.T) {
+	w := newWorld(t)
+	w.servers(engineService, 6)
+	hold := func() {
+		for i := range 6 {
+			holdings := core.Holdings{FreeMB: 40_000, OnDisk: []string{"m1"}}
+			if i == 0 {
+				holdings = core.Holdings{Models: []core.HeldModel{{Name: "m1", State: core.HoldLoaded, Rate: 20}}}
+			}
+			w.holds(i, holdings)
+		}
+	}
+	hold()
+	s := w.router.services[engineService]
+	s.speed.share = 0.04
+	s.speed.models["m1"] = &modelSpeed{pause: 20 * time.Millisecond, first: 100 * time.Millisecond, events: 35}
+	for range 10 {
+		hold()
+		w.run(planInterval)
+	}
+	asked := 0
+	for i := range 6 {
+		for _, want := range w.demands[loaderName(i)].Wants {
+			if want.Model == "m1" && want.Spread {
+				asked++
+			}
+		}
+	}
+	if asked != 2 {
+		t.Fatalf("%d further copies asked for, want 2: 20 x 0.8 s x 0.04 is 0.64 of an engine, at most 0.3 each", asked)
+	}
+}
