Loader: a model in use is retired before it is unloaded

Change: routers are told first that a copy takes no more requests; the order follows when theirs have ended, after 1.5 s at most.

--- a/internal/loader/decide.go
+++ b/internal/loader/decide.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"maps"
-	"math/bits"
 	"slices"
 	"strings"
 	"time"
@@ -68,6 +67,7 @@
 		return
 	}
 	wants, uses := l.wants(), l.uses()
+	l.expireRetiring(wants)
 	if order := l.adapterOrder(wants, uses); order != nil {
 		l.order(*order)
 		return
@@ -244,35 +244,46 @@
 // room, so that two are evicted only where no single one is large enough, or
 // where the two together are missed less.
 //
-// A model that requests run on and that is needed here goes only if the others
-// can't make room at all. It guards against this: the others are protected for a
-// moment, the busiest model is not, and is evicted. The engine lets its requests
-// end first, for seconds, in which it takes no order, and the model's callers
-// crowd at the copies that are left.
+// Models that requests run on are retired before they go (see retire.go): spare
+// copies where the idle models don't make room, needed ones only where nothing
+// else can make room at all.
 func (l *Loader) victim(w wanted, wants []wanted, uses map[modelKey]used, need float64) string {
-	var now, inUse []candidate
-	later := 0.0
+	var idle, spare, inUse []candidate
+	protected := 0.0
 	for _, m := range l.engine.report.Models {
 		use := uses[modelKey{model: m.Name}]
 		c := candidate{m.Name, l.sizeOf(m), evictionCost(use)}
-		protected := l.wantedWith(wants, m.Name) || l.justLoaded(m.Name)
 		switch {
-		case use.running > 0 && !use.spare:
-			if !protected {
-				inUse = append(inUse, c)
+		case l.wantedWith(wants, m.Name) || l.justLoaded(m.Name):
+			if use.running == 0 {
+				protected += c.mb
 			}
-		case w.background && !use.spare && use.rate > backgroundEvicts:
-		case protected:
-			later += c.mb
+		case use.running == 0 && w.background && !use.spare && use.rate > backgroundEvicts:
+		case use.running == 0 || l.retiredLong(m.Name):
+			idle = append(idle, c)
+		case use.spare || l.isRetiring(m.Name):
+			spare = append(spare, c)
 		default:
-			later += c.mb
-			now = append(now, c)
+			inUse = append(inUse, c)
 		}
 	}
-	if later < need && !w.background {
-		now = append(now, inUse...)
+	if pick := cheapestSet(idle, need); pick != "" || w.background {
+		return pick
 	}
-	return cheapestSet(now, need)
+	all := slices.Concat(idle, spare)
+	if room(all)+protected < need {
+		all = append(all, inUse...)
+	}
+	l.retireOf(all, uses, need-protected)
+	return ""
+}
+
+func room(candidates []candidate) float64 {
+	sum := 0.0
+	for _, c := range candidates {
+		sum += c.mb
+	}
+	return sum
 }
 
 // justLoaded tells that a model was loaded so recently that those who waited
@@ -329,27 +340,36 @@
 // cheapestSet returns the cheapest member of the set of least cost whose sizes
 // add up to need, "" if there is none.
 func cheapestSet(candidates []candidate, need float64) string {
+	if set := cheapest(candidates, need); len(set) > 0 {
+		return set[0].name
+	}
+	return ""
+}
+
+// cheapest returns the set of least cost whose sizes add up to need, cheapest
+// member first.
+func cheapest(candidates []candidate, need float64) []candidate {
 	slices.SortFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.name, b.name))
 	})
 	candidates = candidates[:min(len(candidates), maxCandidates)]
-	best, bestCost := 0, 0.0
-	for set := 1; set < 1<<len(candidates); set++ {
+	var best []candidate
+	bestCost := 0.0
+	for bits := 1; bits < 1<<len(candidates); bits++ {
+		var set []candidate
 		mb, cost := 0.0, 0.0
 		for i, c := range candidates {
-			if set&(1<<i) != 0 {
+			if bits&(1<<i) != 0 {
+				set = append(set, c)
 				mb += c.mb
 				cost += c.cost
 			}
 		}
-		if mb >= need && (best == 0 || cost < bestCost) {
+		if mb >= need && (best == nil || cost < bestCost) {
 			best, bestCost = set, cost
 		}
 	}
-	if best == 0 {
-		return ""
-	}
-	return candidates[bits.TrailingZeros(uint(best))].name
+	return best
 }
 
 // wantedWith tells whether requests wait for the model or one of its adapters.
--- a/internal/loader/decide_test.go
+++ b/internal/loader/decide_test.go
@@ -185,3 +185,33 @@
 		t.Fatalf("loaded: %+v, want m1 and m5", w.engine.report.Models)
 	}
 }
+
+// A spare copy of a busy model has to make room. Unloaded at once, the engine
+// refused dozens of requests that had not started. Routers must be told first,
+// and the order must wait until their requests have ended.
+func TestSpareCopyIsRetiredFirst(t *testing.T) {
+	w := newWorld(t, "m1", "m3")
+	demand := func(running int) {
+		w.demand("10.0.0.1", core.Demand{
+			Wants: []core.Want{{Model: "m5", Waiting: 1, Within: time.Second}},
+			Uses: []core.Use{
+				{Model: "m1", Rate: 20, Running: 8, Copies: 4}, {Model: "m3", Rate: 10, Running: running, Copies: 4, Spare: true},
+			},
+		})
+	}
+	demand(6)
+	w.run(100 * time.Millisecond)
+	if len(w.orders) != 0 {
+		t.Fatalf("ordered with requests running: %+v", w.orders)
+	}
+	for _, m := range w.told["10.0.0.1"].Models {
+		if m.Name == "m3" && m.State != core.HoldUnloading {
+			t.Fatal("routers were not told that the copy takes no more requests")
+		}
+	}
+	demand(0)
+	w.run(2 * time.Second)
+	if !w.has("m5") || !w.has("m1") || w.has("m3") {
+		t.Fatalf("loaded: %+v, want m1 and m5", w.engine.report.Models)
+	}
+}
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -57,7 +57,9 @@
 	task *task
 
 	// loadedAt is when models were loaded in this process's life.
-	loadedAt   map[string]core.Time
+	loadedAt map[string]core.Time
+	// retiring models take no more requests, since the time.
+	retiring   map[string]core.Time
 	storeLoads int
 	lastStore  *core.StoreLoadResult
 	told       told
@@ -97,7 +99,7 @@
 
 // New returns a loader that knows nothing yet.
 func New(opts Options) *Loader {
-	return &Loader{opts: opts, routers: map[core.HostID]*router{}, loadedAt: map[string]core.Time{}, told: told{known: map[core.HostID]bool{}}}
+	return &Loader{opts: opts, routers: map[core.HostID]*router{}, loadedAt: map[string]core.Time{}, retiring: map[string]core.Time{}, told: told{known: map[core.HostID]bool{}}}
 }
 
 // Step handles an event. The effects are valid until the next step.
--- a/internal/loader/tell.go
+++ b/internal/loader/tell.go
@@ -72,10 +72,7 @@
 	for _, m := range report.Models {
 		use := uses[modelKey{model: m.Name}]
 		held := core.HeldModel{
-			Name: m.Name, State: core.HoldLoaded, Adapters: m.Adapters, Rate: use.rate,
-		}
-		if l.isUnloading(m.Name) {
-			held.State = core.HoldUnloading
+			Name: m.Name, State: l.stateOf(m.Name), Adapters: m.Adapters, Rate: use.rate,
 		}
 		h.Models = append(h.Models, held)
 	}
--- a/internal/router/demand.go
+++ b/internal/router/demand.go
@@ -90,7 +90,7 @@
 	s := r.service(b.Service)
 	var uses []core.Use
 	for _, m := range held.Models {
-		if m.State != core.HoldLoaded {
+		if m.State != core.HoldLoaded && m.State != core.HoldUnloading {
 			continue
 		}
 		copies := len(r.copiesOf(b.Service, m.Name))
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -206,6 +206,12 @@
 		b.promptTokens -= a.tokens
 		delete(b.sent, req.key)
 	}
+	if held := r.holdings(b); held != nil && req.prompt != nil {
+		if m := findHeld(held, req.prompt.Model); m != nil && m.State == core.HoldUnloading {
+			// The loader waits for the last request to end.
+			b.loader.dirty = true
+		}
+	}
 	req.backend = nil
 }
 
