--- a/internal/router/speed.go
+++ b/internal/router/speed.go
@@ -39,6 +39,8 @@
 type speed struct {
 	models map[string]*modelSpeed
 	share  float64
+	// samples is the number of answers that the share was learnt from.
+	samples int
 }
 
 // modelSpeed is how an engine answers for a model without load.
@@ -48,6 +50,8 @@
 	pause, first time.Duration
 	// events is the moving average of an answer's events.
 	events float64
+	// answers is their number.
+	answers int
 }
 
 func newSpeed() speed { return speed{models: map[string]*modelSpeed{}} }
@@ -74,15 +78,21 @@
 	}
 	m.pause = least(m.pause, a.pause)
 	m.first = least(m.first, a.first)
-	m.events += shareMemory * (float64(a.events) - m.events)
+	m.answers++
+	m.events += weight(m.answers) * (float64(a.events) - m.events)
 	if a.beside < leastRunning {
 		return
 	}
 	slowdown := float64(a.pause) / float64(m.pause)
 	sample := min(largestShare, (slowdown-1)/float64(a.beside))
-	s.share += shareMemory * (sample - s.share)
+	s.samples++
+	s.share += weight(s.samples) * (sample - s.share)
 }
 
+// weight of the n-th sample: a plain mean at first, so that a router that has
+// just started knows the load after some answers instead of after fifty.
+func weight(n int) float64 { return max(shareMemory, 1/float64(n)) }
+
 // least is the least sample so far, with a slow rise.
 func least(old, sample time.Duration) time.Duration {
 	return min(sample, time.Duration(float64(old)*leastRise))
--- a/internal/router/speed_test.go
+++ b/internal/router/speed_test.go
@@ -52,3 +52,18 @@
 		t.Fatal("a speed without samples counts")
 	}
 }
+
+// The fleet was restarted under load. Learnt slowly from zero, the share stayed
+// too small for ten seconds, and busy models kept too few copies just when all
+// callers came back. A few answers must be enough.
+func TestShareIsKnownAfterFewAnswers(t *testing.T) {
+	s := newSpeed()
+	s.answerEnded(answer{model: "m", events: 35, first: 100 * time.Millisecond, pause: 20 * time.Millisecond})
+	for range 8 {
+		pause := pauseUnder(10, 20*time.Millisecond, 0.04)
+		s.answerEnded(answer{model: "m", events: 35, first: 100 * time.Millisecond, pause: pause, beside: 10})
+	}
+	if math.Abs(s.share-0.04) > 0.01 {
+		t.Fatalf("share %.3f after 8 answers, want about 0.04", s.share)
+	}
+}
