Further copies get their turn; absent models are remembered

Change: a further copy ranks like a request that is late soon; a 421 corrects the registry's word, and who may use one server only is told to come back at once if another has the model.

--- a/internal/fleet/backend.go
+++ b/internal/fleet/backend.go
@@ -85,6 +85,9 @@
 	Status int
 	// NotRun is the server's word that the request did not run and never will.
 	NotRun bool
+	// Absent is set when the server does not have what the request is for: the
+	// model is not loaded there, or another instance has the address.
+	Absent bool
 	// Load is set where the server tells it.
 	Load *Load
 }
--- a/internal/loader/decide_test.go
+++ b/internal/loader/decide_test.go
@@ -215,3 +215,22 @@
 		t.Fatalf("loaded: %+v, want m1 and m5", w.engine.report.Models)
 	}
 }
+
+// Requests for rare models wait one after the other without a pause, and a busy
+// model, with 45 calls a second, has one copy elsewhere. The further copy that
+// routers ask for must get its turn among them.
+func TestFurtherCopyIsNotStarved(t *testing.T) {
+	w := newWorld(t, "m1", "m3")
+	rare := []string{"m2", "m4", "m6", "m0"}
+	for i := range 8 {
+		w.demand("10.0.0.1", core.Demand{Wants: []core.Want{
+			{Model: rare[i%len(rare)], Waiting: 1, Within: 2 * time.Second},
+			{Model: "m5", Spread: true, Within: 500*time.Millisecond - time.Duration(i)*700*time.Millisecond},
+		}})
+		w.run(700 * time.Millisecond)
+		if w.has("m5") {
+			return
+		}
+	}
+	t.Fatalf("no further copy after 5.6 s: %+v", w.engine.report.Models)
+}
--- a/internal/router/coordinate.go
+++ b/internal/router/coordinate.go
@@ -37,7 +37,12 @@
 	disturbed   = 1.3
 	// permitLife is how long a permit is repeated to its loader.
 	permitLife = 3 * time.Second
-	// plannedWithin ranks planned loads behind those that requests wait for.
+	// spreadWithin ranks a further copy of a busy model like a request whose
+	// objective is missed soon. Ranked behind all that wait, it never came while
+	// rare models were swapped without a pause, and 45 callers a second met at
+	// one engine.
+	spreadWithin = 500 * time.Millisecond
+	// plannedWithin ranks background loads behind those that requests wait for.
 	plannedWithin = 10 * time.Second
 	// backgroundLife is how long a background load is asked for.
 	backgroundLife = 30 * time.Second
@@ -60,7 +65,7 @@
 
 // plannedLoad is a load that is asked for until a time.
 type plannedLoad struct {
-	until core.Time
+	since, until core.Time
 	// spread loads are for a model that is much called; the others yield.
 	spread bool
 	// store loads have no near copy; seen is set once the loader tells of it.
@@ -371,7 +376,7 @@
 }
 
 func (r *Router) startBackground(s *service, b *backend, model fleet.Model, store bool) {
-	s.store.planned[grantKey{b.loader.name, model.Name}] = plannedLoad{until: r.now.Add(backgroundLife), store: store}
+	s.store.planned[grantKey{b.loader.name, model.Name}] = plannedLoad{since: r.now, until: r.now.Add(backgroundLife), store: store}
 	b.loader.dirty = true
 	r.log(Belief, "model is loaded ahead of demand", b.attrs("model", model.Name, "free_mb", r.holdings(b).FreeMB)...)
 }
@@ -397,8 +402,11 @@
 			planned.seen = true
 			s.store.planned[key] = planned
 		}
-		spread := planned.spread
-		wants = append(wants, core.Want{Model: key.model, Spread: spread, Background: !spread, Within: plannedWithin})
+		want := core.Want{Model: key.model, Spread: planned.spread, Background: !planned.spread, Within: plannedWithin}
+		if planned.spread {
+			want.Within = spreadWithin - r.now.Sub(planned.since)
+		}
+		wants = append(wants, want)
 	}
 	return wants
 }
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -27,6 +27,9 @@
 	// unknownReturn is when a refused caller should come back if nothing
 	// tells when there will be room.
 	unknownReturn = 500 * time.Millisecond
+	// quickReturn is when a caller should come back whose route allows one
+	// server, when another could serve the request at once.
+	quickReturn = 20 * time.Millisecond
 	// returnSpread is the part of a Retry-After that is random, so that callers
 	// who are refused together do not come back together.
 	returnSpread = 0.3
@@ -306,13 +309,30 @@
 	b.failing += (1 - b.failing) * smoothing
 	r.log(OneRequest, "backend server refused the request", req.attrs("instance", b.Instance,
 		"attempt", e.Attempt, "status", e.Answer.Status)...)
+	if e.Answer.Absent && req.prompt != nil {
+		// The registry's word is old; without a loader's it would lead the next
+		// request there too.
+		b.Models = slices.DeleteFunc(slices.Clone(b.Models), func(m fleet.LoadedModel) bool { return m.Name == req.prompt.Model })
+	}
 	if req.sends < req.route.MaxAttempts {
 		r.dispatch(req)
 		return
 	}
+	if !req.mayHaveRun && r.servedElsewhere(req) {
+		r.finish(req, code.NoBackend, r.returnIn(quickReturn), "the backend server refused it; another can serve it")
+		return
+	}
 	r.giveUp(req, code.NoBackend, "the backend server refused it")
 }
 
+// servedElsewhere tells whether another server could serve the request now.
+func (r *Router) servedElsewhere(req *request) bool {
+	if req.prompt == nil || r.engine(req.service) == nil {
+		return len(r.candidates(req)) > 0
+	}
+	return r.loadedElsewhere(req)
+}
+
 func (r *Router) firstEvent(e FirstEvent) {
 	if req := r.current(e.Key, e.Attempt); req != nil {
 		r.answerBegan(req)
@@ -448,7 +468,7 @@
 	if wait < patience {
 		return false
 	}
-	return req.prompt == nil || r.loadedElsewhere(req)
+	return r.servedElsewhere(req)
 }
 
 // loadedElsewhere tells whether another server has the request's model.
--- a/internal/router/request_test.go
+++ b/internal/router/request_test.go
@@ -144,3 +144,29 @@
 		t.Fatalf("finish %+v, want NotReady", finish)
 	}
 }
+
+// After a restart a router knows what engines hold only from the registry, which
+// is two seconds old. An engine says that it does not have the model: the next
+// request must not go there too, and the user, whose route allows one server,
+// must come back at once, since another engine has the model.
+func TestAbsentModelIsRemembered(t *testing.T) {
+	w := newWorld(t)
+	list := map[string]fleet.Backend{}
+	for i := range 2 {
+		b := w.server(engineService, i)
+		b.Models = []fleet.LoadedModel{{Name: "m1"}}
+		list[b.Instance] = b
+	}
+	w.step(BackendsRead{Backends: list})
+	first := w.call("quick", prompt("m1"))
+	stale := w.lastSend(first).Instance
+	w.step(Answered{Key: first, Attempt: 1, Answer: fleet.Answer{Status: 421, NotRun: true, Absent: true}})
+	if finish := w.finishes[first]; finish.RetryAfter <= 0 || finish.RetryAfter > 2*quickReturn {
+		t.Errorf("told to come back in %v, want at once", finish.RetryAfter)
+	}
+	for range 5 {
+		if again := w.lastSend(w.call("quick", prompt("m1"))).Instance; again == stale {
+			t.Fatal("sent to the engine that does not have the model")
+		}
+	}
+}
--- a/internal/router/spread.go
+++ b/internal/router/spread.go
@@ -103,7 +103,7 @@
 			}
 			ready := r.readyIn(b, waitKey{s.name, modelKey{model: model.Name}})
 			s.store.planned[grantKey{b.loader.name, model.Name}] = plannedLoad{
-				until: r.now.Add(ready + spreadLife), spread: true, store: !r.near(b, model.Name),
+				since: r.now, until: r.now.Add(ready + spreadLife), spread: true, store: !r.near(b, model.Name),
 			}
 			b.loader.dirty = true
 			r.log(Belief, "model gets a further copy", b.attrs("model", model.Name, "copies", copies, "needed", needed,
