--- a/internal/loader/decide.go
+++ b/internal/loader/decide.go
@@ -124,20 +124,35 @@
 	m.within = min(m.within, w.Within-age)
 }
 
-// compareWants orders wants. What requests wait for goes before what is loaded
-// ahead; near copies go before the weight store, because a store load takes
-// the engine's only place for an order for as long as many near ones; then the
-// one whose objective is missed first.
+// compareWants orders wants: what requests wait for, or a busy model's further
+// copy, before what is loaded ahead; then by turn; then the one whose objective
+// is missed first.
 func (l *Loader) compareWants(a, b wanted) int {
 	return cmp.Or(
 		compareBool(a.background, b.background),
-		compareBool(l.tierOf(a.model) == tierStore, l.tierOf(b.model) == tierStore),
+		cmp.Compare(l.turn(a), l.turn(b)),
 		cmp.Compare(a.within, b.within),
 		cmp.Compare(a.model, b.model),
 		cmp.Compare(a.adapter, b.adapter),
 	)
 }
 
+// turn ranks wants by where the copy lies. A load from the weight store takes
+// the engine's only place for an order as long as many near ones, so near ones
+// go first, until the store load is permitted: then the store keeps a place for
+// it, which nobody else can use until it begins. Ranked behind near loads that
+// came without a pause, permitted loads did not begin for seconds.
+func (l *Loader) turn(w wanted) int {
+	switch {
+	case l.tierOf(w.model) != tierStore:
+		return 1
+	case w.permitted:
+		return 0
+	default:
+		return 2
+	}
+}
+
 // compareBool puts false first.
 func compareBool(a, b bool) int {
 	switch {
--- a/internal/loader/decide_test.go
+++ b/internal/loader/decide_test.go
@@ -234,3 +234,23 @@
 	}
 	t.Fatalf("no further copy after 5.6 s: %+v", w.engine.report.Models)
 }
+
+// Requests for models with near copies come without a pause. A load from the
+// weight store that was permitted used to wait behind them, and the store's place
+// that was kept for it stood empty, for all engines.
+func TestPermittedStoreLoadBegins(t *testing.T) {
+	w := newWorld(t)
+	w.engine.report.OnDisk = []string{"m0", "m2"}
+	w.run(idleRead)
+	w.demand("10.0.0.1", core.Demand{
+		Wants: []core.Want{
+			{Model: "m0", Waiting: 1, Within: 500 * time.Millisecond}, {Model: "m2", Waiting: 1, Within: 500 * time.Millisecond},
+			{Model: "m1", Waiting: 20, Within: 2 * time.Second},
+		},
+		Permits: []string{"m1"},
+	})
+	w.run(100 * time.Millisecond)
+	if len(w.orders) != 1 || w.orders[0].Model != "m1" {
+		t.Fatalf("orders %+v, want the permitted load first", w.orders)
+	}
+}
--- a/internal/router/rate.go
+++ b/internal/router/rate.go
@@ -78,6 +78,7 @@
 	if s.firstArrival == 0 {
 		s.firstArrival = now
 	}
+	s.all.add(now)
 	s.rate(modelKey{model: p.Model}).add(now)
 	if p.Adapter != "" {
 		s.rate(modelKey{p.Model, p.Adapter}).add(now)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -69,6 +69,8 @@
 	speed   speed
 	// rates are recent arrivals by model and adapter.
 	rates map[modelKey]*rate
+	// all are the arrivals for all models.
+	all rate
 	// firstArrival is when the first generation arrived in this process's life.
 	firstArrival core.Time
 	store        storeState
--- a/internal/router/spread.go
+++ b/internal/router/spread.go
@@ -13,8 +13,8 @@
 // This file decides on how many engines a model is loaded. It answers this
 // pattern: demand moves to another model within some seconds, from one call in
 // ten seconds to twenty a second. One engine would be busy reading prompts all
-// the time; with as many copies as its load needs, no engine is. A copy that is no longer needed is
-// the first to make room for another model.
+// the time; with as many copies as its load needs, no engine is. A copy that is no
+// longer needed is the first to make room for another model.
 
 const (
 	// targetLoad is the part of an engine's time that one model's requests may
@@ -24,13 +24,12 @@
 	// rare models, whose swaps then keep engines busy; the value lies on the flat
 	// part. (0.15 was measured before models in use were retired.)
 	targetLoad = 0.6
-	// busyRate is the arrivals per second from which a model should have two
-	// copies, so that the loss of one does not make callers wait for a load.
-	busyRate = 2.0
-	// warmRate is the arrivals per second over half a minute from which a model
-	// keeps two copies: demand moves between a few busy models, and comes back
-	// faster than copies are made. A rare model is called once in ten seconds.
-	warmRate = 0.5
+	// leastBusy is the least arrivals per second of a busy model, so that in a
+	// fleet that is nearly idle a few calls do not make copies.
+	leastBusy = 0.5
+	// busyFactor is how many times the mean makes a model busy: a rare one
+	// would have to be called four times within ten seconds at one router.
+	busyFactor = 2
 	// spreadLife is how long beyond its predicted end a further copy is asked
 	// for: an order may have to be sent again, but demand also moves on.
 	spreadLife = 3 * time.Second
@@ -75,15 +74,34 @@
 // neededCopies is the number of engines that should have a model loaded.
 func (r *Router) neededCopies(service, model string) int {
 	perSecond := r.rate(service, model)
-	long := r.service(service).rate(modelKey{model: model}).overLong(r.now) * float64(r.routers())
 	needed := 1
-	if perSecond > busyRate || long > warmRate {
+	if r.busy(service, model) {
 		needed = 2
 	}
 	load := r.service(service).speed.load(model, perSecond)
 	return max(needed, int(math.Ceil(load/targetLoad)))
 }
 
+// busy tells that a model is, or was within half a minute, called well more than
+// the mean of all declared models. Such a model keeps two copies: the loss of
+// one does not make its callers wait for a load, and demand that moved on may
+// come back faster than a copy is made. Measured against the mean, it tells the
+// few busy models from the many rare ones whatever the size of the deployment: a
+// fixed rate took rare models for busy when all were called twice as much. The
+// slow rates are compared, since three calls by chance make a fast one high.
+func (r *Router) busy(service, model string) bool {
+	engine := r.engine(service)
+	if engine == nil || len(engine.Models) == 0 {
+		return false
+	}
+	s := r.service(service)
+	routers := float64(r.routers())
+	mean := s.all.slowly(r.now) * routers / float64(len(engine.Models))
+	own := s.rate(modelKey{model: model})
+	recent := max(own.slowly(r.now), own.overLong(r.now)) * routers
+	return recent > max(leastBusy, busyFactor*mean)
+}
+
 // heat is the part of an engine's time that the requests there take.
 func (r *Router) heat(b *backend) float64 {
 	factor := r.service(b.Service).speed.queueFactor(r.outstanding(b))
--- a/internal/router/spread_test.go
+++ b/internal/router/spread_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -80,3 +81,27 @@
 		t.Fatalf("%d further copies asked for, want %d: the load is %.2f of an engine, at most %.2f each", asked, want, load, targetLoad)
 	}
 }
+
+// All rare models are called twice as much for some seconds. Taken for busy by a
+// fixed rate, each got a second copy, and the copies evicted one another. Only a
+// model that is called more than the mean of all is busy.
+func TestRareModelsAreNotBusyInABurst(t *testing.T) {
+	w := newWorld(t)
+	w.servers(engineService, 2)
+	for i := range 300 {
+		model := "m0"
+		if i%3 == 0 {
+			model = fmt.Sprintf("m%d", 1+i/3%9)
+		}
+		w.router.services[engineService].arrival(w.now, prompt(model))
+		w.now = w.now.Add(50 * time.Millisecond)
+	}
+	if got := w.router.neededCopies(engineService, "m0"); got < 2 {
+		t.Errorf("the busy model needs %d copies, want 2 or more", got)
+	}
+	for i := 1; i < 10; i++ {
+		if got := w.router.neededCopies(engineService, fmt.Sprintf("m%d", i)); got != 1 {
+			t.Errorf("rare m%d needs %d copies, want 1", i, got)
+		}
+	}
+}
