--- a/internal/daemon/operating_test.go
+++ b/internal/daemon/operating_test.go
@@ -4,16 +4,19 @@
 	"os"
 	"reflect"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"nutmeglane.example/nutmeglane/internal/loader"
+	"nutmeglane.example/nutmeglane/internal/router"
 	"nutmeglane.example/nutmeglane/internal/settings"
 )
 
-const operatingPage = "../../docs/OPERATING.md"
+const operatingPage = "../../docs/OPERATIONS.md"
 
 func operatingText(t *testing.T) string {
 	t.Helper()
@@ -27,7 +30,7 @@
 // An alarm on a metric that was renamed never rings.
 func TestAlarmsNameMetrics(t *testing.T) {
 	known := map[string]bool{"nutmeglane_metric_updates_dropped_total": true}
-	for _, def := range append(Counters(), shellCounters...) {
+	for _, def := range slices.Concat(Counters(), shellCounters, router.Counters, loader.Counters) {
 		known["nutmeglane_"+string(def.Name)] = true
 	}
 	registry := prometheus.NewRegistry()
@@ -57,7 +60,7 @@
 // TestSettingsAreListed compares the page's table with the settings' types.
 func TestSettingsAreListed(t *testing.T) {
 	fields := map[string]bool{}
-	for _, s := range []any{settings.Entry{}, settings.Agent{}} {
+	for _, s := range []any{settings.Entry{}, settings.Agent{}, settings.Router{}, settings.Loader{}} {
 		listFields(fields, "", reflect.TypeOf(s))
 	}
 	row := regexp.MustCompile("(?m)^\\| `([a-zA-Z.]+)` \\|")
--- a/internal/operator/answer.go
+++ b/internal/operator/answer.go
@@ -180,7 +180,7 @@
 			"send the same change again once the key-value service answers: one that took effect is reported as unchanged; `nutmeglane diff` asks without changing anything")
 	case code.BadMessage:
 		return answer(http.StatusInternalServerError, "the configuration in the key-value service can't be read; nothing was changed",
-			"see `Repair the configuration` in docs/OPERATING.md")
+			"see `Repair the configuration` in docs/OPERATIONS.md")
 	case code.QueueFull:
 		return answer(http.StatusServiceUnavailable, "too many changes are waiting here; nothing was changed", "send the change again after the time in Retry-After")
 	default:
