Router split by job; gateway tests over real sockets; unused fields removed

Count and Observe are core's. Holdings lose two counts that nobody read; each push for them is saved. Tests: a stream that goes on elsewhere, one that can't, stray, truncated and unsealed answers, a fuzzed event scanner.

--- a/internal/core/loading.go
+++ b/internal/core/loading.go
@@ -79,11 +79,9 @@
 	FreeMB float64 `cbor:"5,keyasint"`
 	// FreeIn is the time until a load ordered now would begin.
 	FreeIn time.Duration `cbor:"6,keyasint"`
-	// Running, Waiting, KVUsed and KVTotal are the engine's own counts.
+	// Running and Waiting are the engine's own counts of its requests.
 	Running int `cbor:"7,keyasint"`
 	Waiting int `cbor:"8,keyasint"`
-	KVUsed  int `cbor:"9,keyasint"`
-	KVTotal int `cbor:"10,keyasint"`
 	// Draining engines are about to leave.
 	Draining bool `cbor:"11,keyasint,omitempty"`
 	// Coordinator is the router whose permits this loader follows.
--- a/internal/daemon/loader.go
+++ b/internal/daemon/loader.go
@@ -113,9 +113,9 @@
 	case loader.Log:
 		p.log.LogAttrs(context.Background(), slog.LevelInfo, e.Message, e.Attrs...)
 	case loader.Count:
-		p.metrics.Do(core.Count{Name: e.Name, Labels: e.Labels, Add: 1})
+		p.metrics.Do(e.Count)
 	case loader.Observe:
-		p.metrics.Do(core.Observe{Name: e.Name, Labels: e.Labels, Value: e.Value})
+		p.metrics.Do(e.Observe)
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -86,9 +86,9 @@
 	case router.Log:
 		g.log(e)
 	case router.Count:
-		g.opts.Metrics.Do(core.Count{Name: e.Name, Labels: e.Labels, Add: 1})
+		g.opts.Metrics.Do(e.Count)
 	case router.Observe:
-		g.opts.Metrics.Do(core.Observe{Name: e.Name, Labels: e.Labels, Value: e.Value})
+		g.opts.Metrics.Do(e.Observe)
 	}
 }
 
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,216 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"nutmeglane.example/nutmeglane/internal/core"
+	"nutmeglane.example/nutmeglane/internal/fleet"
+	"nutmeglane.example/nutmeglane/internal/router"
+)
+
+// discard stands for links and metrics that nobody looks at.
+type discard struct{}
+
+func (discard) Do(core.Effect) bool { return true }
+
+// system is a gateway with callers' HTTP in front and fake servers behind.
+type system struct {
+	t       *testing.T
+	gateway *Gateway
+	callers *httptest.Server
+}
+
+// newSystem routes /stream/ (resumable), /once/ and /again/ to the servers, all
+// of which have model m1.
+func newSystem(t *testing.T, servers ...func(net.Conn)) *system {
+	t.Helper()
+	route := func(name string, kind fleet.Kind, attempts int, resumable bool) fleet.Route {
+		return fleet.Route{
+			Name: name, Host: "callers.example", Prefix: "/" + name + "/", Kind: kind, Resumable: resumable,
+			Targets: []fleet.Target{{Service: "s", Weight: 1}}, MaxAttempts: attempts,
+			Timeout: 20 * time.Second, Objective: 10 * time.Second,
+		}
+	}
+	config := &fleet.Config{
+		Version:  1,
+		Services: map[string]*fleet.Service{"s": {Name: "s", MaxConns: 40}},
+		Routes: []fleet.Route{
+			route("stream", fleet.Stream, 3, true), route("once", fleet.NonIdempotent, 1, false),
+			route("again", fleet.Idempotent, 3, false),
+		},
+	}
+	list := map[string]fleet.Backend{}
+	for i, serve := range servers {
+		address, accepted := listener(t)
+		go func() {
+			for conn := range accepted {
+				go serve(conn)
+			}
+		}()
+		id := fmt.Sprintf("i-%d", i)
+		list[id] = fleet.Backend{Instance: id, Service: "s", Address: address, Slots: 4}
+	}
+	log := slog.New(slog.DiscardHandler)
+	g := New(router.New(router.Options{Host: "r", Bounds: fleet.Bounds{RetrySlack: 100, RetryWindow: 10 * time.Second}}),
+		Options{Links: discard{}, Metrics: discard{}, Log: log, Requests: log})
+	g.Step(router.ConfigRead{Config: config})
+	g.Step(router.BackendsRead{Backends: list})
+	callers := httptest.NewServer(g)
+	t.Cleanup(callers.Close)
+	return &system{t: t, gateway: g, callers: callers}
+}
+
+func (s *system) call(method, path, id string) (int, string, error) {
+	s.t.Helper()
+	request, err := http.NewRequest(method, s.callers.URL+path, strings.NewReader("note"))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	request.Host = "callers.example"
+	request.Header.Set("Nutmeglane-Request-Id", id)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(body), err
+}
+
+// take reads a request from a connection and returns its head's lines.
+func take(conn net.Conn) string {
+	request, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return ""
+	}
+	_, _ = io.Copy(io.Discard, request.Body)
+	var head bytes.Buffer
+	_ = request.Header.Write(&head)
+	return head.String()
+}
+
+func answerHead(id, more string) string {
+	return "HTTP/1.1 200 OK\r\nNutmeglane-Request-Id: " + id + "\r\nNutmeglane-Server-Seal: x\r\n" + more + "\r\n"
+}
+
+func event(id int) string { return fmt.Sprintf("id: %d\ndata: e%d\n\n", id, id) }
+
+func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
+const streamHead = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+
+// An engine crashes in the middle of an event. The user must get each event
+// once and whole: the half event is not passed on, and the other engine goes on
+// after the last whole one.
+func TestStreamGoesOnElsewhere(t *testing.T) {
+	serve := func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		head := take(conn)
+		if strings.Contains(head, "Last-Event-Id: 2") {
+			_, _ = io.WriteString(conn, answerHead("r1", streamHead)+chunk(event(3))+chunk(event(4))+"0\r\n\r\n")
+			return
+		}
+		_, _ = io.WriteString(conn, answerHead("r1", streamHead)+chunk(event(1))+chunk(event(2)+"id: 3\nda"))
+	}
+	s := newSystem(t, serve, serve)
+	status, body, err := s.call(http.MethodPost, "/stream/x", "r1")
+	if want := event(1) + event(2) + event(3) + event(4); status != 200 || body != want || err != nil {
+		t.Fatalf("status %d, %v, body %q, want %q", status, err, body, want)
+	}
+}
+
+// No engine can go on with a stream that broke off. It must not look complete.
+func TestBrokenStreamLooksBroken(t *testing.T) {
+	s := newSystem(t, func(conn net.Conn) {
+		take(conn)
+		_, _ = io.WriteString(conn, answerHead("r1", streamHead)+chunk(event(1)))
+		_ = conn.Close()
+	})
+	status, body, err := s.call(http.MethodPost, "/stream/x", "r1")
+	if err == nil {
+		t.Fatalf("status %d, body %q, and no error", status, body)
+	}
+}
+
+// A faulty server sends a second answer to the request before. The next user's
+// request on that connection must get its own answer, not the stray one.
+func TestStrayAnswerIsNotDelivered(t *testing.T) {
+	s := newSystem(t, func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		take(conn)
+		stray := answerHead("other", "Content-Length: 5\r\n") + "wrong"
+		own := answerHead("r1", "Content-Length: 5\r\n") + "right"
+		_, _ = io.WriteString(conn, stray+own)
+	})
+	if status, body, err := s.call(http.MethodPost, "/once/x", "r1"); status != 200 || body != "right" || err != nil {
+		t.Fatalf("status %d, %v, body %q", status, err, body)
+	}
+}
+
+// A server breaks an answer off. An idempotent request is answered by another
+// server, whole; one that may run once gets a failure that promises nothing.
+func TestTruncatedAnswer(t *testing.T) {
+	truncated := func(conn net.Conn) {
+		take(conn)
+		_, _ = io.WriteString(conn, answerHead("r1", "Content-Length: 50\r\n")+"half")
+		_ = conn.Close()
+	}
+	whole := func(conn net.Conn) {
+		take(conn)
+		_, _ = io.WriteString(conn, answerHead("r1", "Content-Length: 5\r\n")+"whole")
+		_ = conn.Close()
+	}
+	if status, body, err := newSystem(t, truncated, whole).call(http.MethodGet, "/again/x", "r1"); status != 200 || body != "whole" || err != nil {
+		t.Errorf("idempotent: status %d, %v, body %q", status, err, body)
+	}
+	if status, _, err := newSystem(t, truncated).call(http.MethodPost, "/once/x", "r1"); status != 502 || err != nil {
+		t.Errorf("non-idempotent: status %d, %v, want 502", status, err)
+	}
+}
+
+// A success without the server's seal is not the server's: something between
+// answered, or the bytes are spoilt. A user must not take it for the answer.
+func TestUnsealedSuccessIsNotDelivered(t *testing.T) {
+	s := newSystem(t, func(conn net.Conn) {
+		take(conn)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nNutmeglane-Request-Id: r1\r\nContent-Length: 4\r\n\r\nfake")
+		_ = conn.Close()
+	})
+	if status, body, err := s.call(http.MethodPost, "/once/x", "r1"); status != 502 || err != nil {
+		t.Fatalf("status %d, %v, body %q, want 502", status, err, body)
+	}
+}
+
+// Events arrive cut at any byte, with either line end. Only whole ones go on.
+func FuzzEventScanner(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3"), 3)
+	f.Add([]byte("\n\n\r\n\r\n"), 1)
+	f.Fuzz(func(t *testing.T, data []byte, step int) {
+		if step <= 0 {
+			return
+		}
+		var s eventScanner
+		var got []byte
+		for rest := data; len(rest) > 0; {
+			n := min(step, len(rest))
+			got = append(got, s.take(rest[:n])...)
+			rest = rest[n:]
+		}
+		if all := append(got, s.rest()...); !bytes.Equal(all, data) {
+			t.Fatalf("bytes were lost or added: %q of %q", all, data)
+		}
+		if eventSize(s.rest()) != 0 {
+			t.Fatalf("a whole event was held back: %q", s.rest())
+		}
+	})
+}
--- a/internal/loader/event.go
+++ b/internal/loader/event.go
@@ -71,18 +71,11 @@
 	Attrs   []slog.Attr
 }
 
-// Count adds one to a counter.
-type Count struct {
-	Name   core.Counter
-	Labels []string
-}
-
-// Observe adds a value to a histogram.
-type Observe struct {
-	Name   core.Counter
-	Labels []string
-	Value  float64
-}
+// Count adds to a counter, Observe to a histogram.
+type (
+	Count   struct{ core.Count }
+	Observe struct{ core.Observe }
+)
 
 func (ReadReport) effect() {}
 func (SendOrder) effect()  {}
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -200,7 +200,7 @@
 		return
 	}
 	l.loadedAt[t.order.Model] = l.now
-	l.emit(Observe{Name: metricLoadSeconds, Labels: []string{t.tier.String()}, Value: took.Seconds()})
+	l.emit(Observe{core.Observe{Name: metricLoadSeconds, Labels: []string{t.tier.String()}, Value: took.Seconds()}})
 	if t.tier == tierStore {
 		l.storeLoads++
 		l.lastStore = &core.StoreLoadResult{
@@ -212,7 +212,7 @@
 func (l *Loader) orderDone(e OrderDone) {
 	l.ordering = false
 	l.nextRead = l.now
-	l.emit(Count{Name: metricOrders, Labels: []string{e.Order.Kind.String(), e.Result.String()}})
+	l.emit(Count{core.Count{Name: metricOrders, Labels: []string{e.Order.Kind.String(), e.Result.String()}, Add: 1}})
 	switch e.Result {
 	case fleet.OrderAccepted, fleet.OrderHolds:
 		l.accepted(e.Order, e.Result)
--- a/internal/loader/tell.go
+++ b/internal/loader/tell.go
@@ -49,7 +49,7 @@
 }
 
 func sameCounts(a, b core.Holdings) bool {
-	return a.Running == b.Running && a.Waiting == b.Waiting && a.KVUsed == b.KVUsed
+	return a.Running == b.Running && a.Waiting == b.Waiting
 }
 
 // holdings describes the engine to routers.
@@ -65,7 +65,7 @@
 		return h
 	}
 	h.InMemory, h.OnDisk = report.InMemory, report.OnDisk
-	h.Running, h.Waiting, h.KVUsed, h.KVTotal = report.Running, report.Waiting, report.KVUsed, report.KVTotal
+	h.Running, h.Waiting = report.Running, report.Waiting
 	h.Draining = report.Draining
 	h.FreeMB = l.freeMB()
 	uses := l.uses()
--- /dev/null
+++ b/internal/router/attempt.go
@@ -0,0 +1,167 @@
+package router
+
+import (
+	"slices"
+
+	"nutmeglane.example/nutmeglane/internal/code"
+	"nutmeglane.example/nutmeglane/internal/core"
+	"nutmeglane.example/nutmeglane/internal/fleet"
+)
+
+// This file handles what became of an attempt: what it proves, and whether the
+// request goes to another server.
+
+// current returns the request of an attempt, nil if it has moved on.
+func (r *Router) current(key Key, number int) *request {
+	req := r.requests[key]
+	if req == nil || req.number != number || req.backend == nil {
+		return nil
+	}
+	return req
+}
+
+func (r *Router) attemptFailed(e AttemptFailed) {
+	req := r.current(e.Key, e.Attempt)
+	if req == nil {
+		return
+	}
+	b := req.backend
+	r.release(req)
+	r.failed(b, e.Failure, e.Cause)
+	r.log(OneRequest, "attempt failed", req.attrs("instance", b.Instance, "attempt", e.Attempt,
+		"failure", e.Failure.String(), "cause", e.Cause)...)
+	if e.Failure == NotSent {
+		req.sends--
+		r.dispatch(req)
+		return
+	}
+	req.arrivals++
+	req.mayHaveRun = true
+	r.repeat(req, "the attempt failed: "+e.Failure.String())
+}
+
+// repeat sends a request again if it may run once more, else ends it.
+func (r *Router) repeat(req *request, why string) {
+	if req.route.Repeatable() && (!req.forwarded || req.route.Kind == fleet.Stream) {
+		if req.forwarded {
+			// Its caller has just had an event, and waits as long again.
+			req.firstBy = min(req.limit, r.now.Add(patience(req.route)))
+		}
+		r.dispatch(req)
+		return
+	}
+	r.giveUp(req, code.OutcomeUnknown, why)
+}
+
+func (r *Router) answered(e Answered) {
+	req := r.current(e.Key, e.Attempt)
+	if req == nil {
+		return
+	}
+	b := req.backend
+	if e.Answer.Load != nil {
+		b.load, b.loadAt, b.loadOwn = e.Answer.Load, r.now, len(b.sent)
+	}
+	switch {
+	case e.Answer.NotRun:
+		r.rejected(req, e)
+	case e.Answer.Status >= 500 && r.mayRepeat(req):
+		r.release(req)
+		b.failing += (1 - b.failing) * smoothing
+		req.arrivals++
+		req.mayHaveRun = true
+		r.repeat(req, "the server failed")
+	case e.Answer.Status >= 500:
+		b.failing += (1 - b.failing) * smoothing
+		r.forward(req)
+	default:
+		if req.route.Kind != fleet.Stream {
+			r.answerBegan(req)
+		}
+		r.forward(req)
+	}
+}
+
+// mayRepeat tells whether a failed answer can still be replaced by another
+// server's.
+func (r *Router) mayRepeat(req *request) bool {
+	return req.route.Repeatable() && !req.forwarded && req.sends < req.route.MaxAttempts &&
+		len(r.candidates(req)) > 0
+}
+
+func (r *Router) forward(req *request) {
+	req.forwarded, req.mayHaveRun = true, true
+	r.emit(Forward{Key: req.key, Attempt: req.number})
+}
+
+// rejected handles a server's word that the request did not run.
+func (r *Router) rejected(req *request, e Answered) {
+	b := req.backend
+	r.release(req)
+	req.arrivals++
+	b.failing += (1 - b.failing) * smoothing
+	r.log(OneRequest, "backend server refused the request", req.attrs("instance", b.Instance,
+		"attempt", e.Attempt, "status", e.Answer.Status)...)
+	if e.Answer.Absent && req.prompt != nil {
+		// The registry's word is old; without a loader's it would lead the next
+		// request there too.
+		b.Models = slices.DeleteFunc(slices.Clone(b.Models), func(m fleet.LoadedModel) bool { return m.Name == req.prompt.Model })
+	}
+	if req.sends < req.route.MaxAttempts {
+		r.dispatch(req)
+		return
+	}
+	if !req.mayHaveRun && r.servedElsewhere(req) {
+		r.finish(req, code.NoBackend, r.returnIn(quickReturn), "the backend server refused it; another can serve it")
+		return
+	}
+	r.giveUp(req, code.NoBackend, "the backend server refused it")
+}
+
+// servedElsewhere tells whether another server could serve the request now.
+func (r *Router) servedElsewhere(req *request) bool {
+	if req.prompt == nil || r.engine(req.service) == nil {
+		return len(r.candidates(req)) > 0
+	}
+	return r.loadedElsewhere(req)
+}
+
+func (r *Router) firstEvent(e FirstEvent) {
+	if req := r.current(e.Key, e.Attempt); req != nil {
+		r.answerBegan(req)
+	}
+}
+
+// answerBegan counts the latency of an attempt.
+func (r *Router) answerBegan(req *request) {
+	a := req.attempt
+	if a.answered {
+		return
+	}
+	a.answered = true
+	latency := r.now.Sub(a.at)
+	a.first = latency
+	req.first = r.now.Sub(req.arrived)
+	a.beside = r.outstanding(req.backend) - 1
+	r.succeeded(req.backend, req.model(), latency, a.slowdown)
+	r.emit(Observe{core.Observe{Name: metricFirstByte, Labels: []string{req.service}, Value: latency.Seconds()}})
+}
+
+func (r *Router) done(e Done) {
+	req := r.current(e.Key, e.Attempt)
+	if req == nil {
+		return
+	}
+	b := req.backend
+	if req.prompt != nil {
+		r.service(req.service).speed.answerEnded(answer{
+			model: req.model(), events: e.Events, pause: e.Pause,
+			first: req.attempt.first, beside: req.attempt.beside,
+		})
+	}
+	r.release(req)
+	delete(r.requests, req.key)
+	r.emit(Count{core.Count{Name: metricRequests, Labels: []string{req.service, code.OK.String()}, Add: 1}})
+	r.log(OneRequest, "request served", req.attrs("instance", b.Instance, "attempts", req.number,
+		"waited", req.waited.String(), "first", req.first.String(), "took", r.now.Sub(req.arrived).String())...)
+}
--- a/internal/router/backend.go
+++ b/internal/router/backend.go
@@ -45,8 +45,6 @@
 	loader   *loader
 	// sent are requests under way here, with the time they were sent.
 	sent map[Key]*attempt
-	// promptTokens are those of requests without a first event.
-	promptTokens int
 
 	// latency is the moving average of the time to the first answer, without
 	// what the load at the time added. Of an engine it is kept by model, since
@@ -65,8 +63,7 @@
 
 // attempt is one request at one server.
 type attempt struct {
-	at     core.Time
-	tokens int
+	at core.Time
 	// answered is set at the first byte that counts: the head, or the first
 	// event of a stream.
 	answered bool
--- a/internal/router/coordinate.go
+++ b/internal/router/coordinate.go
@@ -219,7 +219,7 @@
 // bound, and counts one.
 func (s *storeState) mayBegin(now core.Time, engine *fleet.Engine, bounds fleet.Bounds) bool {
 	s.began = slices.DeleteFunc(s.began, func(at core.Time) bool { return now.Sub(at) > bounds.StoreLoadWindow })
-	most := engine.StoreLoadsPerSecond * bounds.StoreLoadWindow.Seconds()
+	most := engine.StoreLoadsPerSecond * bounds.StoreLoadWindow.Seconds() * bounds.StoreLoadSlack
 	if engine.StoreLoadsPerSecond > 0 && float64(len(s.began)+1) > max(1, most) {
 		return false
 	}
--- /dev/null
+++ b/internal/router/ending.go
@@ -0,0 +1,143 @@
+package router
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"nutmeglane.example/nutmeglane/internal/code"
+	"nutmeglane.example/nutmeglane/internal/core"
+)
+
+// This file ends requests: with a refusal, a failure, at the caller's leaving,
+// at their time limit; and moves those whose server is silent.
+
+func (r *Router) gone(key Key) {
+	req := r.requests[key]
+	if req == nil {
+		return
+	}
+	if req.backend != nil {
+		r.emit(Abandon{Key: key, Attempt: req.number})
+	}
+	r.release(req)
+	r.leaveWait(req)
+	delete(r.requests, key)
+	r.emit(Count{core.Count{Name: metricRequests, Labels: []string{req.service, code.Cancelled.String()}, Add: 1}})
+	r.log(OneRequest, "caller left", req.attrs("forwarded", req.forwarded, "took", r.now.Sub(req.arrived).String())...)
+}
+
+// giveUp ends a request that can't be served. Whether the answer promises that
+// it did not run follows from what its servers proved, not from the reason.
+func (r *Router) giveUp(req *request, why code.Code, reason string) {
+	switch {
+	case req.forwarded:
+		r.finish(req, code.AnswerCut, 0, reason)
+	case req.mayHaveRun && r.now >= req.limit:
+		r.finish(req, code.TimedOut, 0, reason)
+	case req.mayHaveRun:
+		r.finish(req, code.OutcomeUnknown, 0, reason)
+	default:
+		r.finish(req, why, r.returnIn(unknownReturn), reason)
+	}
+}
+
+// returnIn spreads a Retry-After over returnSpread more.
+func (r *Router) returnIn(base time.Duration) time.Duration {
+	return base + time.Duration(r.rand.Float64()*returnSpread*float64(base))
+}
+
+func (r *Router) finish(req *request, c code.Code, retryAfter time.Duration, reason string) {
+	r.leaveWait(req)
+	r.release(req)
+	delete(r.requests, req.key)
+	r.emit(Finish{Key: req.key, Code: c, RetryAfter: retryAfter, Reason: reason})
+	r.emit(Count{core.Count{Name: metricRequests, Labels: []string{req.service, c.String()}, Add: 1}})
+	r.log(OneRequest, "request ended without a server's answer", req.attrs("code", int(c), "name", c.String(),
+		"reason", reason, "retry_after", retryAfter.String(), "took", r.now.Sub(req.arrived).String())...)
+}
+
+// checkRequests ends requests whose time is over and tries those elsewhere
+// that wait for an answer for too long.
+func (r *Router) checkRequests() {
+	for _, key := range slices.Sorted(maps.Keys(r.requests)) {
+		req := r.requests[key]
+		switch {
+		case r.now >= r.stopAt:
+			r.cutAtStop(req)
+		case req.backend == nil && r.now >= req.firstBy:
+			r.giveUp(req, code.DeadlineUnmet, "its model was not loaded in time")
+		case req.backend != nil && r.now >= req.limit.Add(answerSlack):
+			r.timeOut(req)
+		case req.backend != nil && r.overdue(req):
+			r.hedge(req)
+		}
+	}
+}
+
+func (r *Router) timeOut(req *request) {
+	if !req.attempt.answered {
+		r.failed(req.backend, NoAnswer, "time is over")
+	}
+	req.mayHaveRun = true
+	r.emit(Abandon{Key: req.key, Attempt: req.number})
+	r.giveUp(req, code.TimedOut, "the time is over")
+}
+
+// cutAtStop answers a request that is left when the process ends. Without an
+// answer its caller would see the connection close, and would not know that a
+// request which only waited can be sent again.
+func (r *Router) cutAtStop(req *request) {
+	if req.backend != nil {
+		req.mayHaveRun = true
+		r.emit(Abandon{Key: req.key, Attempt: req.number})
+	}
+	r.giveUp(req, code.Draining, "the process stops")
+}
+
+// overdue tells that an idempotent request should be tried elsewhere.
+func (r *Router) overdue(req *request) bool {
+	if req.attempt.answered || !r.mayRepeat(req) {
+		return false
+	}
+	wait := r.now.Sub(req.attempt.at)
+	patience := max(suspectAfter*r.usual(req.backend, req.model()), time.Duration(hedgeObjective*float64(req.route.Objective)))
+	if wait < patience {
+		return false
+	}
+	return r.servedElsewhere(req)
+}
+
+// loadedElsewhere tells whether another server has the request's model.
+func (r *Router) loadedElsewhere(req *request) bool {
+	for _, b := range r.candidates(req) {
+		if _, both := r.loaded(b, req.prompt.Model, req.prompt.Adapter); both {
+			return true
+		}
+	}
+	return false
+}
+
+// stalled moves a stream whose server has gone silent to another server that
+// has its model loaded. Without one it goes on waiting: a server under load may
+// be silent for seconds and still end the answer.
+func (r *Router) stalled(e Stalled) {
+	req := r.current(e.Key, e.Attempt)
+	if req == nil || !req.route.Repeatable() || req.sends >= req.route.MaxAttempts || !r.loadedElsewhere(req) {
+		return
+	}
+	r.hedge(req)
+}
+
+// hedge gives the current attempt up and tries another server.
+func (r *Router) hedge(req *request) {
+	b := req.backend
+	r.emit(Abandon{Key: req.key, Attempt: req.number})
+	r.release(req)
+	r.failed(b, NoAnswer, "no answer in time")
+	r.log(OneRequest, "no answer in time; trying another server", req.attrs("instance", b.Instance,
+		"waited", r.now.Sub(req.attempt.at).String(), "usual", r.usual(b, req.model()).String())...)
+	req.arrivals++
+	req.mayHaveRun = true
+	r.dispatch(req)
+}
