Peer events are queued without bound between the node and the reducer

Cause, found on reading: the node hands events over under its lock, the reducer's shell sends through the node under its own. With the bounded queue of 256 events a process that wakes up to more would wait for itself for good. Change: the unbounded queue that package runtime has for the same reason.

--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -18,6 +18,7 @@
 	"github.com/cockroachdb/errors"
 
 	"nutmeglane.example/nutmeglane/internal/core"
+	"nutmeglane.example/nutmeglane/internal/runtime"
 	"nutmeglane.example/nutmeglane/internal/settings"
 	"nutmeglane.example/nutmeglane/internal/telemetry"
 	"nutmeglane.example/nutmeglane/internal/wire"
@@ -102,22 +103,35 @@
 // links returns the node's connections to peers. Events reach post from one
 // goroutine, in order.
 func (p *nodeProcess) links(post func(core.Event)) *wire.Node {
-	queue := make(chan core.Event, peerQueue)
-	go func() {
-		for event := range queue {
-			post(event)
-		}
-	}()
+	put := pump(post)
 	return wire.New(wire.Options{
 		Host: core.HostID(p.settings.Address), Incarnation: core.Incarnation(randomUint64()),
 		PingInterval: peerPing, DialTimeout: peerDial,
 		Metrics: newWireMetrics(p.metrics.Registry()), Log: p.log,
-	}, func(event core.Event) { queue <- event })
+	}, put)
 }
 
-// peerQueue is the number of messages of peers that wait. A peer that sends
-// faster waits in its connection.
-const peerQueue = 256
+// pump returns a function that hands events to post, from a goroutine of its
+// own, in order. It never blocks.
+//
+// It guards against a deadlock: the node hands over events under its lock, and
+// post, which holds the reducer's lock, sends messages through the node. With a
+// bounded queue a process that was frozen for some seconds would wake up to more
+// events than it holds, and each side would wait for the other for good.
+func pump(post func(core.Event)) func(core.Event) {
+	queue := runtime.NewQueue()
+	go func() {
+		var batch []core.Event
+		for range queue.Ready() {
+			batch = queue.Take(batch)
+			for _, event := range batch {
+				post(event)
+			}
+			clear(batch)
+		}
+	}()
+	return queue.Put
+}
 
 // watchSettings calls reload after SIGHUP and after a change of the file.
 func (p *nodeProcess) watchSettings(ctx context.Context, file string, reload func() error) {
--- a/internal/runtime/loop.go
+++ b/internal/runtime/loop.go
@@ -28,7 +28,7 @@
 	stepper   Stepper
 	executors []Executor
 	recorder  *Recorder
-	queue     *queue
+	queue     *Queue
 	dumps     chan chan map[string]any
 	timer     *time.Timer
 	// done is closed when Run returns.
@@ -40,7 +40,7 @@
 	return &Loop{
 		stepper:  stepper,
 		recorder: recorder,
-		queue:    newQueue(),
+		queue:    NewQueue(),
 		dumps:    make(chan chan map[string]any),
 		timer:    time.NewTimer(clock.Until(core.Never)),
 		done:     make(chan struct{}),
@@ -51,7 +51,7 @@
 func (l *Loop) Add(executors ...Executor) { l.executors = append(l.executors, executors...) }
 
 // Post queues an event. It never blocks and may be called from any goroutine.
-func (l *Loop) Post(event core.Event) { l.queue.put(event) }
+func (l *Loop) Post(event core.Event) { l.queue.Put(event) }
 
 // Run steps events until the reducer emits Exit (it returns nil) or the
 // context ends (it returns the context's error).
@@ -70,7 +70,7 @@
 		case reply := <-l.dumps:
 			reply <- l.stepper.Dump()
 		case <-l.queue.ready:
-			batch = l.queue.take(batch)
+			batch = l.queue.Take(batch)
 			if l.stepAll(batch) {
 				return nil
 			}
