--- a/internal/daemon/loader.go
+++ b/internal/daemon/loader.go
@@ -135,7 +135,7 @@
 
 func (p *loaderProcess) dump() any {
 	p.mu.Lock()
-	state := map[string]any{"loader": dumpAny(p.loader.Dump())}
+	state := map[string]any{"loader": p.loader.Dump()}
 	p.mu.Unlock()
 	state["connections"] = p.links.Dump()
 	return state
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"log/slog"
-	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -177,21 +175,3 @@
 	}
 	p.ring.Close(logLimit)
 }
-
-// dumpAny makes a value that only JSON can show readable in a state dump.
-func dumpAny(value any) any {
-	data, err := json.Marshal(value)
-	if err != nil {
-		return err.Error()
-	}
-	return json.RawMessage(data)
-}
-
-// timeLeft is a context's time until its deadline.
-func timeLeft(ctx context.Context) time.Duration {
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		return math.MaxInt64
-	}
-	return time.Until(deadline)
-}
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -95,6 +95,7 @@
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	p.store = platform.NewStore(p.settings.Store.String(), storeTimeout)
+	defer p.store.Close()
 	go p.readStore(background, known)
 	go p.sweep(background)
 	go p.watchSettings(background, file, func() error { return p.reload(file) })
@@ -154,7 +155,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	select {
-	case <-time.After(min(stopDelay, timeLeft(ctx))):
+	case <-time.After(min(stopDelay, limit)):
 	case err := <-p.failed:
 		return err
 	}
@@ -203,7 +204,7 @@
 
 func (p *routerProcess) dump() any {
 	state := map[string]any{}
-	p.gateway.Look(func(r *router.Router) { state["router"] = dumpAny(r.Dump()) })
+	p.gateway.Look(func(r *router.Router) { state["router"] = r.Dump() })
 	state["connections"] = p.links.Dump()
 	return state
 }
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -221,10 +221,9 @@
 // watchStall tells the reducer once no event has come for long. The timer
 // starts with the first event.
 func (c *call) watchStall(a *answer) *time.Timer {
-	timer := time.AfterFunc(time.Hour, func() {
+	return time.AfterFunc(time.Hour, func() {
 		c.gateway.Step(router.Stalled{Key: c.key, Attempt: a.attempt})
 	})
-	return timer
 }
 
 func (c *call) passEvents(a *answer, events []byte, first *bool) bool {
--- a/internal/router/coordinate.go
+++ b/internal/router/coordinate.go
@@ -148,6 +148,11 @@
 	return l != nil && l.up && l.holdings != nil && l.holdings.Coordinator == r.opts.Host
 }
 
+// coordinatesAny tells whether a loader of the service follows this router.
+func (r *Router) coordinatesAny(service string) bool {
+	return slices.ContainsFunc(r.serversOf(service), func(b *backend) bool { return r.coordinates(b.loader) })
+}
+
 // plan grants permits and starts background loads.
 func (r *Router) plan() {
 	if r.config == nil {
@@ -160,6 +165,9 @@
 		}
 		s := r.services[name]
 		s.store.expire(r.now)
+		if !r.coordinatesAny(name) {
+			continue
+		}
 		r.grantPermits(s, engine)
 		r.spread(s, engine)
 		r.planBackground(s, engine)
@@ -176,9 +184,8 @@
 
 // permitRequest is a model that waits for a permit at an engine.
 type permitRequest struct {
-	loader  *loader
-	model   core.HeldModel
-	service string
+	loader *loader
+	model  core.HeldModel
 }
 
 // grantPermits lets the store loads begin that most requests wait for, as many
@@ -199,7 +206,7 @@
 				active++
 				continue
 			}
-			requests = append(requests, permitRequest{b.loader, m, s.name})
+			requests = append(requests, permitRequest{b.loader, m})
 		}
 	}
 	slices.SortStableFunc(requests, func(a, b permitRequest) int { return cmp.Compare(b.model.Waiting, a.model.Waiting) })
--- a/internal/router/wait.go
+++ b/internal/router/wait.go
@@ -181,8 +181,8 @@
 }
 
 // refuseLate refuses the requests whose time ends before the first event, which
-// is predicted after eta.
-// Held longer, each would wait in vain, and its caller could not go elsewhere.
+// is predicted after eta. Held longer, each would wait in vain, and its caller
+// could not go elsewhere.
 func (r *Router) refuseLate(w *wait, eta time.Duration) {
 	for _, req := range slices.Clone(w.requests) {
 		ready := r.now.Add(eta)
