--- a/internal/bench/capacity/countingkv.go
+++ b/internal/bench/capacity/countingkv.go
@@ -67,5 +67,5 @@
 	k.counts.WrittenBytes += len(e.Value)
 	v = core.KVValue{Key: e.Key, Value: e.Value, Revision: k.revision}
 	k.values[e.Key] = v
-	return []core.Event{core.KVResult{Tag: e.Tag, Key: e.Key, Revision: k.revision}, v}
+	return []core.Event{core.KVResult{Tag: e.Tag, Key: e.Key, Value: v.Value, Revision: k.revision}, v}
 }
--- a/internal/core/entry/membership.go
+++ b/internal/core/entry/membership.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 
+	"nutmeglane.example/nutmeglane/internal/code"
 	"nutmeglane.example/nutmeglane/internal/core"
 	"nutmeglane.example/nutmeglane/internal/core/peers"
 )
@@ -31,6 +32,18 @@
 	p.revisions[ev.Key] = ev.Revision
 }
 
+// kvResult takes the value that a call of this process has read or written.
+//
+// It guards against a status that is ahead of routing: the steward in this
+// process knows what it wrote at once, and operators are told that a model has
+// an owner, while the watch delivers the same value up to its coalescing time
+// later. A caller who came in between was refused with NoBackend.
+func (p *Part) kvResult(ev core.KVResult) {
+	if ev.Code == code.OK || ev.Code == code.KVConflict {
+		p.kvValue(core.KVValue{Key: ev.Key, Value: ev.Value, Revision: ev.Revision})
+	}
+}
+
 func (p *Part) roster(ev core.KVValue) error {
 	var roster core.Roster
 	if err := core.DecodeValue(ev.Value, &roster); err != nil {
--- a/internal/core/entry/part.go
+++ b/internal/core/entry/part.go
@@ -81,6 +81,8 @@
 		p.hostList(ev)
 	case core.KVValue:
 		p.kvValue(ev)
+	case core.KVResult:
+		p.kvResult(ev)
 	case core.ConfigInForce:
 		p.configInForce(ev.Snapshot)
 	case core.Stop:
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -102,8 +102,9 @@
 // KVResult answers a KV effect with the same Tag.
 type KVResult struct {
 	Tag uint64 `cbor:"1,keyasint"`
-	// Code is OK, KVConflict (Value and Revision are the current ones),
-	// KVUnavailable (no effect) or KVUnknown (it may have taken effect).
+	// Code is OK, KVConflict, KVUnavailable (no effect) or KVUnknown (it may
+	// have taken effect). With the first two, Value and Revision of a key are
+	// the current ones: after a KVCas that succeeded, those it wrote.
 	Code     code.Code `cbor:"2,keyasint,omitempty"`
 	Key      string    `cbor:"3,keyasint,omitempty"`
 	Value    []byte    `cbor:"4,keyasint,omitempty"`
--- a/internal/core/steward/cell.go
+++ b/internal/core/steward/cell.go
@@ -40,7 +40,6 @@
 
 	busy     operation
 	issuedAt uint64
-	written  []byte
 	// unread is set when the outcome of a write is unknown, or a view is
 	// wanted that is newer than another key's: read before the next write.
 	unread  bool
@@ -66,7 +65,7 @@
 		p.note("value not encoded", "key", c.key, "error", err.Error())
 		return
 	}
-	c.busy, c.issuedAt, c.written, c.wroteAt = writing, p.step, data, now
+	c.busy, c.issuedAt, c.wroteAt = writing, p.step, now
 	p.emit(core.KVCas{Tag: p.newTag(c), Key: c.key, Value: data, Revision: c.revision, Lease: lease})
 }
 
@@ -116,7 +115,7 @@
 	switch {
 	case ev.Code == code.OK && was == writing:
 		c.readAt = c.issuedAt
-		p.view(now, c, c.written, ev.Revision)
+		p.view(now, c, ev.Value, ev.Revision)
 	case ev.Code == code.OK || ev.Code == code.KVConflict:
 		c.readAt, c.unread = c.issuedAt, false
 		p.planSoon(now)
@@ -130,7 +129,6 @@
 	default:
 		c.retryAt = now.Add(p.jitter(retryWindow))
 	}
-	c.written = nil
 	if was == writing && ev.Code != code.OK && c.again != nil {
 		c.again(now)
 	}
--- a/internal/core/steward/fakes_test.go
+++ b/internal/core/steward/fakes_test.go
@@ -73,10 +73,10 @@
 	it = item{ef.Value, kv.revision, ef.Lease}
 	kv.items[ef.Key] = it
 	kv.changed(ef.Key, it)
-	r.Revision = it.revision
+	r.Value, r.Revision = it.value, it.revision
 	if kv.lose > 0 {
 		kv.lose--
-		r.Code, r.Revision = code.KVUnknown, 0
+		r.Code, r.Value, r.Revision = code.KVUnknown, nil, 0
 	}
 }
 
--- a/internal/daemon/change_bench_test.go
+++ b/internal/daemon/change_bench_test.go
@@ -71,7 +71,7 @@
 		return core.KVResult{Tag: e.Tag, Code: code.KVConflict, Key: e.Key, Value: v.Value, Revision: v.Revision}
 	}
 	d.kv[e.Key] = core.KVValue{Key: e.Key, Value: e.Value, Revision: v.Revision + 1}
-	return core.KVResult{Tag: e.Tag, Key: e.Key, Revision: v.Revision + 1}
+	return core.KVResult{Tag: e.Tag, Key: e.Key, Value: e.Value, Revision: v.Revision + 1}
 }
 
 func (d *benchDaemon) declare(resources ...api.Resource) {
--- a/internal/harness/kv.go
+++ b/internal/harness/kv.go
@@ -198,7 +198,7 @@
 	k.revision++
 	k.BytesWritten += len(e.Value)
 	k.set(e.Key, record{value: e.Value, revision: k.revision, lease: e.Lease}, true)
-	return core.KVResult{Tag: e.Tag, Key: e.Key, Revision: k.revision}
+	return core.KVResult{Tag: e.Tag, Key: e.Key, Value: e.Value, Revision: k.revision}
 }
 
 // ttls of leases are kept beside their ends so that a renewal knows its term.
--- a/internal/kv/executor.go
+++ b/internal/kv/executor.go
@@ -155,6 +155,9 @@
 		return itemResult(eff.Tag, item), err
 	case core.KVCas:
 		item, err := e.client.Cas(e.ctx, CasRequest{Key: eff.Key, Value: eff.Value, Revision: eff.Revision, Lease: eff.Lease})
+		if err == nil {
+			item.Value = eff.Value
+		}
 		return itemResult(eff.Tag, item), err
 	case core.KVLease:
 		lease, err := e.client.Grant(e.ctx, eff.TTL)
--- a/internal/kv/kv_test.go
+++ b/internal/kv/kv_test.go
@@ -104,7 +104,7 @@
 		want   core.KVResult
 	}{
 		{core.KVGet{Tag: 1, Key: "a"}, core.KVResult{Tag: 1, Key: "a"}},
-		{core.KVCas{Tag: 2, Key: "a", Value: []byte("x")}, core.KVResult{Tag: 2, Key: "a", Revision: 1}},
+		{core.KVCas{Tag: 2, Key: "a", Value: []byte("x")}, core.KVResult{Tag: 2, Key: "a", Value: []byte("x"), Revision: 1}},
 		{core.KVGet{Tag: 3, Key: "a"}, core.KVResult{Tag: 3, Key: "a", Value: []byte("x"), Revision: 1}},
 		{core.KVCas{Tag: 4, Key: "a", Value: []byte("y")},
 			core.KVResult{Tag: 4, Code: code.KVConflict, Key: "a", Value: []byte("x"), Revision: 1}},
@@ -138,7 +138,7 @@
 		e.Do(core.KVCas{Tag: uint64(i), Key: "k", Value: []byte("v"), Revision: int64(i)})
 	}
 	for i := range writes {
-		equal(t, next[core.KVResult](t, events), core.KVResult{Tag: uint64(i), Key: "k", Revision: int64(i) + 1})
+		equal(t, next[core.KVResult](t, events), core.KVResult{Tag: uint64(i), Key: "k", Value: []byte("v"), Revision: int64(i) + 1})
 	}
 }
 
