--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,217 @@
+// Package relay is a TCP relay on loopback for tests. It stands for the network
+// between two processes and disturbs it from outside them: connections are
+// delayed, reset, held up in one or both directions, or go silent for good.
+package relay
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// copyBytes is the size of reads from a connection.
+const copyBytes = 32 << 10
+
+// Direction is one way through a relay.
+type Direction uint8
+
+// The directions, as seen by who dials.
+const (
+	// In is the way from the dialler to the target.
+	In Direction = iota
+	// Out is the way back.
+	Out
+)
+
+// Relay passes connections on to a target. Its methods may be called
+// concurrently.
+type Relay struct {
+	listener net.Listener
+	dial     func() (net.Conn, error)
+	tasks    sync.WaitGroup
+
+	mu sync.Mutex
+	// changed wakes the copiers that wait for the end of a cut.
+	changed *sync.Cond
+	closed  bool
+	held    [2]bool
+	delay   time.Duration
+	conns   map[*conn]bool
+}
+
+// conn is one connection through a relay.
+type conn struct {
+	dialler, target net.Conn
+	// silent ways take bytes and pass on nothing, also no end.
+	silent [2]bool
+}
+
+// New listens on address, "IP:port", and passes each connection on to what dial
+// returns. One that can't be dialled is closed.
+func New(address string, dial func() (net.Conn, error)) (*Relay, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "relay")
+	}
+	r := &Relay{listener: listener, dial: dial, conns: map[*conn]bool{}}
+	r.changed = sync.NewCond(&r.mu)
+	r.tasks.Go(r.serve)
+	return r, nil
+}
+
+// To returns a dial function for a fixed target, "IP:port".
+func To(target string) func() (net.Conn, error) {
+	return func() (net.Conn, error) { return net.Dial("tcp", target) }
+}
+
+// Address is the relay's "IP:port".
+func (r *Relay) Address() string { return r.listener.Addr().String() }
+
+// Close ends all connections and waits for the relay's goroutines.
+func (r *Relay) Close() {
+	_ = r.listener.Close()
+	r.mu.Lock()
+	r.closed = true
+	for c := range r.conns {
+		c.close()
+	}
+	r.changed.Broadcast()
+	r.mu.Unlock()
+	r.tasks.Wait()
+}
+
+// Cut holds up all bytes in one direction, of open and new connections, until
+// Heal. None is lost, as behind a path that drops packets for a while.
+func (r *Relay) Cut(direction Direction) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.held[direction] = true
+}
+
+// Delay makes each read of bytes take so much longer on its way.
+func (r *Relay) Delay(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay = d
+}
+
+// Heal ends cuts and delays. Connections that were silenced stay so.
+func (r *Relay) Heal() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.held, r.delay = [2]bool{}, 0
+	r.changed.Broadcast()
+}
+
+// Silence makes the open connections pass on nothing more in a direction, for
+// good. New ones work.
+func (r *Relay) Silence(direction Direction) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.conns {
+		c.silent[direction] = true
+	}
+}
+
+// Reset resets the open connections.
+func (r *Relay) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.conns {
+		for _, end := range []net.Conn{c.dialler, c.target} {
+			if tcp, ok := end.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0) // fails only on a closed connection
+			}
+		}
+		c.close()
+	}
+}
+
+func (r *Relay) serve() {
+	for {
+		dialler, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		r.tasks.Go(func() { r.pass(dialler) })
+	}
+}
+
+func (r *Relay) pass(dialler net.Conn) {
+	target, err := r.dial()
+	if err != nil {
+		_ = dialler.Close()
+		return
+	}
+	c := &conn{dialler: dialler, target: target}
+	if !r.add(c) {
+		c.close()
+		return
+	}
+	defer r.remove(c)
+	var ways sync.WaitGroup
+	ways.Go(func() { r.copy(c, target, dialler, In) })
+	ways.Go(func() { r.copy(c, dialler, target, Out) })
+	ways.Wait()
+}
+
+// add reports false once the relay is closed.
+func (r *Relay) add(c *conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return false
+	}
+	r.conns[c] = true
+	return true
+}
+
+func (r *Relay) remove(c *conn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.conns, c)
+	c.close()
+}
+
+func (r *Relay) copy(c *conn, to, from net.Conn, direction Direction) {
+	buffer := make([]byte, copyBytes)
+	for {
+		n, err := from.Read(buffer)
+		if r.swallows(c, direction) {
+			if err != nil {
+				return
+			}
+			continue
+		}
+		if n > 0 {
+			if _, failed := to.Write(buffer[:n]); failed != nil {
+				err = failed
+			}
+		}
+		if err != nil {
+			c.close()
+			return
+		}
+	}
+}
+
+// swallows waits until bytes may pass and reports whether the way is silent.
+func (r *Relay) swallows(c *conn, direction Direction) bool {
+	r.mu.Lock()
+	for r.held[direction] && !r.closed {
+		r.changed.Wait()
+	}
+	silent, delay := c.silent[direction], r.delay
+	r.mu.Unlock()
+	if delay > 0 {
+		time.Sleep(delay)
+	}
+	return silent
+}
+
+func (c *conn) close() {
+	_ = c.dialler.Close()
+	_ = c.target.Close()
+}
--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -65,7 +65,7 @@
 type bench struct {
 	children map[string]*child
 	requests map[string]*request
-	relays   map[string]*relay
+	relays   map[string]*balanced
 	loads    map[string]*loadRun
 }
 
@@ -74,7 +74,7 @@
 func setup(env *testscript.Env) error {
 	env.Values[benchKey{}] = &bench{
 		children: map[string]*child{}, requests: map[string]*request{},
-		relays: map[string]*relay{}, loads: map[string]*loadRun{},
+		relays: map[string]*balanced{}, loads: map[string]*loadRun{},
 	}
 	declarations, err := filepath.Abs(filepath.Join("testdata", "declarations"))
 	env.Setenv("declarations", declarations)
--- a/internal/scenario/relay_test.go
+++ b/internal/scenario/relay_test.go
@@ -5,92 +5,50 @@
 	"net/http"
 	"slices"
 	"sync"
-	"sync/atomic"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"nutmeglane.example/nutmeglane/internal/relay"
 )
 
-// relay is a TCP relay on loopback. It stands for the network between two
-// processes, which may lose track of connections, or for the platform's
-// balancer, which sends each connection to a target that says it is ready.
-type relay struct {
-	listener net.Listener
+// balanced is a relay in front of several targets. It stands for the network
+// between two processes, or for the platform's balancer, which sends each
+// connection to a target that says it is ready.
+type balanced struct {
+	*relay.Relay
 	balances bool
-	tasks    sync.WaitGroup
 
 	mu      sync.Mutex
 	targets []string
 	next    int
-	conns   []*relayed
-}
-
-// relayed is one connection through a relay.
-type relayed struct {
-	dialler, target net.Conn
-	// in is the way from the dialler to the target, out the way back. One
-	// that is a black hole takes bytes and passes on nothing, also no end.
-	in, out atomic.Bool
 }
 
-func newRelay(ts *testscript.TestScript, name string, balances bool) *relay {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+func newRelay(ts *testscript.TestScript, name string, balances bool) *balanced {
+	b := &balanced{balances: balances}
+	r, err := relay.New("127.0.0.1:0", b.connect)
 	ts.Check(err)
-	r := &relay{listener: listener, balances: balances}
-	ts.Setenv(name, listener.Addr().String())
-	r.tasks.Go(r.serve)
-	ts.Defer(r.close)
-	return r
-}
-
-func (r *relay) close() {
-	_ = r.listener.Close()
-	r.mu.Lock()
-	for _, c := range r.conns {
-		c.close()
-	}
-	r.mu.Unlock()
-	r.tasks.Wait()
-}
-
-func (r *relay) serve() {
-	for {
-		conn, err := r.listener.Accept()
-		if err != nil {
-			return
-		}
-		r.tasks.Go(func() { r.pass(conn) })
-	}
-}
-
-func (r *relay) pass(conn net.Conn) {
-	target := r.connect()
-	if target == nil {
-		_ = conn.Close()
-		return
-	}
-	c := &relayed{dialler: conn, target: target}
-	r.mu.Lock()
-	r.conns = append(r.conns, c)
-	r.mu.Unlock()
-	r.tasks.Go(func() { c.copy(target, conn, &c.in) })
-	c.copy(conn, target, &c.out)
+	b.Relay = r
+	ts.Setenv(name, r.Address())
+	ts.Defer(r.Close)
+	return b
 }
 
 // connect takes the targets in turn.
-func (r *relay) connect() net.Conn {
-	r.mu.Lock()
-	targets := slices.Concat(r.targets[r.next:], r.targets[:r.next])
-	r.next = (r.next + 1) % max(1, len(r.targets))
-	r.mu.Unlock()
+func (b *balanced) connect() (net.Conn, error) {
+	b.mu.Lock()
+	targets := slices.Concat(b.targets[b.next:], b.targets[:b.next])
+	b.next = (b.next + 1) % max(1, len(b.targets))
+	b.mu.Unlock()
 	for _, target := range targets {
-		if r.balances && !isReady(target) {
+		if b.balances && !isReady(target) {
 			continue
 		}
 		if conn, err := net.Dial("tcp", target); err == nil {
-			return conn
+			return conn, nil
 		}
 	}
-	return nil
+	return nil, errors.New("no target takes connections")
 }
 
 func isReady(target string) bool {
@@ -103,39 +61,10 @@
 	return response.StatusCode == http.StatusOK
 }
 
-const copyBytes = 32 << 10
-
-func (c *relayed) copy(to, from net.Conn, hole *atomic.Bool) {
-	buffer := make([]byte, copyBytes)
-	for {
-		n, err := from.Read(buffer)
-		if hole.Load() {
-			if err != nil {
-				return
-			}
-			continue
-		}
-		if n > 0 {
-			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
-				err = writeErr
-			}
-		}
-		if err != nil {
-			c.close()
-			return
-		}
-	}
-}
-
-func (c *relayed) close() {
-	_ = c.dialler.Close()
-	_ = c.target.Close()
-}
-
-func (r *relay) aim(targets []string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.targets, r.next = targets, 0
+func (b *balanced) aim(targets []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.targets, b.next = targets, 0
 }
 
 func relayTo(balances bool) func(*testscript.TestScript, bool, []string) {
@@ -149,11 +78,6 @@
 }
 
 func blackhole(ts *testscript.TestScript, _ bool, args []string) {
-	r := benchOf(ts).relays[args[0]]
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, c := range r.conns {
-		hole := map[string]*atomic.Bool{"in": &c.in, "out": &c.out}[args[1]]
-		hole.Store(true)
-	}
+	direction := map[string]relay.Direction{"in": relay.In, "out": relay.Out}[args[1]]
+	benchOf(ts).relays[args[0]].Silence(direction)
 }
--- /dev/null
+++ b/internal/soak/caller_test.go
@@ -0,0 +1,187 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// callerDeadline is what callers wait for an answer.
+	callerDeadline = 6 * time.Second
+	// callerPause is the mean time between two calls of one caller.
+	callerPause = 40 * time.Millisecond
+	// impatient is the share of calls whose caller leaves early.
+	impatient = 0.05
+	// moves is the share of calls after which a caller goes to another router.
+	moves = 0.1
+)
+
+// kindsOfCall are the routes that callers use.
+var kindsOfCall = []string{"once", "again", "resumable", "plainstream"}
+
+func listen(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+
+// caller calls one router after the other over connections that it keeps open
+// until the router closes them.
+type caller struct {
+	world  *world
+	name   string
+	client *http.Client
+	calls  int
+	router int
+	// planned is set while nothing but planned work goes on: then a request
+	// that reached a server must get its answer.
+	planned *atomic.Bool
+}
+
+func newCaller(w *world, name string, planned *atomic.Bool) *caller {
+	transport := &http.Transport{DisableCompression: true, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}
+	return &caller{world: w, name: name, planned: planned, client: &http.Client{Transport: transport}}
+}
+
+func (c *caller) run(ctx context.Context) {
+	defer c.client.CloseIdleConnections()
+	for ctx.Err() == nil {
+		if rand.Float64() < moves || !c.ready() {
+			c.router = rand.IntN(routerCount)
+		}
+		c.call(kindsOfCall[rand.IntN(len(kindsOfCall))])
+		time.Sleep(time.Duration(rand.ExpFloat64() * float64(callerPause)))
+	}
+}
+
+// ready asks the router as the platform's balancer would. An open connection is
+// used without asking, nearly always.
+func (c *caller) ready() bool {
+	if rand.IntN(4) > 0 {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	status, _, err := c.get(ctx, c.router, readyPort, "/nutmeglane/ready")
+	return err == nil && status == http.StatusOK
+}
+
+func (c *caller) get(ctx context.Context, router, port int, path string) (status int, body string, err error) {
+	address := fmt.Sprintf("http://%s:%d%s", c.world.host(1, router), port, path)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
+	if err != nil {
+		return 0, "", err
+	}
+	request.Host = "callers.example"
+	response, err := c.client.Do(request)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(data), err
+}
+
+func (c *caller) call(kind string) {
+	c.calls++
+	id := fmt.Sprintf("%s-%d", c.name, c.calls)
+	a := asked{method: http.MethodPost, path: "/" + kind + "/x?n=" + strconv.Itoa(c.calls), body: "note " + id}
+	a.repeatable = kind == "again" || kind == "resumable"
+	stream := kind == "resumable" || kind == "plainstream"
+	if stream {
+		a.model = modelNames[min(rand.IntN(len(modelNames)), rand.IntN(len(modelNames)))]
+	}
+	wait := callerDeadline
+	left := rand.Float64() < impatient
+	if left {
+		wait = time.Duration(rand.Int64N(int64(100 * time.Millisecond)))
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, a.method, fmt.Sprintf("http://%s:%d%s", c.world.host(1, c.router), callersPort, a.path), strings.NewReader(a.body))
+	if err != nil {
+		c.world.referee.breaks("%v", err)
+		return
+	}
+	// Without this the transport would send a call again by itself.
+	request.GetBody = nil
+	request.Host = "callers.example"
+	request.Header.Set("Nutmeglane-Request-Id", id)
+	request.Header.Set("Nutmeglane-Deadline-Ms", strconv.FormatInt(callerDeadline.Milliseconds(), 10))
+	if a.model != "" {
+		request.Header.Set("Nutmeglane-Model", a.model)
+		request.Header.Set("Nutmeglane-Token-Count", "40,20")
+		request.Header.Set("Nutmeglane-Prompt-Prefix", "aa:30,"+strconv.Itoa(c.calls)+":10")
+	}
+	c.world.referee.sends(id, a)
+	planned := c.planned.Load()
+	response, err := c.client.Do(request)
+	if err != nil {
+		c.lost(planned && !left, id, kind, err)
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	c.judge(id, kind, stream, response, string(body), err)
+	if err != nil {
+		c.lost(planned && !left, id, kind, err)
+	}
+}
+
+// lost judges a call whose connection ended without a whole answer. While only
+// planned work goes on, it must not have been passed on to a server. A caller
+// that waited to its deadline got none either, which the servers may cause.
+func (c *caller) lost(planned bool, id, kind string, err error) {
+	if planned && c.planned.Load() && !errors.Is(err, context.DeadlineExceeded) && c.world.referee.hasRun(id) {
+		c.world.referee.breaks("%s (%s) reached a server and its connection ended: %v", id, kind, err)
+	}
+}
+
+// judge compares an answer with what the server of the request would send.
+func (c *caller) judge(id, kind string, stream bool, response *http.Response, body string, cut error) {
+	r := c.world.referee
+	status := response.StatusCode
+	if got := response.Header.Get("Nutmeglane-Request-Id"); got != id {
+		r.breaks("%s got the answer of %q: %d", id, got, status)
+	}
+	sealed := response.Header.Get("Nutmeglane-Server-Seal")
+	switch {
+	case status == http.StatusOK && sealed != "seal-"+id:
+		r.breaks("%s got a success with the seal %q", id, sealed)
+	case status == http.StatusOK && stream:
+		c.judgeStream(id, body, cut, kind)
+	case status == http.StatusOK && cut == nil && body != plainBody(id):
+		r.breaks("%s got %q", id, body)
+	case status == http.StatusOK && cut == nil:
+		r.serves(kind)
+	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests ||
+		status == http.StatusRequestTimeout || status == http.StatusMisdirectedRequest:
+		r.told(id, strconv.Itoa(status))
+	case status == http.StatusNotFound:
+		r.breaks("%s got 404 for a route of all configurations", id)
+	case sealed != "" && status != http.StatusInternalServerError:
+		r.breaks("%s got the status %d with the seal of a server that answered 500", id, status)
+	}
+}
+
+// judgeStream expects all events in order, or the first ones of a cut answer.
+func (c *caller) judgeStream(id, body string, cut error, kind string) {
+	var whole strings.Builder
+	for n := 1; n <= events; n++ {
+		whole.WriteString(event(id, n))
+	}
+	switch {
+	case cut == nil && body != whole.String():
+		c.world.referee.breaks("%s got a stream that ended as complete: %q", id, body)
+	case !strings.HasPrefix(whole.String(), body):
+		c.world.referee.breaks("%s got other events: %q", id, body)
+	case cut == nil:
+		c.world.referee.serves(kind)
+	}
+}
--- /dev/null
+++ b/internal/soak/engine_test.go
@@ -0,0 +1,185 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+)
+
+const (
+	// slots is how many requests a backend server runs at once, as it tells.
+	slots = 16
+	// engineMB holds two models of modelMB.
+	engineMB, modelMB = 200.0, 80.0
+	// storeLoad and diskLoad are the times of a load, as declared.
+	storeLoad, diskLoad = 200 * time.Millisecond, 40 * time.Millisecond
+	// events of a stream come eventPause apart.
+	events     = 8
+	eventPause = 15 * time.Millisecond
+)
+
+var modelNames = []string{"m0", "m1", "m2", "m3", "m4", "m5"}
+
+type heldModel struct {
+	Name     string   `json:"name"`
+	Version  int      `json:"version"`
+	Adapters []string `json:"adapters"`
+}
+
+// engine is what a model engine has beside a plain backend server: models,
+// orders and streams.
+type engine struct {
+	name    string
+	referee *referee
+
+	mu     sync.Mutex
+	loaded []string
+	onDisk []string
+	busy   bool
+	seq    int64
+	// life counts restarts; an order of an earlier life has no effect.
+	life    int
+	running int
+}
+
+func (e *engine) restart() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.loaded, e.busy, e.seq = nil, false, 0
+	e.life++
+}
+
+func (e *engine) held() []heldModel {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	models := []heldModel{}
+	for _, name := range e.loaded {
+		models = append(models, heldModel{Name: name, Version: 1, Adapters: []string{}})
+	}
+	return models
+}
+
+// serve handles what is no run; it reports whether it has answered.
+func (e *engine) serve(w http.ResponseWriter, r *http.Request) bool {
+	switch r.URL.Path {
+	case "/nutmeglane/report":
+		e.report(w)
+		return true
+	case "/nutmeglane/order":
+		e.order(w, r)
+		return true
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !slices.Contains(e.loaded, r.Header.Get("Nutmeglane-Model")) {
+		refuseRun(w, http.StatusMisdirectedRequest)
+		return true
+	}
+	return false
+}
+
+func (e *engine) report(w http.ResponseWriter) {
+	models := e.held()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	type atHand struct {
+		InMemory []string `json:"inMemory"`
+		OnDisk   []string `json:"onDisk"`
+	}
+	answerJSON(w, struct {
+		Models  []heldModel `json:"models"`
+		Busy    bool        `json:"busy"`
+		Seq     int64       `json:"seq"`
+		Running int         `json:"running"`
+		AtHand  atHand      `json:"atHand"`
+	}{models, e.busy, e.seq, e.running, atHand{[]string{}, e.onDisk}})
+}
+
+func (e *engine) order(w http.ResponseWriter, r *http.Request) {
+	var order struct {
+		Operation string `json:"operation"`
+		Model     string `json:"model"`
+		Expected  *int64 `json:"expected"`
+		Holder    string `json:"holder"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil || order.Holder == "" {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.busy || order.Expected != nil && *order.Expected != e.seq {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	e.seq++
+	switch order.Operation {
+	case "model_load":
+		e.load(order.Model)
+	case "model_unload":
+		e.loaded = slices.DeleteFunc(e.loaded, func(name string) bool { return name == order.Model })
+	}
+	w.WriteHeader(http.StatusAccepted)
+}
+
+// load carries a load out in the background. It holds e.mu.
+func (e *engine) load(model string) {
+	if float64(len(e.loaded)+1)*modelMB > engineMB {
+		e.referee.breaks("%s was ordered to load %s beside %v", e.name, model, e.loaded)
+	}
+	takes := storeLoad
+	if slices.Contains(e.onDisk, model) {
+		takes = diskLoad
+	}
+	e.busy = true
+	life := e.life
+	time.AfterFunc(takes, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if e.life != life {
+			return
+		}
+		e.busy = false
+		e.loaded = append(e.loaded, model)
+		if !slices.Contains(e.onDisk, model) {
+			e.onDisk = append(e.onDisk, model)
+		}
+	})
+}
+
+// event is one event of a stream, with its number as id.
+func event(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s/%d\n\n", n, id, n) }
+
+// stream sends the events of a run, from the one after Last-Event-Id.
+func (e *engine) stream(w http.ResponseWriter, r *http.Request, id string, m misdeed) {
+	e.count(1)
+	defer e.count(-1)
+	if m == fails {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	w.Header().Set("Content-Type", "text/event-stream")
+	for n := last + 1; n <= events; n++ {
+		if r.Context().Err() != nil {
+			return
+		}
+		if m == losesAnswers && n == events/2 {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.WriteString(w, event(id, n)) // a caller that left ends the run
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(eventPause)
+	}
+}
+
+func (e *engine) count(n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.running += n
+}
--- /dev/null
+++ b/internal/soak/faults_test.go
@@ -0,0 +1,179 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"time"
+
+	"nutmeglane.example/nutmeglane/internal/relay"
+)
+
+const (
+	// faultPause is the mean time between the beginnings of two faults. They
+	// last longer, so that several overlap.
+	faultPause = 300 * time.Millisecond
+	// shortest and longest fault.
+	shortestFault, longestFault = 200 * time.Millisecond, 2500 * time.Millisecond
+	// largestDelay is the largest delay of a slow path.
+	largestDelay = 300 * time.Millisecond
+)
+
+// fault is a disturbance: do begins it, lasts so long and ends it.
+type fault struct {
+	name string
+	do   func(f *faults, lasts time.Duration)
+}
+
+// planned faults are work that operators do; nothing may be lost by it.
+var planned = []fault{
+	{"router stopped and started", func(f *faults, _ time.Duration) { f.restart(pick(f, f.world.routers), syscall.SIGTERM, 0) }},
+	{"loader stopped and started", func(f *faults, _ time.Duration) { f.restart(pick(f, f.world.loaders), syscall.SIGTERM, 0) }},
+	{"settings read again", func(f *faults, _ time.Duration) { pick(f, f.world.processes()).signal(syscall.SIGHUP) }},
+	{"configuration changed", func(f *faults, _ time.Duration) { f.world.configure() }},
+	{"backend server replaced", func(f *faults, _ time.Duration) { f.replace() }},
+	{"store forgets its history", func(f *faults, _ time.Duration) { f.world.store.forget() }},
+}
+
+// unplanned faults come beside the planned ones.
+var unplanned = []fault{
+	{"router killed", func(f *faults, lasts time.Duration) { f.restart(pick(f, f.world.routers), syscall.SIGKILL, lasts) }},
+	{"loader killed", func(f *faults, lasts time.Duration) { f.restart(pick(f, f.world.loaders), syscall.SIGKILL, lasts) }},
+	{"process paused", func(f *faults, lasts time.Duration) { f.pause(pick(f, f.world.processes()), lasts) }},
+	{"backend server crashes", func(f *faults, lasts time.Duration) { f.crash(lasts) }},
+	{"backend server misbehaves", func(f *faults, lasts time.Duration) { f.misbehave(lasts) }},
+	{"path cut one way", func(f *faults, lasts time.Duration) {
+		f.disturb(lasts, func(r *relay.Relay) { r.Cut(relay.Direction(f.rand.IntN(2))) })
+	}},
+	{"path cut", func(f *faults, lasts time.Duration) {
+		f.disturb(lasts, func(r *relay.Relay) { r.Cut(relay.In); r.Cut(relay.Out) })
+	}},
+	{"path slow", func(f *faults, lasts time.Duration) {
+		f.disturb(lasts, func(r *relay.Relay) { r.Delay(time.Duration(f.rand.Int64N(int64(largestDelay)))) })
+	}},
+	{"connections reset", func(f *faults, lasts time.Duration) { f.disturb(lasts, (*relay.Relay).Reset) }},
+	{"connections silent", func(f *faults, lasts time.Duration) {
+		f.disturb(lasts, func(r *relay.Relay) { r.Silence(relay.Direction(f.rand.IntN(2))) })
+	}},
+	{"store refuses", func(f *faults, lasts time.Duration) { f.storeDown(storeRefuses, lasts) }},
+	{"store throttles", func(f *faults, lasts time.Duration) { f.storeDown(storeThrottles, lasts) }},
+	{"store hangs", func(f *faults, lasts time.Duration) { f.storeDown(storeHangs, lasts) }},
+}
+
+// faults draws disturbances from a seed and carries them out.
+type faults struct {
+	world *world
+	rand  *rand.Rand
+	tasks sync.WaitGroup
+	// mu orders what a fault draws while others run.
+	mu sync.Mutex
+	// down counts the routers that are being ended: one stays up, as
+	// the platform's own plans leave it.
+	down int
+	told []string
+}
+
+// run begins faults of the kinds until ctx ends, and waits for their ends.
+func (f *faults) run(ctx context.Context, kinds []fault) {
+	began := time.Now()
+	for ctx.Err() == nil {
+		kind := kinds[f.rand.IntN(len(kinds))]
+		lasts := shortestFault + time.Duration(f.rand.Int64N(int64(longestFault-shortestFault)))
+		f.told = append(f.told, fmt.Sprintf("%7.3f s %s, %s", time.Since(began).Seconds(), kind.name, lasts))
+		kind.do(f, lasts)
+		time.Sleep(time.Duration(f.rand.ExpFloat64() * float64(faultPause)))
+	}
+	f.tasks.Wait()
+}
+
+func pick[T any](f *faults, all []T) T { return all[f.rand.IntN(len(all))] }
+
+// restart ends a process and starts it again. Of the routers one is left alone.
+func (f *faults) restart(p *process, s syscall.Signal, down time.Duration) {
+	isRouter := p.role == "router"
+	f.mu.Lock()
+	if isRouter && f.down == routerCount-1 {
+		f.mu.Unlock()
+		return
+	}
+	if isRouter {
+		f.down++
+	}
+	f.mu.Unlock()
+	f.tasks.Go(func() {
+		if p.end(s) {
+			time.Sleep(down)
+			f.started(p.start())
+		}
+		if isRouter {
+			f.mu.Lock()
+			f.down--
+			f.mu.Unlock()
+		}
+	})
+}
+
+func (f *faults) pause(p *process, lasts time.Duration) {
+	p.signal(syscall.SIGSTOP)
+	f.tasks.Go(func() {
+		time.Sleep(lasts)
+		p.signal(syscall.SIGCONT)
+	})
+}
+
+// started reports a process or server that could not be started again.
+func (f *faults) started(err error) {
+	if err != nil {
+		f.world.referee.breaks("not started again: %v", err)
+	}
+}
+
+// replace lets a backend server leave as planned, and another take its place.
+func (f *faults) replace() {
+	b := pick(f, f.world.backends())
+	f.tasks.Go(func() {
+		b.turn.Lock()
+		defer b.turn.Unlock()
+		b.leave()
+		f.started(b.start())
+	})
+}
+
+func (f *faults) crash(lasts time.Duration) {
+	b := pick(f, f.world.backends())
+	f.tasks.Go(func() {
+		b.turn.Lock()
+		defer b.turn.Unlock()
+		b.crash()
+		time.Sleep(lasts)
+		f.started(b.start())
+	})
+}
+
+func (f *faults) misbehave(lasts time.Duration) {
+	b := pick(f, f.world.backends())
+	b.do(misdeed(1 + f.rand.IntN(int(misdeeds)-1)))
+	f.tasks.Go(func() {
+		time.Sleep(lasts)
+		b.do(works)
+	})
+}
+
+func (f *faults) disturb(lasts time.Duration, how func(*relay.Relay)) {
+	link := f.world.links[pick(f, sortedKeys(f.world.links))]
+	how(link)
+	f.tasks.Go(func() {
+		time.Sleep(lasts)
+		link.Heal()
+	})
+}
+
+func (f *faults) storeDown(mode storeMode, lasts time.Duration) {
+	f.world.store.setMode(mode)
+	f.tasks.Go(func() {
+		time.Sleep(lasts)
+		f.world.store.setMode(storeWorks)
+	})
+}
--- /dev/null
+++ b/internal/soak/process_test.go
@@ -0,0 +1,110 @@
+package soak
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"nutmeglane.example/nutmeglane/internal/cli"
+)
+
+// daemonVariable makes the test binary stand for the shipped daemon, so that
+// its processes run the code under test, with the race detector if it is on.
+const daemonVariable = "NUTMEGLANE_SOAK_DAEMON"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(daemonVariable) != "" {
+		os.Exit(cli.Run(cli.Daemon(os.Stdout, os.Stderr)))
+	}
+	os.Exit(m.Run())
+}
+
+// process is a router or loader that is started again after each end.
+type process struct {
+	role, settings, log string
+
+	mu  sync.Mutex
+	cmd *exec.Cmd
+	// ended is closed when the present life is over.
+	ended chan struct{}
+	// down is set from a signal to end until the next start.
+	down bool
+	// crashes are ends that no signal of the soak explains.
+	crashes int
+}
+
+func (p *process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(os.Args[0], p.role, "--settings", p.settings)
+	cmd.Env = append(os.Environ(), daemonVariable+"=1")
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		_ = log.Close()
+		return err
+	}
+	ended := make(chan struct{})
+	p.cmd, p.ended, p.down = cmd, ended, false
+	go func() {
+		_ = cmd.Wait() // its status is told by the log
+		_ = log.Close()
+		p.mu.Lock()
+		if !p.down {
+			p.crashes++
+		}
+		p.mu.Unlock()
+		close(ended)
+	}()
+	return nil
+}
+
+// signal sends a signal that does not end the process.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.down {
+		_ = p.cmd.Process.Signal(s) // a process that has just ended needs none
+	}
+}
+
+// end ends the process by SIGTERM, and by SIGKILL when that has no effect. It
+// reports false if another fault is ending it already.
+func (p *process) end(s syscall.Signal) bool {
+	p.mu.Lock()
+	if p.down {
+		p.mu.Unlock()
+		return false
+	}
+	p.down = true
+	cmd, ended := p.cmd, p.ended
+	_ = cmd.Process.Signal(s)
+	p.mu.Unlock()
+	select {
+	case <-ended:
+	case <-time.After(stopLimit + time.Second):
+		_ = cmd.Process.Signal(syscall.SIGCONT)
+		_ = cmd.Process.Kill()
+		<-ended
+	}
+	return true
+}
+
+func (p *process) ownEnds() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.crashes
+}
+
+// writeSettings writes a process's settings file.
+func writeSettings(dir, name, text string) (string, error) {
+	path := filepath.Join(dir, name+".jsonc")
+	return path, os.WriteFile(path, []byte(text), 0o644)
+}
--- /dev/null
+++ b/internal/soak/referee_test.go
@@ -0,0 +1,103 @@
+package soak
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+)
+
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
+
+// asked is a request as its caller sent it.
+type asked struct {
+	method, path, body, model string
+	// repeatable requests may run more than once.
+	repeatable bool
+}
+
+// referee compares what callers asked and were told with what backend servers
+// ran. The ids of requests tell them apart.
+type referee struct {
+	mu    sync.Mutex
+	asked map[string]asked
+	runs  map[string]int
+	// promised requests were answered as not run.
+	promised map[string]string
+	served   map[string]int
+	broken   []string
+}
+
+func newReferee() *referee {
+	return &referee{asked: map[string]asked{}, runs: map[string]int{}, promised: map[string]string{}, served: map[string]int{}}
+}
+
+func (r *referee) breaks(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.broken = append(r.broken, fmt.Sprintf(format, args...))
+}
+
+func (r *referee) sends(id string, a asked) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.asked[id] = a
+}
+
+// ran notes that a backend server begins to work on a request.
+func (r *referee) ran(server, id string, got asked) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	want, known := r.asked[id]
+	got.repeatable = want.repeatable
+	switch {
+	case !known:
+		r.broken = append(r.broken, fmt.Sprintf("%s ran %q, which nobody asked", server, id))
+	case got != want:
+		r.broken = append(r.broken, fmt.Sprintf("%s ran %s as %+v, asked was %+v", server, id, got, want))
+	}
+	r.runs[id]++
+}
+
+func (r *referee) hasRun(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.runs[id] > 0
+}
+
+// told notes an answer that promises that the request did not and will not run.
+func (r *referee) told(id, status string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.promised[id] = status
+}
+
+func (r *referee) serves(kind string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.served[kind]++
+}
+
+// counts returns how many requests of each kind were served so far.
+func (r *referee) counts() map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.served)
+}
+
+// judge returns every broken promise, once nothing runs any more.
+func (r *referee) judge() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	broken := slices.Clone(r.broken)
+	for _, id := range sortedKeys(r.runs) {
+		if r.runs[id] > 1 && !r.asked[id].repeatable {
+			broken = append(broken, fmt.Sprintf("%s ran %d times", id, r.runs[id]))
+		}
+		if status, ok := r.promised[id]; ok {
+			broken = append(broken, fmt.Sprintf("%s was told as not run (%s) and ran", id, status))
+		}
+	}
+	return broken
+}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,150 @@
+package soak
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+var (
+	seedCount  = flag.Int("seeds", 2, "how many seeds TestSeeds plays")
+	firstSeed  = flag.Uint64("first", 1, "the first seed of TestSeeds")
+	faultsLast = flag.Duration("lasts", 5*time.Second, "how long faults begin, for each seed")
+	keepLogs   = flag.Bool("keep", false, "keep the processes' logs also of a seed that passes")
+)
+
+const (
+	// callers is the number of callers, each with one call at a time.
+	callers = 12
+	// hangGuard ends a wait that would never end. No check depends on its length.
+	hangGuard = 90 * time.Second
+	// servedAgain is how many calls of each kind must be served after all faults
+	// have ended.
+	servedAgain = 20
+	// plannedEvery is the number of seeds of which one has planned work only.
+	plannedEvery = 3
+	// settle is the time in which what was sent last arrives and ends.
+	settle = time.Second
+)
+
+// Callers go on while processes are stopped, killed and paused, paths are cut,
+// slowed, reset and silenced, backend servers crash, lie and leave and the store
+// is away, several at a time. Nobody may see a wrong, doubled or half answer, a
+// refused request that ran, or a system that does not serve again afterwards.
+func TestSeeds(t *testing.T) {
+	for i := range *seedCount {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { play(t, seed) })
+	}
+}
+
+func play(t *testing.T, seed uint64) {
+	w := newWorld(t, seed)
+	defer w.close()
+	onlyPlanned := seed%plannedEvery == 0
+	var isPlanned atomic.Bool
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var calling sync.WaitGroup
+	for i := range callers {
+		c := newCaller(w, fmt.Sprintf("c%d", i), &isPlanned)
+		calling.Go(func() { c.run(ctx) })
+	}
+	w.awaitServed(t)
+	isPlanned.Store(onlyPlanned)
+	f := &faults{world: w, rand: rand.New(rand.NewPCG(seed, seed))}
+	kinds := planned
+	if !onlyPlanned {
+		kinds = slices.Concat(planned, unplanned)
+	}
+	disturbed, end := context.WithTimeout(ctx, *faultsLast)
+	f.run(disturbed, kinds)
+	end()
+	isPlanned.Store(false)
+	w.awaitServed(t)
+	w.awaitConfig(t)
+	cancel()
+	calling.Wait()
+	time.Sleep(settle)
+	w.report(t, seed, f)
+}
+
+// awaitServed waits until calls of each kind are served again.
+func (w *world) awaitServed(t *testing.T) {
+	t.Helper()
+	before := w.referee.counts()
+	w.await(t, "calls of each kind to be served", func() bool {
+		now := w.referee.counts()
+		return !slices.ContainsFunc(kindsOfCall, func(kind string) bool { return now[kind] < before[kind]+servedAgain })
+	})
+}
+
+// awaitConfig waits until each router has the newest configuration in force.
+func (w *world) awaitConfig(t *testing.T) {
+	t.Helper()
+	c := newCaller(w, "probe", &atomic.Bool{})
+	defer c.client.CloseIdleConnections()
+	for i := range routerCount {
+		w.await(t, fmt.Sprintf("router%d to have version %d", i, w.version), func() bool {
+			ctx, cancel := context.WithTimeout(context.Background(), callerDeadline)
+			defer cancel()
+			// The probe has no id: a server refuses it, but only where its route
+			// is known does it get there.
+			status, _, err := c.get(ctx, i, callersPort, "/"+versionRoute(w.version)+"/x")
+			return err == nil && status != http.StatusNotFound
+		})
+	}
+}
+
+func (w *world) await(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	limit := time.Now().Add(hangGuard)
+	for !holds() {
+		if time.Now().After(limit) {
+			t.Fatalf("waited in vain for %s; served so far: %v; logs: %s", what, w.referee.counts(), w.dir)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// report fails the test if a promise is broken, and tells how to look into it.
+func (w *world) report(t *testing.T, seed uint64, f *faults) {
+	t.Helper()
+	broken := w.referee.judge()
+	for _, p := range w.processes() {
+		if n := p.ownEnds(); n > 0 {
+			broken = append(broken, fmt.Sprintf("%s ended by itself %d times", p.log, n))
+		}
+	}
+	served := w.referee.counts()
+	t.Logf("seed %d: %d faults, served %v", seed, len(f.told), served)
+	if len(broken) == 0 && !*keepLogs {
+		if err := os.RemoveAll(w.dir); err != nil {
+			t.Error(err)
+		}
+		return
+	}
+	t.Logf("faults:\n%s\nlogs: %s", strings.Join(f.told, "\n"), w.dir)
+	for _, line := range slices.Collect(maps.Keys(index(broken))) {
+		t.Error(line)
+	}
+}
+
+// index drops doubled lines.
+func index(lines []string) map[string]bool {
+	all := map[string]bool{}
+	for _, line := range lines {
+		all[line] = true
+	}
+	return all
+}
--- /dev/null
+++ b/internal/soak/store_test.go
@@ -0,0 +1,186 @@
+package soak
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// storeMode is how the store answers.
+type storeMode int
+
+const (
+	storeWorks storeMode = iota
+	// storeRefuses answers every call with 503.
+	storeRefuses
+	// storeThrottles answers every call with 429.
+	storeThrottles
+	// storeHangs answers nothing until it works again.
+	storeHangs
+)
+
+// item is a value of the store as the platform's protocol spells it.
+type item struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value,omitempty"`
+	Revision int64  `json:"revision"`
+	Deleted  bool   `json:"deleted,omitempty"`
+}
+
+// store is a stand-in of the platform's metadata store: reads, ranges and
+// watches over HTTP; operators and backend servers write to it directly.
+type store struct {
+	mu       sync.Mutex
+	changed  *sync.Cond
+	items    map[string]item
+	history  []item
+	revision int64
+	// forgotten is the revision up to which history is gone.
+	forgotten int64
+	mode      storeMode
+}
+
+func newStore() *store {
+	s := &store{items: map[string]item{}}
+	s.changed = sync.NewCond(&s.mu)
+	return s
+}
+
+func (s *store) put(key string, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err) // plain structs always encode
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.record(item{Key: key, Value: data})
+}
+
+func (s *store) remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.items[key]; ok {
+		s.record(item{Key: key, Deleted: true})
+	}
+}
+
+func (s *store) record(change item) {
+	s.revision++
+	change.Revision = s.revision
+	s.history = append(s.history, change)
+	if change.Deleted {
+		delete(s.items, change.Key)
+	} else {
+		s.items[change.Key] = change
+	}
+	s.changed.Broadcast()
+}
+
+// forget discards the history, as the platform may at any time.
+func (s *store) forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.forgotten = nil, s.revision
+}
+
+func (s *store) setMode(mode storeMode) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mode = mode
+	s.changed.Broadcast()
+}
+
+func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for s.mode == storeHangs && r.Context().Err() == nil {
+		s.wait(time.Second)
+	}
+	switch {
+	case s.mode == storeRefuses:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case s.mode == storeThrottles:
+		w.WriteHeader(http.StatusTooManyRequests)
+	case r.URL.Path == "/nutmeglane/kv-key":
+		s.serveKey(w, r.FormValue("key"))
+	case r.URL.Path == "/nutmeglane/kv-range":
+		s.serveRange(w, r.FormValue("prefix"), r.FormValue("after"))
+	case r.URL.Path == "/nutmeglane/kv-watch":
+		s.serveWatch(w, r)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func (s *store) serveKey(w http.ResponseWriter, key string) {
+	found, ok := s.items[key]
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	answerJSON(w, struct {
+		item
+		AsOf int64 `json:"asOf"`
+	}{found, s.revision})
+}
+
+// page is the answer to a range or watch.
+type page struct {
+	Items     []item `json:"items,omitempty"`
+	Events    []item `json:"events,omitempty"`
+	MorePages bool   `json:"morePages"`
+	AsOf      int64  `json:"asOf"`
+}
+
+// pageItems is below the number of backend servers, so that ranges have pages.
+const pageItems = 2
+
+func (s *store) serveRange(w http.ResponseWriter, prefix, after string) {
+	answer := page{AsOf: s.revision}
+	for _, key := range sortedKeys(s.items) {
+		if !strings.HasPrefix(key, prefix) || key <= after {
+			continue
+		}
+		if len(answer.Items) == pageItems {
+			answer.MorePages = true
+			break
+		}
+		answer.Items = append(answer.Items, s.items[key])
+	}
+	answerJSON(w, answer)
+}
+
+func (s *store) serveWatch(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseInt(r.FormValue("after"), 10, 64)
+	wait, _ := strconv.ParseInt(r.FormValue("waitMs"), 10, 64)
+	limit := time.Now().Add(time.Duration(wait) * time.Millisecond)
+	for after == s.revision && time.Now().Before(limit) && r.Context().Err() == nil {
+		s.wait(time.Until(limit))
+	}
+	if after < s.forgotten {
+		w.WriteHeader(http.StatusGone)
+		return
+	}
+	answer := page{AsOf: s.revision}
+	for _, change := range s.history {
+		if change.Revision > after && strings.HasPrefix(change.Key, r.FormValue("prefix")) {
+			answer.Events = append(answer.Events, change)
+		}
+	}
+	answerJSON(w, answer)
+}
+
+// wait waits for a change, at most so long. It holds s.mu before and after.
+func (s *store) wait(most time.Duration) {
+	timer := time.AfterFunc(most, s.changed.Broadcast)
+	s.changed.Wait()
+	timer.Stop()
+}
+
+func answerJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value) // a reader that left needs no answer
+}
--- /dev/null
+++ b/internal/soak/world_test.go
@@ -0,0 +1,213 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"nutmeglane.example/nutmeglane/internal/relay"
+)
+
+// The deployment: enough routers and engines for each to lose some.
+const (
+	routerCount = 3
+	engineCount = 4
+	plainCount  = 3
+	// stopLimit is the time from SIGTERM to SIGKILL.
+	stopLimit = 4 * time.Second
+	drain     = 2 * time.Second
+	// Ports are the same on all hosts; each host has an address of its own in
+	// the loopback range. What routers dial are relays in front.
+	callersPort, readyPort, operatorsPort = 8080, 8081, 9464
+	storePort, serverPort, loaderPort     = 8100, 9000, 7380
+	// behind is added to the port of what stands behind a relay.
+	behind = 1
+)
+
+// world is a running deployment.
+type world struct {
+	t       *testing.T
+	dir     string
+	net     string
+	referee *referee
+	store   *store
+	// links are the relays by name.
+	links    map[string]*relay.Relay
+	engines  []*backend
+	plains   []*backend
+	routers  []*process
+	loaders  []*process
+	platform *http.Server
+	version  int
+}
+
+// newWorld starts a deployment. Its network number is drawn by the seed, and
+// the process's own, so that two soaks on one machine do not meet.
+func newWorld(t *testing.T, seed uint64) *world {
+	t.Helper()
+	dir, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &world{
+		t: t, dir: dir, referee: newReferee(), store: newStore(), links: map[string]*relay.Relay{},
+		net: fmt.Sprintf("127.%d.%d", 20+os.Getpid()%200, 3*(seed%80)),
+	}
+	w.configure()
+	w.startStore()
+	for i := range engineCount {
+		w.startEngine(i)
+	}
+	for i := range plainCount {
+		w.startPlain(i)
+	}
+	for i := range routerCount {
+		w.startRouter(i)
+	}
+	return w
+}
+
+func (w *world) check(err error) {
+	w.t.Helper()
+	if err != nil {
+		w.t.Fatal(err)
+	}
+}
+
+// host returns a host's IP number: group 1 routers, 2 engines, 3 plain services.
+func (w *world) host(group, i int) string { return fmt.Sprintf("%s.%d", w.net, 1+group*16+i) }
+
+// link puts a relay at host:port in front of target.
+func (w *world) link(name, host string, port int, target string) {
+	r, err := relay.New(fmt.Sprintf("%s:%d", host, port), relay.To(target))
+	w.check(err)
+	w.links[name] = r
+}
+
+func (w *world) startStore() {
+	address := fmt.Sprintf("%s:%d", w.host(0, 0), storePort)
+	w.platform = &http.Server{Addr: address, Handler: w.store}
+	l, err := listen(address)
+	w.check(err)
+	go func() { _ = w.platform.Serve(l) }()
+}
+
+func (w *world) startEngine(i int) {
+	host := w.host(2, i)
+	name := fmt.Sprintf("engine%d", i)
+	at := fmt.Sprintf("%s:%d", host, serverPort+behind)
+	b := &backend{
+		name: name, service: "llm", zone: fmt.Sprintf("z%d", i%2), listen: at,
+		address: fmt.Sprintf("%s:%d", host, serverPort), store: w.store, referee: w.referee,
+		engine: &engine{name: name, referee: w.referee},
+	}
+	w.link(name, host, serverPort, at)
+	w.link("loader"+name, host, loaderPort, fmt.Sprintf("%s:%d", host, loaderPort+behind))
+	w.engines = append(w.engines, b)
+	w.check(b.start())
+	w.loaders = append(w.loaders, w.startProcess("loader", "loader-"+name, fmt.Sprintf(`{
+		"role": "loader", "host": "loader-%s", "address": "%s", "zone": "z", "peers": "%s:%d",
+		"engine": "%s", "operators": "%s:%d", "stopLimit": "%s",
+	}`, name, host, host, loaderPort+behind, at, host, operatorsPort, stopLimit)))
+}
+
+func (w *world) startPlain(i int) {
+	host := w.host(3, i)
+	b := &backend{
+		name: fmt.Sprintf("plain%d", i), service: "records", zone: fmt.Sprintf("z%d", i%2),
+		listen:  fmt.Sprintf("%s:%d", host, serverPort+behind),
+		address: fmt.Sprintf("%s:%d", host, serverPort), store: w.store, referee: w.referee,
+	}
+	w.link(b.name, host, serverPort, b.listen)
+	w.plains = append(w.plains, b)
+	w.check(b.start())
+}
+
+func (w *world) startRouter(i int) {
+	host := w.host(1, i)
+	w.link(fmt.Sprintf("store%d", i), host, storePort, fmt.Sprintf("%s:%d", w.host(0, 0), storePort))
+	w.routers = append(w.routers, w.startProcess("router", fmt.Sprintf("router%d", i), fmt.Sprintf(`{
+		"role": "router", "host": "router%d", "address": "%s", "zone": "z%d", "callers": "%s:%d",
+		"readiness": "%s:%d", "operators": "%s:%d", "loaderPort": %d, "store": "%s:%d", "stopLimit": "%s",
+		"bounds": {
+			"drain": "%s", "configDelay": "2s", "retryRatio": 0.2, "retrySlack": 30, "retryWindow": "10s",
+			"storeLoadWindow": "5s", "storeLoadSlack": 1.1,
+		},
+	}`, i, host, i%2, host, callersPort, host, readyPort, host, operatorsPort, loaderPort, host, storePort, stopLimit, drain)))
+}
+
+func (w *world) startProcess(role, name, text string) *process {
+	settings, err := writeSettings(w.dir, name, text)
+	w.check(err)
+	p := &process{role: role, settings: settings, log: filepath.Join(w.dir, name+".log")}
+	w.check(p.start())
+	return p
+}
+
+// backends are all backend servers.
+func (w *world) backends() []*backend { return append(append([]*backend{}, w.engines...), w.plains...) }
+
+// processes are all processes under test.
+func (w *world) processes() []*process {
+	return append(append([]*process{}, w.routers...), w.loaders...)
+}
+
+// close ends all that was started.
+func (w *world) close() {
+	w.store.setMode(storeWorks)
+	for _, p := range w.processes() {
+		p.signal(syscall.SIGCONT)
+		p.end(syscall.SIGKILL)
+	}
+	for _, b := range w.backends() {
+		b.stop()
+	}
+	for _, link := range w.links {
+		link.Close()
+	}
+	_ = w.platform.Close()
+}
+
+// configure writes the next version. Each has a route of its own beside those
+// that callers use, which shows whether a router has it in force.
+func (w *world) configure() {
+	w.version += 1 + rand.IntN(3)
+	route := func(name, kind, service string, attempts int, resumable bool) map[string]any {
+		return map[string]any{
+			"name": name, "host": "callers.example", "prefix": "/" + name + "/", "kind": kind, "service": service,
+			"timeoutMs": 8000, "targetLatencyMs": 1000, "gapAimMs": 500, "maxAttempts": attempts, "resumable": resumable,
+		}
+	}
+	models := []map[string]any{}
+	for _, name := range modelNames {
+		models = append(models, map[string]any{
+			"name": name, "weightsMb": modelMB, "adapterMb": 1,
+			"loadS": storeLoad.Seconds(), "diskS": diskLoad.Seconds(), "warmS": diskLoad.Seconds(),
+		})
+	}
+	engine := map[string]any{
+		"slots": slots, "kvCapacityTokens": 100000, "weightsMb": engineMB, "adapterSlots": 4, "loadsPerS": 20, "models": models,
+	}
+	w.store.put("op/config", map[string]any{
+		"version": w.version,
+		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 5000, "idleTimeoutMs": 15000},
+		"services": []map[string]any{
+			{"name": "llm", "maxConns": 200, "engine": engine},
+			{"name": "records", "maxConns": 100},
+		},
+		"routes": []map[string]any{
+			route("once", "unsafe", "records", 2, false),
+			route("again", "safe", "records", 3, false),
+			route("resumable", "streaming", "llm", 3, true),
+			route("plainstream", "streaming", "llm", 2, false),
+			route(versionRoute(w.version), "safe", "records", 2, false),
+		},
+	})
+}
+
+func versionRoute(version int) string { return fmt.Sprintf("v%d", version) }
