--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,90 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+)
+
+// Lines as routers and loaders write them, out of order and with a cut one.
+const router = `
+{"time":"2026-02-07T01:22:24.067Z","level":"INFO","msg":"request waits for its model","host":"front-1","request":"a1","model":"m7","at":"i-9","ready_in":"2.4s","waiting":1}
+{"time":"2026-02-07T01:22:26.387Z","level":"INFO","msg":"request served","host":"front-1","request":"a1","model":"m7","instance":"i-9","attempts":1,"waited":"2.288s","first":"2.306s","took":"2.344s"}
+{"time":"2026-02-07T01:22:25.000Z","level":"INFO","msg":"platform store does not answer; working from what is known","host":"front-1","backends":4}
+{"time":"2026-02-07T01:22:25.500Z","level":"INFO","msg":"attempt failed","host":"front-1","request":"b2","model":"m7","instance":"i-3","attempt":1,"failure":"broken off","cause":"unexpected EOF"}
+{"time":"2026-02-07T01:22:25.501Z","level":"INFO","msg":"request ended without a server's answer","host":"front-1","request":"b2","model":"m7","code":3001,"name":"OutcomeUnknown","reason":"the attempt failed: broken off","retry_after":"0s","took":"120ms"}
+{"time":"2026-02-07T01:22:25.502Z","level":"INFO","msg":"backend server left out","host":"front-1","instance":"i-3","failures":3}
+{"time":"2026-02-07T01:22:25.503Z","level":"INFO","msg":"requ
+`
+
+const loader = `
+  26.3844 side-1 {"time":"2026-02-07T01:22:26.384Z","level":"INFO","msg":"order carried out","host":"side-1","order":"load","model":"m7","took":"781ms","tier":"disk"}
+  24.0000 side-1 {"time":"2026-02-07T01:22:24.000Z","level":"INFO","msg":"order carried out","host":"side-1","order":"load","model":"m8","took":"781ms","tier":"disk"}
+  02.0000 side-1 {"time":"2026-02-07T01:22:02.000Z","level":"INFO","msg":"order carried out","host":"side-1","order":"load","model":"m7","took":"781ms","tier":"disk"}
+`
+
+func read(t *testing.T) *Log {
+	t.Helper()
+	var l Log
+	for _, text := range []string{router, loader} {
+		if err := l.Read(strings.NewReader(text)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return &l
+}
+
+// A caller complains about a late answer. The request's own lines say that it
+// waited; why, stands in the log of the loader beside the engine. Lines on other
+// models, and those of long before, would hide it.
+func TestLateAnswerLeadsToTheLoad(t *testing.T) {
+	l := read(t)
+	story := l.Of("a1")
+	if want := "served by i-9, first event after 2.306s, of which it waited 2.288s for its model; 1 orders for m7 ended meanwhile"; story.Cause() != want {
+		t.Errorf("cause %q, want %q", story.Cause(), want)
+	}
+	var around []string
+	for _, line := range story.Around {
+		around = append(around, line.Message)
+	}
+	if got := strings.Join(around, "; "); got != "platform store does not answer; working from what is known; order carried out" {
+		t.Errorf("around it: %s", got)
+	}
+}
+
+// A caller lost an answer midway. The cause is the failure of its attempt, and
+// what the router then believed of that server.
+func TestLostAnswerLeadsToTheServer(t *testing.T) {
+	story := read(t).Of("b2")
+	want := "ended with OutcomeUnknown after 120ms: the attempt failed: broken off; before that i-3: broken off (unexpected EOF)"
+	if story.Cause() != want {
+		t.Errorf("cause %q, want %q", story.Cause(), want)
+	}
+	var b strings.Builder
+	if err := story.Write(&b); err != nil || !strings.Contains(b.String(), "backend server left out") {
+		t.Errorf("%v: %s", err, b.String())
+	}
+}
+
+// A process was killed in the middle of a line. The line is counted, the others
+// are read; an id that no line names is said to be unknown, not served.
+func TestCutLinesAreCounted(t *testing.T) {
+	l := read(t)
+	if l.Bad != 1 || len(l.Lines) != 9 {
+		t.Errorf("%d bad and %d good lines, want 1 and 9", l.Bad, len(l.Lines))
+	}
+	if story := l.Of("nobody"); !strings.HasPrefix(story.Cause(), "no line names this request") {
+		t.Errorf("cause %q", story.Cause())
+	}
+}
+
+// Any bytes may stand in a log file.
+func FuzzRead(f *testing.F) {
+	f.Add(router)
+	f.Add("{}\n{\"time\":1}\n\x00")
+	f.Fuzz(func(_ *testing.T, text string) {
+		var l Log
+		_ = l.Read(strings.NewReader(text)) // a line that is too long
+		story := l.Of("a1")
+		_ = story.Cause()
+	})
+}
