--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -25,14 +25,14 @@
 
 // system is a gateway with callers' HTTP in front and fake servers behind.
 type system struct {
-	t       *testing.T
+	t       testing.TB
 	gateway *Gateway
 	callers *httptest.Server
 }
 
 // newSystem routes /stream/ (resumable), /once/ and /again/ to the servers, all
 // of which have model m1.
-func newSystem(t *testing.T, servers ...func(net.Conn)) *system {
+func newSystem(t testing.TB, servers ...func(net.Conn)) *system {
 	t.Helper()
 	route := func(name string, kind fleet.Kind, attempts int, resumable bool) fleet.Route {
 		return fleet.Route{
--- a/internal/gateway/pool_test.go
+++ b/internal/gateway/pool_test.go
@@ -11,7 +11,7 @@
 )
 
 // listener accepts connections and hands them to the test.
-func listener(t *testing.T) (address string, accepted chan net.Conn) {
+func listener(t testing.TB) (address string, accepted chan net.Conn) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/loader/decide.go
+++ b/internal/loader/decide.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -88,7 +87,7 @@
 func (l *Loader) wants() []wanted {
 	merged := map[modelKey]*wanted{}
 	permits := map[string]bool{}
-	for _, name := range slices.Sorted(maps.Keys(l.routers)) {
+	for _, name := range l.names {
 		r := l.routers[name]
 		for _, w := range r.demand.Wants {
 			l.mergeWant(merged, w, l.now.Sub(r.heardAt))
--- /dev/null
+++ b/internal/loader/large_bench_test.go
@@ -0,0 +1,47 @@
+package loader
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"nutmeglane.example/nutmeglane/internal/core"
+)
+
+// The size of the larger deployments: each loader hears of 27 routers twice a
+// second or more, and has a third of a core that an engine's callers also need.
+const (
+	largeRouters      = 27
+	demandsPerSecond  = 3
+	largeUses         = 6
+	largeWaitingModel = "m7"
+)
+
+func largeRouter(i int) core.HostID { return core.HostID(fmt.Sprintf("10.0.0.%d", i+1)) }
+
+// BenchmarkLargeSecond is one second of a loader in a large deployment: what its
+// routers want and use, its reports and its words to them, without sockets.
+func BenchmarkLargeSecond(b *testing.B) {
+	w := newWorld(b, "m0", "m1")
+	for i := range largeRouters {
+		w.step(RouterUp{Router: largeRouter(i)})
+		w.demand(largeRouter(i), core.Demand{})
+	}
+	uses := []core.Use{}
+	for i := range largeUses {
+		uses = append(uses, core.Use{Model: fmt.Sprintf("m%d", i%2), Adapter: []string{"", "a1", "a2"}[i/2], Running: 1, Rate: 0.5, Copies: 2})
+	}
+	b.ResetTimer()
+	for range b.N {
+		steps := largeRouters * demandsPerSecond
+		for i := range steps {
+			w.now = w.now.Add(time.Second / time.Duration(steps))
+			w.engine.report.Running = i % 5
+			demand := core.Demand{Instance: "i-1", Uses: uses}
+			if i%9 == 0 {
+				demand.Wants = []core.Want{{Model: largeWaitingModel, Waiting: 1, Within: time.Second}}
+			}
+			w.step(RouterSaid{Router: largeRouter(i % largeRouters), Demand: demand})
+		}
+	}
+}
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -43,7 +43,11 @@
 
 	engine  engine
 	routers map[core.HostID]*router
-	spec    *spec
+	// names are those of the connected routers, sorted. Kept, since each step
+	// goes through them: sorted anew for each want, they took two thirds of a
+	// loader's time beside 27 routers.
+	names []core.HostID
+	spec  *spec
 
 	reading  bool
 	readAt   core.Time
@@ -113,10 +117,12 @@
 		l.orderDone(e)
 	case RouterUp:
 		l.routers[e.Router] = &router{heardAt: now}
+		l.names = slices.Sorted(maps.Keys(l.routers))
 		delete(l.told.known, e.Router)
 		l.log("router connected", slog.String("router", string(e.Router)))
 	case RouterDown:
 		delete(l.routers, e.Router)
+		l.names = slices.Sorted(maps.Keys(l.routers))
 		l.log("router lost", slog.String("router", string(e.Router)))
 	case RouterSaid:
 		l.routerSaid(e)
@@ -293,11 +299,10 @@
 
 // coordinator is the connected router of the lowest name.
 func (l *Loader) coordinator() core.HostID {
-	names := slices.Sorted(maps.Keys(l.routers))
-	if len(names) == 0 {
+	if len(l.names) == 0 {
 		return ""
 	}
-	return names[0]
+	return l.names[0]
 }
 
 func (l *Loader) findLoaded(model string) *fleet.LoadedModel {
--- a/internal/loader/tell.go
+++ b/internal/loader/tell.go
@@ -1,7 +1,6 @@
 package loader
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -28,7 +27,7 @@
 		l.told.holdings, l.told.at = holdings, l.now
 		clear(l.told.known)
 	}
-	for _, name := range slices.Sorted(maps.Keys(l.routers)) {
+	for _, name := range l.names {
 		if !l.told.known[name] {
 			l.told.known[name] = true
 			l.emit(Tell{Router: name, Holdings: holdings})
--- a/internal/loader/world_test.go
+++ b/internal/loader/world_test.go
@@ -12,7 +12,7 @@
 // world drives a loader in virtual time against an engine that keeps what it
 // was ordered and refuses what breaks its limits.
 type world struct {
-	t      *testing.T
+	t      testing.TB
 	loader *Loader
 	now    core.Time
 	wake   core.Time
@@ -58,7 +58,7 @@
 	return spec
 }
 
-func newWorld(t *testing.T, loaded ...string) *world {
+func newWorld(t testing.TB, loaded ...string) *world {
 	w := &world{
 		t: t, now: core.Time(time.Hour), loader: New(Options{Host: "10.1.0.1"}), told: map[core.HostID]core.Holdings{},
 		engine: &fakeEngine{spec: testSpec(), instance: "i-1"},
--- a/internal/router/demand.go
+++ b/internal/router/demand.go
@@ -18,7 +18,7 @@
 
 // tellLoaders sends each loader what changed.
 func (r *Router) tellLoaders() {
-	for _, name := range slices.Sorted(maps.Keys(r.loaders)) {
+	for _, name := range r.sortedLoaders() {
 		l := r.loaders[name]
 		if !l.up || r.config == nil {
 			continue
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -178,6 +178,7 @@
 	if l == nil {
 		l = &loader{name: name, address: string(name) + ":" + strconv.Itoa(r.opts.LoaderPort)}
 		r.loaders[name] = l
+		r.loaderNames = nil
 	}
 	b.loader = l
 }
@@ -203,10 +204,11 @@
 			r.connect(b)
 		}
 	}
-	for _, name := range slices.Sorted(maps.Keys(r.loaders)) {
+	for _, name := range r.sortedLoaders() {
 		l := r.loaders[name]
 		if r.engineAt(l) == nil && !r.servesAnyone(l) {
 			delete(r.loaders, name)
+			r.loaderNames = nil
 			r.emit(Hangup{Loader: name})
 			continue
 		}
@@ -214,6 +216,15 @@
 	}
 }
 
+// sortedLoaders are the names of all loaders, sorted. The caller must not change
+// the slice.
+func (r *Router) sortedLoaders() []core.HostID {
+	if r.loaderNames == nil {
+		r.loaderNames = slices.Sorted(maps.Keys(r.loaders))
+	}
+	return r.loaderNames
+}
+
 func (r *Router) servesAnyone(l *loader) bool {
 	for _, b := range r.backends {
 		if b.loader == l {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -49,9 +49,12 @@
 	// storeBack is when it last came back, 0 if it never was away.
 	storeBack core.Time
 
-	loaders  map[core.HostID]*loader
-	requests map[Key]*request
-	waits    map[waitKey]*wait
+	loaders map[core.HostID]*loader
+	// loaderNames are their names, sorted; nil after a change of the set, until
+	// used. Each step goes through them.
+	loaderNames []core.HostID
+	requests    map[Key]*request
+	waits       map[waitKey]*wait
 
 	// stopAt is when the process ends, Never unless it is stopping.
 	stopAt   core.Time
--- a/internal/router/world_test.go
+++ b/internal/router/world_test.go
@@ -12,7 +12,7 @@
 // world drives a router in virtual time and keeps what it decided. Engines are
 // held up by hand: a test says what their loaders tell.
 type world struct {
-	t      *testing.T
+	t      testing.TB
 	router *Router
 	now    core.Time
 	nextID int
@@ -74,7 +74,7 @@
 	}
 }
 
-func newWorld(t *testing.T) *world {
+func newWorld(t testing.TB) *world {
 	w := &world{
 		t: t, now: core.Time(time.Hour),
 		router: New(Options{Host: "10.0.0.1", Zone: "a", LoaderPort: 7000, Bounds: testBounds(), Seed: 1}),
