--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -160,6 +160,10 @@
 	limit := d.Until.Sub(c.now())
 	deadline := time.Now().Add(limit + attemptSlack)
 	conn, err := c.connect(d, limit)
+	if errors.Is(err, errNoConnFree) {
+		c.fail(d, router.ConnsUsed, err)
+		return
+	}
 	if err != nil {
 		c.fail(d, router.NotSent, err)
 		return
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -27,10 +27,14 @@
 	}
 	b := req.backend
 	r.release(req)
-	r.failed(b, e.Failure, e.Cause)
+	// Guards against leaving out a server for our own limit: its other requests
+	// are served well, and the rest of the load would fall on fewer servers.
+	if e.Failure != ConnsUsed {
+		r.failed(b, e.Failure, e.Cause)
+	}
 	r.log(OneRequest, "attempt failed", req.attrs("instance", b.Instance, "attempt", e.Attempt,
 		"failure", e.Failure.String(), "cause", e.Cause)...)
-	if e.Failure == NotSent {
+	if e.Failure == NotSent || e.Failure == ConnsUsed {
 		req.sends--
 		r.dispatch(req)
 		return
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -66,11 +66,14 @@
 	BadAnswer
 	// Broken: the answer broke off.
 	Broken
+	// ConnsUsed: this router's share of the connections to the server is in use.
+	// Nothing was sent, and the server has done nothing wrong.
+	ConnsUsed
 )
 
 // String names the failure for logs.
 func (f Failure) String() string {
-	return [...]string{"not sent", "no answer", "bad answer", "broken off"}[f]
+	return [...]string{"not sent", "no answer", "bad answer", "broken off", "connections used"}[f]
 }
 
 // AttemptFailed ends an attempt.
--- a/internal/router/request_test.go
+++ b/internal/router/request_test.go
@@ -170,3 +170,23 @@
 		}
 	}
 }
+
+// Callers of a busy model use all connections that this router may have to one
+// engine. The next request must go to another engine, and the first must not be
+// left out: it serves all that it has, and a burst once left out engine after
+// engine for it, until half of the fleet had the whole load.
+func TestOwnConnectionLimitIsNoFailure(t *testing.T) {
+	w := newWorld(t)
+	w.servers(engineService, 2)
+	w.holds(0, core.Holdings{Models: loadedModels("m1")})
+	w.holds(1, core.Holdings{Models: loadedModels("m1")})
+	key := w.call("quick", prompt("m1"))
+	first := w.lastSend(key).Instance
+	w.step(AttemptFailed{Key: key, Attempt: 1, Failure: ConnsUsed, Cause: "all in use"})
+	if got := w.lastSend(key).Instance; got == first {
+		t.Fatalf("sent to %s again", got)
+	}
+	if b := w.router.backends[first]; !w.router.usable(b) || b.failing != 0 {
+		t.Fatalf("%s is left out until %v, failing %.2f", first, b.ejectedUntil, b.failing)
+	}
+}
