--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -152,18 +152,44 @@
 		return c.relayStream(a)
 	}
 	c.writeHead(a)
-	_, err := c.writer.Write(a.body)
-	if err == nil && !a.whole {
-		_, err = io.Copy(c.writer, a.response.Body)
-	}
-	if err != nil {
-		c.failConn(a.send, a.conn, router.Broken, err)
-		return false
+	c.pass(a.body)
+	if !a.whole {
+		if _, err := io.Copy(callerWriter{c}, a.response.Body); err != nil {
+			c.failConn(a.send, a.conn, router.Broken, err)
+			return false
+		}
 	}
 	c.end(a)
 	return true
 }
 
+// pass writes a part of the answer to the caller.
+//
+// It guards against blaming a server for its caller: a write fails because the
+// caller closed the connection. Told as a failure of the answer, it would count
+// against the server, and a stream that can be resumed would be sent to another
+// one for nobody. A caller who left ends the request.
+func (c *call) pass(data []byte) {
+	if _, err := c.writer.Write(data); err != nil {
+		c.callerLeft()
+	}
+}
+
+// callerLeft ends the request and the handler.
+func (c *call) callerLeft() {
+	c.drop()
+	c.gateway.Step(router.Gone{Key: c.key})
+	panic(http.ErrAbortHandler)
+}
+
+// callerWriter passes an answer on as it is read.
+type callerWriter struct{ call *call }
+
+func (w callerWriter) Write(data []byte) (int, error) {
+	w.call.pass(data)
+	return len(data), nil
+}
+
 func (c *call) writeHead(a *answer) {
 	if c.started {
 		return
@@ -200,9 +226,7 @@
 		n, err := a.response.Body.Read(chunk)
 		if events := s.take(chunk[:n]); len(events) > 0 {
 			a.pace.add(s.count, time.Now())
-			if !c.passEvents(a, events, &first) {
-				return c.breakOff(a, errors.New("the caller does not read"))
-			}
+			c.passEvents(a, events, &first)
 			c.lastEvent = s.lastID
 			if d := a.send.StallAfter; d > 0 {
 				stall.Reset(d)
@@ -226,28 +250,23 @@
 	})
 }
 
-func (c *call) passEvents(a *answer, events []byte, first *bool) bool {
+func (c *call) passEvents(a *answer, events []byte, first *bool) {
 	c.writeHead(a)
-	if _, err := c.writer.Write(events); err != nil {
-		return false
-	}
+	c.pass(events)
 	if err := http.NewResponseController(c.writer).Flush(); err != nil {
-		return false
+		c.callerLeft()
 	}
 	if *first {
 		*first = false
 		c.gateway.Step(router.FirstEvent{Key: c.key, Attempt: a.attempt})
 	}
-	return true
 }
 
 // endStream passes on what is left after the last event.
 func (c *call) endStream(a *answer, s *eventScanner) bool {
 	c.writeHead(a)
 	if rest := s.rest(); len(rest) > 0 {
-		if _, err := c.writer.Write(rest); err != nil {
-			return c.breakOff(a, err)
-		}
+		c.pass(rest)
 	}
 	c.end(a)
 	return true
