--- a/internal/bench/fleet/fleet_test.go
+++ b/internal/bench/fleet/fleet_test.go
@@ -5,23 +5,15 @@
 	"testing"
 
 	"nutmeglane.example/nutmeglane/internal/bench/fleet"
-	"nutmeglane.example/nutmeglane/internal/cli"
+	"nutmeglane.example/nutmeglane/internal/selfexec"
 )
 
-// asDaemon makes the test binary behave as the daemon's.
-const asDaemon = "NUTMEGLANE_TEST_AS_DAEMON"
-
-func TestMain(m *testing.M) {
-	if os.Getenv(asDaemon) != "" {
-		os.Exit(cli.Run(cli.Daemon(os.Stdout, os.Stderr)))
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { selfexec.Main(m) }
 
 // A fleet of real processes takes a configuration, is accounted for process by
 // process, and leaves no process behind.
 func TestFleet(t *testing.T) {
-	t.Setenv(asDaemon, "1")
+	t.Setenv(selfexec.Variable, "1")
 	binary, err := os.Executable()
 	if err != nil {
 		t.Fatal(err)
--- a/internal/bench/overhead/overhead_test.go
+++ b/internal/bench/overhead/overhead_test.go
@@ -8,23 +8,15 @@
 	"time"
 
 	"nutmeglane.example/nutmeglane/internal/bench/overhead"
-	"nutmeglane.example/nutmeglane/internal/cli"
+	"nutmeglane.example/nutmeglane/internal/selfexec"
 )
 
-// asDaemon makes the test binary behave as the daemon's.
-const asDaemon = "NUTMEGLANE_TEST_AS_DAEMON"
-
-func TestMain(m *testing.M) {
-	if os.Getenv(asDaemon) != "" {
-		os.Exit(cli.Run(cli.Daemon(os.Stdout, os.Stderr)))
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { selfexec.Main(m) }
 
 // A small run through real processes carries what was asked for: every answer
 // has all its tokens, or the run fails.
 func TestRun(t *testing.T) {
-	t.Setenv(asDaemon, "1")
+	t.Setenv(selfexec.Variable, "1")
 	binary, err := os.Executable()
 	if err != nil {
 		t.Fatal(err)
--- a/internal/bench/overload/overload_test.go
+++ b/internal/bench/overload/overload_test.go
@@ -7,25 +7,17 @@
 	"time"
 
 	"nutmeglane.example/nutmeglane/internal/bench/overload"
-	"nutmeglane.example/nutmeglane/internal/cli"
 	"nutmeglane.example/nutmeglane/internal/load"
+	"nutmeglane.example/nutmeglane/internal/selfexec"
 )
 
-// asDaemon makes the test binary behave as the daemon's.
-const asDaemon = "NUTMEGLANE_TEST_AS_DAEMON"
-
-func TestMain(m *testing.M) {
-	if os.Getenv(asDaemon) != "" {
-		os.Exit(cli.Run(cli.Daemon(os.Stdout, os.Stderr)))
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { selfexec.Main(m) }
 
 // Five times the capacity, a flood and a burst in batch work go through real
 // processes. Whatever the machine's speed: each request is answered whole or
 // refused with the time to come back, and none is lost, doubled or crossed.
 func TestRun(t *testing.T) {
-	t.Setenv(asDaemon, "1")
+	t.Setenv(selfexec.Variable, "1")
 	binary, err := os.Executable()
 	if err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/internal/router/background.go
@@ -0,0 +1,190 @@
+package router
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"nutmeglane.example/nutmeglane/internal/core"
+	"nutmeglane.example/nutmeglane/internal/fleet"
+)
+
+const (
+	// spreadWithin ranks a further copy of a busy model like a request whose
+	// objective is missed soon. Ranked behind all that wait, it never came while
+	// rare models were swapped without a pause, and 45 callers a second met at
+	// one engine.
+	spreadWithin = 500 * time.Millisecond
+	// plannedWithin ranks background loads behind those that requests wait for.
+	plannedWithin = 10 * time.Second
+	// backgroundLife is how long a background load is asked for.
+	backgroundLife = 30 * time.Second
+)
+
+// planBackground loads ahead of demand. It answers this pattern: a rare model
+// is called once in ten seconds, and the first call after it was dropped by all
+// engines waits for the store, 6 s, beyond its objective. With a copy near some
+// engine it waits below a second. So while the store is idle, models without a
+// near copy anywhere are read, those called most first; and free memory is
+// filled with models from near copies.
+func (r *Router) planBackground(s *service, engine *fleet.Engine) {
+	engines := r.backgroundEngines(s)
+	if len(engines) == 0 {
+		return
+	}
+	active, waiting := r.storeLoads(s.name)
+	free := s.storeLimit() - active - waiting - s.store.asked()
+	models := r.modelsByRate(s, engine)
+	for _, model := range models {
+		if near, loaded := r.nearCopies(s.name, model.Name); !loaded && near == 0 && free > 0 && r.readAhead(s, engines, model) {
+			free--
+		}
+	}
+	// Reads from the store come first: they take longest, and an engine that
+	// fills its memory can't begin one meanwhile.
+	for _, model := range models {
+		if near, loaded := r.nearCopies(s.name, model.Name); !loaded && near > 0 {
+			r.fillMemory(s, engines, model)
+		}
+	}
+}
+
+// asked counts the planned loads from the store that have not begun to wait for
+// a permit.
+func (s *storeState) asked() int {
+	count := 0
+	for _, p := range s.planned {
+		if p.store && !p.seen {
+			count++
+		}
+	}
+	return count
+}
+
+// backgroundEngines are those that this router coordinates and that have
+// nothing to do.
+func (r *Router) backgroundEngines(s *service) []*backend {
+	var engines []*backend
+	for _, b := range r.serversOf(s.name) {
+		if !r.usable(b) || !r.coordinates(b.loader) {
+			continue
+		}
+		if held := r.holdings(b); held != nil && held.FreeIn == 0 && !s.store.hasPlanned(b.loader.name) {
+			engines = append(engines, b)
+		}
+	}
+	return engines
+}
+
+func (s *storeState) hasPlanned(loader core.HostID) bool {
+	for key := range s.planned {
+		if key.loader == loader {
+			return true
+		}
+	}
+	return false
+}
+
+// modelsByRate lists the models, most called first. Those that are equal come
+// in an order that is mixed by hash and the same at all routers.
+func (r *Router) modelsByRate(s *service, engine *fleet.Engine) []fleet.Model {
+	models := slices.Collect(maps.Values(engine.Models))
+	rates := map[string]float64{}
+	for _, m := range models {
+		rates[m.Name] = s.rate(modelKey{model: m.Name}).perSecond(r.now)
+	}
+	slices.SortFunc(models, func(a, b fleet.Model) int {
+		return cmp.Or(cmp.Compare(rates[b.Name], rates[a.Name]),
+			cmp.Compare(core.Score(a.Name, s.name), core.Score(b.Name, s.name)))
+	})
+	return models
+}
+
+// nearCopies counts the engines with a copy on disk or in memory, and tells
+// whether the model is loaded, or about to be, anywhere.
+func (r *Router) nearCopies(service, model string) (near int, loaded bool) {
+	for _, b := range r.serversOf(service) {
+		held := r.holdings(b)
+		if held == nil || b.unlistedAt != 0 || r.draining(b) {
+			continue
+		}
+		if m := findHeld(held, model); m != nil && m.State != core.HoldUnloading {
+			loaded = true
+		}
+		// A loader learns of a background load some ms after it was decided;
+		// until then it is not among its holdings.
+		if _, asked := r.service(service).store.planned[grantKey{b.loader.name, model}]; asked {
+			loaded = true
+		}
+		if r.near(b, model) {
+			near++
+		}
+	}
+	return near, loaded
+}
+
+// fillMemory loads a model from a near copy where memory is free.
+func (r *Router) fillMemory(s *service, engines []*backend, model fleet.Model) {
+	for _, b := range engines {
+		if r.near(b, model.Name) && r.holdings(b).FreeMB >= model.MemoryMB && !s.store.hasPlanned(b.loader.name) {
+			r.startBackground(s, b, model, false)
+			return
+		}
+	}
+}
+
+// readAhead loads a model from the weight store, at the engine with most free
+// memory.
+func (r *Router) readAhead(s *service, engines []*backend, model fleet.Model) bool {
+	var best *backend
+	for _, b := range engines {
+		if s.store.hasPlanned(b.loader.name) {
+			continue
+		}
+		if best == nil || r.holdings(b).FreeMB > r.holdings(best).FreeMB {
+			best = b
+		}
+	}
+	if best == nil {
+		return false
+	}
+	r.startBackground(s, best, model, true)
+	return true
+}
+
+func (r *Router) startBackground(s *service, b *backend, model fleet.Model, store bool) {
+	s.store.planned[grantKey{b.loader.name, model.Name}] = plannedLoad{since: r.now, until: r.now.Add(backgroundLife), store: store}
+	b.loader.dirty = true
+	r.log(Belief, "model is loaded ahead of demand", b.attrs("model", model.Name, "free_mb", r.holdings(b).FreeMB)...)
+}
+
+// plannedWants are the planned loads at an engine. One ends when the model is
+// loaded.
+func (r *Router) plannedWants(b *backend) []core.Want {
+	s := r.services[b.Service]
+	if s == nil || r.holdings(b) == nil {
+		return nil
+	}
+	var wants []core.Want
+	for _, key := range slices.SortedFunc(maps.Keys(s.store.planned), func(a, b grantKey) int { return cmp.Compare(a.model, b.model) }) {
+		if key.loader != b.loader.name {
+			continue
+		}
+		if has, _ := r.loaded(b, key.model, ""); has {
+			delete(s.store.planned, key)
+			continue
+		}
+		planned := s.store.planned[key]
+		if m := findHeld(r.holdings(b), key.model); m != nil && !planned.seen {
+			planned.seen = true
+			s.store.planned[key] = planned
+		}
+		want := core.Want{Model: key.model, Spread: planned.spread, Background: !planned.spread, Within: plannedWithin}
+		if planned.spread {
+			want.Within = spreadWithin - r.now.Sub(planned.since)
+		}
+		wants = append(wants, want)
+	}
+	return wants
+}
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -9,19 +9,10 @@
 	"testing"
 	"time"
 
-	"nutmeglane.example/nutmeglane/internal/cli"
+	"nutmeglane.example/nutmeglane/internal/selfexec"
 )
 
-// daemonVariable makes the test binary stand for the shipped daemon, so that
-// its processes run the code under test, with the race detector if it is on.
-const daemonVariable = "NUTMEGLANE_SOAK_DAEMON"
-
-func TestMain(m *testing.M) {
-	if os.Getenv(daemonVariable) != "" {
-		os.Exit(cli.Run(cli.Daemon(os.Stdout, os.Stderr)))
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { selfexec.Main(m) }
 
 // process is a router or loader that is started again after each end.
 type process struct {
@@ -45,7 +36,7 @@
 		return err
 	}
 	cmd := exec.Command(os.Args[0], p.role, "--settings", p.settings)
-	cmd.Env = append(os.Environ(), daemonVariable+"=1")
+	cmd.Env = append(os.Environ(), selfexec.Variable+"=1")
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		_ = log.Close()
