--- a/internal/loader/decide_test.go
+++ b/internal/loader/decide_test.go
@@ -254,3 +254,18 @@
 		t.Fatalf("orders %+v, want the permitted load first", w.orders)
 	}
 }
+
+// A load from the weight store takes a multiple of its nominal time, as others
+// share the store. It was predicted to end within a second for as long as it was
+// late, and callers came back again and again to be refused. The later it is, the
+// longer it must be taken to need.
+func TestLateLoadIsNotAlwaysAboutToEnd(t *testing.T) {
+	w := newWorld(t)
+	w.demand("10.0.0.1", core.Demand{Wants: []core.Want{{Model: "m7", Waiting: 1, Within: time.Second}}})
+	w.engine.until = core.Never // it does not end while the test looks
+	w.run(5 * time.Second)
+	late := 4 * time.Second // from disk it takes one
+	if got := w.told["10.0.0.1"].FreeIn; got < late-HeartbeatInterval {
+		t.Errorf("predicted to end in %v when it was %v late", got, late)
+	}
+}
--- a/internal/loader/tell.go
+++ b/internal/loader/tell.go
@@ -8,8 +8,8 @@
 	"nutmeglane.example/nutmeglane/internal/fleet"
 )
 
-// overdueShare is the part of a load's nominal time that is predicted as left
-// once the load is overdue.
+// overdueShare is the least part of a load's nominal time that is predicted as
+// left once the load is overdue.
 const overdueShare = 0.15
 
 // tellRouters tells routers of a change of what is held at once, of counts
@@ -125,5 +125,10 @@
 	if t.order.Kind == fleet.OrderUnload {
 		return busyRead
 	}
-	return time.Duration(overdueShare * float64(l.loadTime(t.order.Model)))
+	// Guards against a load that seems to end soon for good: shared by too many,
+	// the weight store takes a multiple of the nominal time. Callers were kept
+	// waiting, or told to come back, on a promise that slipped by two seconds for
+	// thirteen. A load that is late by some time is taken to need as much again.
+	least := time.Duration(overdueShare * float64(t.due.Sub(t.began)))
+	return max(least, l.now.Sub(t.due))
 }
--- a/internal/router/wait.go
+++ b/internal/router/wait.go
@@ -248,7 +248,7 @@
 		return adapterTime
 	}
 	if m := findHeld(held, key.model); m != nil && m.State != core.HoldUnloading {
-		return max(0, m.ReadyIn-age)
+		return r.heldReadyIn(b.Service, m, age)
 	}
 	model := r.engine(b.Service).Models[key.model]
 	eta := max(0, held.FreeIn-age) + r.loadTime(b.Service, held, model)
@@ -258,6 +258,26 @@
 	return eta
 }
 
+// heldReadyIn corrects a loader's prediction for a model on its way, so old, by
+// what only a router sees: how many engines load from the weight store. Without
+// that, a load that shares the store with two others was predicted three times
+// too soon, and its callers waited in vain until they left.
+func (r *Router) heldReadyIn(service string, m *core.HeldModel, age time.Duration) time.Duration {
+	left := max(0, m.ReadyIn-age)
+	active, waiting := r.storeLoads(service)
+	limit := r.service(service).storeLimit()
+	switch m.State {
+	case core.HoldStoreLoading:
+		return time.Duration(float64(left) * max(1, float64(active)/float64(limit)))
+	case core.HoldPermit:
+		// It is one of those that wait.
+		ahead := max(0, active+waiting-limit)
+		return left + time.Duration(float64(ahead)/float64(limit)*float64(r.engine(service).Models[m.Name].StoreLoad))
+	default:
+		return left
+	}
+}
+
 // loadTime is the time of a load at an engine, by where the nearest copy lies.
 func (r *Router) loadTime(service string, held *core.Holdings, model fleet.Model) time.Duration {
 	switch {
--- a/internal/router/wait_test.go
+++ b/internal/router/wait_test.go
@@ -91,3 +91,25 @@
 		t.Fatalf("wants at the engine that is left: %+v; finish %+v", wants, w.finishes[key])
 	}
 }
+
+// Three engines load from a weight store that serves one at full speed, and each
+// loader predicts its own load alone. A caller was held for 8 s on "ready in 3 s"
+// and then refused. The router sees all three, and says the truth at once.
+func TestSharedWeightStoreDelaysThePrediction(t *testing.T) {
+	w := newWorld(t)
+	w.servers(engineService, 3)
+	w.router.service(engineService).store.limit = 1
+	for i, model := range []string{"m1", "m2", "m3"} {
+		w.holds(i, core.Holdings{Models: []core.HeldModel{
+			{Name: model, State: core.HoldStoreLoading, ReadyIn: 4 * time.Second},
+		}})
+	}
+	key := w.call("patient", prompt("m1"))
+	finish, refused := w.finishes[key]
+	if !refused || finish.Code != code.DeadlineUnmet {
+		t.Fatalf("refused %t, %+v; want a refusal, as the caller leaves after 10 s and the load takes 12", refused, finish)
+	}
+	if finish.RetryAfter < 11*time.Second || finish.RetryAfter > 17*time.Second {
+		t.Errorf("told to come back in %v, want about 12 s", finish.RetryAfter)
+	}
+}
