--- a/internal/router/rate.go
+++ b/internal/router/rate.go
@@ -21,12 +21,17 @@
 	// historyNeeded is two time constants of the fast rate: by then it shows
 	// 0.86 of a steady demand.
 	historyNeeded = 2 * fastMemory
+	// leastHistory bounds the correction of a young rate: below, one call by
+	// chance would count as several a second.
+	leastHistory = 500 * time.Millisecond
 )
 
 // rate is an arrival rate, as exponentially decaying counts.
 type rate struct {
 	long, slow, fast float64
 	at               core.Time
+	// since is when counting began.
+	since core.Time
 }
 
 func (r *rate) decay(now core.Time) {
@@ -46,9 +51,20 @@
 
 // perSecond is the larger of both rates: it follows a rise at once, and keeps
 // a model that was called some seconds ago apart from an idle one.
+//
+// Both are corrected for a short history. It answers the restart of a whole
+// fleet: all callers are there, engines are empty, and a decaying count shows a
+// third of a model's calls after one second and two thirds after 2.5. Busy models
+// got their further copies that much later.
 func (r *rate) perSecond(now core.Time) float64 {
-	slow := r.slowly(now)
-	return max(slow, r.fast/fastMemory.Seconds())
+	r.decay(now)
+	return max(r.corrected(r.slow, slowMemory), r.corrected(r.fast, fastMemory))
+}
+
+// corrected is the rate of a decaying count that began at r.since.
+func (r *rate) corrected(count float64, memory time.Duration) float64 {
+	history := float64(max(leastHistory, r.at.Sub(r.since)))
+	return count / (memory.Seconds() * (1 - math.Exp(-history/float64(memory))))
 }
 
 // slowly is the slow rate, which one call more or less does not change much.
@@ -88,7 +104,7 @@
 func (s *service) rate(key modelKey) *rate {
 	found := s.rates[key]
 	if found == nil {
-		found = &rate{}
+		found = &rate{since: s.firstArrival}
 		s.rates[key] = found
 	}
 	return found
