--- a/internal/code/code.go
+++ b/internal/code/code.go
@@ -35,6 +35,7 @@
 	Cancelled       Code = 2010 // the caller went away before the start
 	NoMemory        Code = 2011 // accelerator memory is taken by busy models
 	DuplicateKey    Code = 2012 // same idempotency key, different request
+	Starved         Code = 2013 // the process is behind with its work
 
 	// 3xxx: the request may have run.
 	OutcomeUnknown Code = 3001 // the connection or process was lost
--- a/internal/code/table.go
+++ b/internal/code/table.go
@@ -44,6 +44,7 @@
 	{Cancelled, "Cancelled", statusCallerGone, "the caller went away before the request started"},
 	{NoMemory, "NoMemory", 503, "accelerator memory is taken by busy models"},
 	{DuplicateKey, "DuplicateKey", 422, "the idempotency key was used before with a different request"},
+	{Starved, "Starved", 503, "the process gets too little processor time for its work; another entry host may serve the request"},
 
 	{OutcomeUnknown, "OutcomeUnknown", 502, "a connection or process was lost; the request may have run"},
 	{BackendFailed, "BackendFailed", 502, "the backend server failed during the run"},
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -34,6 +34,9 @@
 	storeRetry = 100 * time.Millisecond
 	// sweepInterval is the time between two looks at idle connections.
 	sweepInterval = time.Second
+	// lagInterval is the time between two looks at the wait for the processor:
+	// long enough for some hundred samples, short against a burst of seconds.
+	lagInterval = 250 * time.Millisecond
 	// stopDelay is how long a router that stops still takes new connections
 	// while its balancer learns of it: the balancer asks once a second and
 	// takes it out after two misses.
@@ -98,6 +101,7 @@
 	defer p.store.Close()
 	go p.readStore(background, known)
 	go p.sweep(background)
+	go p.watchLag(background)
 	go p.watchSettings(background, file, func() error { return p.reload(file) })
 	select {
 	case <-known:
@@ -188,6 +192,21 @@
 	}
 }
 
+// watchLag tells the reducer how long work waits for the processor.
+func (p *routerProcess) watchLag(ctx context.Context) {
+	var waits schedWaits
+	ticker := time.NewTicker(lagInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			p.gateway.Step(router.Lagged{Wait: waits.lately()})
+		}
+	}
+}
+
 // fromPeer feeds what loaders say to the reducer.
 func (p *routerProcess) fromPeer(event core.Event) {
 	switch e := event.(type) {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -129,6 +129,10 @@
 	if c.started {
 		panic(http.ErrAbortHandler)
 	}
+	if d.Code == code.Starved {
+		// The caller's next try is to reach another host.
+		c.writer.Header().Set("Connection", "close")
+	}
 	refuse(c.writer, c.info.ID, d.Code, d.RetryAfter, d.Reason)
 }
 
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -76,6 +76,10 @@
 	return [...]string{"not sent", "no answer", "bad answer", "broken off", "connections used"}[f]
 }
 
+// Lagged tells how long work of the process waited for the processor lately, at
+// the ninth decile.
+type Lagged struct{ Wait time.Duration }
+
 // AttemptFailed ends an attempt.
 type AttemptFailed struct {
 	Key     Key
@@ -133,3 +137,4 @@
 func (FirstEvent) event()      {}
 func (Done) event()            {}
 func (Gone) event()            {}
+func (Lagged) event()          {}
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -78,6 +78,10 @@
 		r.finish(req, code.NotReady, unknownReturn, "no configuration is known yet")
 		return
 	}
+	if r.sheds() {
+		r.finish(req, code.Starved, r.returnIn(starvedReturn), "the process waits "+r.lag.wait.String()+" for the processor")
+		return
+	}
 	req.route = r.routes.find(in.Host, in.Path)
 	if req.route == nil {
 		r.finish(req, code.UnknownPath, 0, "no route for host "+in.Host)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -56,6 +56,8 @@
 	requests    map[Key]*request
 	waits       map[waitKey]*wait
 
+	lag lag
+
 	// stopAt is when the process ends, Never unless it is stopping.
 	stopAt   core.Time
 	nextTick core.Time
@@ -133,6 +135,8 @@
 		r.done(e)
 	case Gone:
 		r.gone(e.Key)
+	case Lagged:
+		r.lagged(e)
 	}
 	if now >= r.nextTick {
 		r.nextTick = now.Add(tickInterval)
