--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -48,6 +48,22 @@
 	}
 }
 
+// regressions are the seeds that failed once, with the cause. They are played in
+// CI beside the others.
+var regressions = map[uint64]string{
+	15: "a stand-in could not bind its port while a process was being started",
+}
+
+// Seeds that failed once stay mended.
+func TestRegressions(t *testing.T) {
+	for _, seed := range sortedKeys(regressions) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Log(regressions[seed])
+			play(t, seed)
+		})
+	}
+}
+
 func play(t *testing.T, seed uint64) {
 	w := newWorld(t, seed)
 	defer w.close()
