--- a/internal/loader/large_bench_test.go
+++ b/internal/loader/large_bench_test.go
@@ -8,22 +8,27 @@
 	"nutmeglane.example/nutmeglane/internal/core"
 )
 
-// The size of the larger deployments: each loader hears of 27 routers twice a
-// second or more, and has a third of a core that an engine's callers also need.
+// The larger deployments: each loader hears of its routers twice a second or
+// more, and has a third of a core that an engine's callers also need.
 const (
-	largeRouters      = 27
 	demandsPerSecond  = 3
 	largeUses         = 6
 	largeWaitingModel = "m7"
 )
 
-func largeRouter(i int) core.HostID { return core.HostID(fmt.Sprintf("10.0.0.%d", i+1)) }
+func largeRouter(i int) core.HostID { return core.HostID(fmt.Sprintf("10.0.%d.%d", i/100, i%100+1)) }
 
-// BenchmarkLargeSecond is one second of a loader in a large deployment: what its
-// routers want and use, its reports and its words to them, without sockets.
+// BenchmarkLargeSecond is one second of a loader beside so many routers: what
+// they want and use, its reports and its words to them, without sockets.
 func BenchmarkLargeSecond(b *testing.B) {
+	for _, routers := range []int{9, 27, 100, 470} {
+		b.Run(fmt.Sprintf("routers=%d", routers), func(b *testing.B) { benchSecond(b, routers) })
+	}
+}
+
+func benchSecond(b *testing.B, routers int) {
 	w := newWorld(b, "m0", "m1")
-	for i := range largeRouters {
+	for i := range routers {
 		w.step(RouterUp{Router: largeRouter(i)})
 		w.demand(largeRouter(i), core.Demand{})
 	}
@@ -33,7 +38,7 @@
 	}
 	b.ResetTimer()
 	for range b.N {
-		steps := largeRouters * demandsPerSecond
+		steps := routers * demandsPerSecond
 		for i := range steps {
 			w.now = w.now.Add(time.Second / time.Duration(steps))
 			w.engine.report.Running = i % 5
@@ -41,7 +46,7 @@
 			if i%9 == 0 {
 				demand.Wants = []core.Want{{Model: largeWaitingModel, Waiting: 1, Within: time.Second}}
 			}
-			w.step(RouterSaid{Router: largeRouter(i % largeRouters), Demand: demand})
+			w.step(RouterSaid{Router: largeRouter(i % routers), Demand: demand})
 		}
 	}
 }
--- a/internal/router/large_bench_test.go
+++ b/internal/router/large_bench_test.go
@@ -9,22 +9,23 @@
 	"nutmeglane.example/nutmeglane/internal/fleet"
 )
 
-// The size of the larger deployments: entry hosts there have a seventh of a
-// core, and each hears of every engine four times a second.
+// The larger deployments: entry hosts there have a seventh of a core, and each
+// hears of every engine four times a second.
 const (
-	largeEngines = 49
 	largeRouters = 27
 	largeModels  = 150
 	// largeWaits are models that requests wait for while rare ones wake up.
 	largeWaits = 12
+	// busyModels are loaded somewhere.
+	busyModels = 49
 	// saidPerSecond is how often one loader speaks under load, callsPerSecond
 	// the requests that one router gets.
 	saidPerSecond, callsPerSecond = 4, 30
 )
 
-// largeWorld is a router that knows all engines, each with three models loaded
-// and eight on disk, with models that are waited for.
-func largeWorld(b *testing.B) *world {
+// largeWorld is a router that knows so many engines, each with three models
+// loaded and eight on disk, with models that are waited for.
+func largeWorld(b *testing.B, engines int) *world {
 	w := newWorld(b)
 	config := testConfig()
 	config.Version = 2
@@ -37,12 +38,12 @@
 		}
 	}
 	w.step(ConfigRead{Config: config})
-	w.servers(engineService, largeEngines)
-	for i := range largeEngines {
+	w.servers(engineService, engines)
+	for i := range engines {
 		w.saysLarge(i)
 	}
 	for i := range 200 {
-		w.call("quick", prompt(fmt.Sprintf("m%d", i%largeEngines)))
+		w.call("quick", prompt(fmt.Sprintf("m%d", i%busyModels)))
 	}
 	for i := range largeWaits {
 		w.call("patient", prompt(fmt.Sprintf("m%d", largeModels-1-i)))
@@ -60,23 +61,29 @@
 	}
 	w.step(LoaderSaid{Loader: loaderName(i), Holdings: core.Holdings{
 		Routers: largeRouters, Coordinator: "10.0.0.0", Running: 6, FreeMB: 1000,
-		Models: loadedModels(fmt.Sprintf("m%d", i), fmt.Sprintf("m%d", (i+1)%largeEngines), fmt.Sprintf("m%d", (i+2)%largeEngines)),
+		Models: loadedModels(fmt.Sprintf("m%d", i%busyModels), fmt.Sprintf("m%d", (i+1)%busyModels), fmt.Sprintf("m%d", (i+2)%busyModels)),
 		OnDisk: onDisk, InMemory: onDisk[:4],
 	}})
 }
 
-// BenchmarkLargeSecond is one second of a router in a large deployment: what its
-// loaders say, its callers' requests and its ticks, without sockets.
+// BenchmarkLargeSecond is one second of a router beside so many engines: what
+// their loaders say, its callers' requests and its ticks, without sockets.
 func BenchmarkLargeSecond(b *testing.B) {
-	w := largeWorld(b)
+	for _, engines := range []int{12, 49, 200, 800} {
+		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) { benchSecond(b, engines) })
+	}
+}
+
+func benchSecond(b *testing.B, engines int) {
+	w := largeWorld(b, engines)
 	b.ResetTimer()
 	for range b.N {
-		steps := saidPerSecond * largeEngines
+		steps := saidPerSecond * engines
 		for i := range steps {
 			w.now = w.now.Add(time.Second / time.Duration(steps))
-			w.saysLarge(i % largeEngines)
+			w.saysLarge(i % engines)
 			if i%(steps/callsPerSecond) == 0 {
-				key := w.call("quick", prompt(fmt.Sprintf("m%d", i%largeEngines)))
+				key := w.call("quick", prompt(fmt.Sprintf("m%d", i%busyModels)))
 				w.step(FirstEvent{Key: key, Attempt: 1})
 				w.step(Done{Key: key, Attempt: 1, Events: 10, Pause: 20 * time.Millisecond})
 			}
--- a/internal/router/world_test.go
+++ b/internal/router/world_test.go
@@ -128,11 +128,11 @@
 	}
 	return fleet.Backend{
 		Instance: fmt.Sprintf("s%d", i), Service: service, Zone: "a", Slots: slots,
-		Address: fmt.Sprintf("10.1.0.%d:8000", i+1),
+		Address: string(loaderName(i)) + ":8000",
 	}
 }
 
-func loaderName(i int) core.HostID { return core.HostID(fmt.Sprintf("10.1.0.%d", i+1)) }
+func loaderName(i int) core.HostID { return core.HostID(fmt.Sprintf("10.1.%d.%d", i/200, i%200+1)) }
 
 // holds connects the loader of an engine and lets it tell its holdings.
 func (w *world) holds(i int, holdings core.Holdings) {
