--- a/internal/loader/evict.go
+++ b/internal/loader/evict.go
@@ -11,6 +11,18 @@
 	// model may be evicted for one that nobody waits for yet. A model called
 	// more often would be missed sooner than the other is called.
 	backgroundEvicts = 0.5
+	// runningPerWaiting is how many requests may run on a model that is retired
+	// for one that waits for another.
+	//
+	// It guards against a busy model that is unloaded for a rare one: the copy
+	// takes no requests for the four seconds of retiring, unloading and loading,
+	// and callers of the other copies wait for it. Copies with 84 and 105 running
+	// were retired for one request, and half of the model's callers were served
+	// late.
+	runningPerWaiting = 8
+	// blockedTime is added to the predicted time of a load for which no room can
+	// be made: until demand moves on, some seconds at the least.
+	blockedTime = 10 * time.Second
 	// residence is how long a loaded model stays at least: a message to the
 	// routers, their requests' way here, and their next demand, which comes
 	// every 500 ms, with a margin of as much.
@@ -26,6 +38,25 @@
 // copies where the idle models don't make room, needed ones only where nothing
 // else can make room at all.
 func (l *Loader) victim(w wanted, wants []wanted, uses map[modelKey]used, need float64) string {
+	plan := l.planRoom(w, wants, uses, need)
+	if plan.evict != "" || w.background {
+		return plan.evict
+	}
+	l.retireOf(plan.retire, uses, plan.short)
+	return ""
+}
+
+// roomPlan is how room can be made for a want.
+type roomPlan struct {
+	// evict is the model to evict now, "" if there is none.
+	evict string
+	// retire are models in use of which some are to be retired for short MB;
+	// empty if all that is in use is better kept.
+	retire []candidate
+	short  float64
+}
+
+func (l *Loader) planRoom(w wanted, wants []wanted, uses map[modelKey]used, need float64) roomPlan {
 	var idle, spare, inUse []candidate
 	protected := 0.0
 	for _, m := range l.engine.report.Models {
@@ -41,19 +72,29 @@
 			idle = append(idle, c)
 		case use.spare || l.isRetiring(m.Name):
 			spare = append(spare, c)
-		default:
+		case use.running <= runningPerWaiting*max(1, w.waiting):
 			inUse = append(inUse, c)
 		}
 	}
 	if pick := cheapestSet(idle, need); pick != "" || w.background {
-		return pick
+		return roomPlan{evict: pick}
 	}
 	all := slices.Concat(idle, spare)
 	if room(all)+protected < need {
 		all = append(all, inUse...)
 	}
-	l.retireOf(all, uses, need-protected)
-	return ""
+	return roomPlan{retire: all, short: need - protected}
+}
+
+// blocked tells that no room can be made for a want: all that would have to go is
+// in much use.
+func (l *Loader) blocked(w wanted, wants []wanted, uses map[modelKey]used) bool {
+	need := l.spec.models[w.model].MemoryMB - l.freeMB()
+	if need <= 0 || w.background {
+		return false
+	}
+	plan := l.planRoom(w, wants, uses, need)
+	return plan.evict == "" && room(plan.retire) < plan.short
 }
 
 func room(candidates []candidate) float64 {
--- a/internal/loader/tell.go
+++ b/internal/loader/tell.go
@@ -75,13 +75,13 @@
 		}
 		h.Models = append(h.Models, held)
 	}
-	l.addWanted(&h)
+	l.addWanted(&h, uses)
 	return h
 }
 
 // addWanted adds what is loading and what waits for it, with the predicted
 // times.
-func (l *Loader) addWanted(h *core.Holdings) {
+func (l *Loader) addWanted(h *core.Holdings, uses map[modelKey]used) {
 	at := l.taskLeft()
 	if t := l.task; t != nil && t.order.Kind == fleet.OrderLoad && l.findLoaded(t.order.Model) == nil {
 		state := core.HoldLoading
@@ -91,7 +91,8 @@
 		h.Models = append(h.Models, core.HeldModel{Name: t.order.Model, State: state, ReadyIn: at})
 		h.FreeMB -= l.spec.models[t.order.Model].MemoryMB
 	}
-	for _, w := range l.wants() {
+	wants := l.wants()
+	for _, w := range wants {
 		if w.adapter != "" || findModel(h, w.model) {
 			continue
 		}
@@ -104,6 +105,9 @@
 			at += load + evictTime
 			held.ReadyIn = at
 		}
+		if l.blocked(w, wants, uses) {
+			held.ReadyIn += blockedTime
+		}
 		h.Models = append(h.Models, held)
 	}
 	h.FreeIn = at
--- a/internal/router/coordinate.go
+++ b/internal/router/coordinate.go
@@ -200,7 +200,8 @@
 			requests = append(requests, permitRequest{b.loader, m})
 		}
 	}
-	slices.SortStableFunc(requests, func(a, b permitRequest) int { return cmp.Compare(b.model.Waiting, a.model.Waiting) })
+	gain := func(p permitRequest) int { return s.permitGain(p, engine) }
+	slices.SortStableFunc(requests, func(a, b permitRequest) int { return cmp.Compare(gain(b), gain(a)) })
 	for _, p := range requests {
 		if active >= s.storeLimit() || !s.store.mayBegin(r.now, engine, r.opts.Bounds) {
 			return
@@ -213,6 +214,17 @@
 	}
 }
 
+// permitGain is how many requests a load from the weight store helps at once:
+// those that wait for it, or those that a further copy of a busy model would take
+// off the others. Ranked by waiting requests alone, of which it has none, such a
+// copy never came.
+func (s *service) permitGain(p permitRequest, engine *fleet.Engine) int {
+	if planned, ok := s.store.planned[grantKey{p.loader.name, p.model.Name}]; ok && planned.spread {
+		return p.model.Waiting + int(targetLoad*float64(engine.Slots))
+	}
+	return p.model.Waiting
+}
+
 // mayBegin keeps the loads that begin within the ceiling's window below its
 // bound, and counts one.
 func (s *storeState) mayBegin(now core.Time, engine *fleet.Engine, bounds fleet.Bounds) bool {
--- a/internal/router/spread.go
+++ b/internal/router/spread.go
@@ -123,7 +123,7 @@
 		copies := len(r.copiesOf(s.name, model.Name)) + r.coming(s, model.Name)
 		for ; copies < needed; copies++ {
 			b := r.coolest(s, model)
-			if b == nil {
+			if b == nil || !r.near(b, model.Name) && r.storeCopyAsked(s, model.Name) {
 				break
 			}
 			ready := r.readyIn(b, waitKey{s.name, modelKey{model: model.Name}})
@@ -143,7 +143,21 @@
 	return held != nil && (slices.Contains(held.OnDisk, model) || slices.Contains(held.InMemory, model))
 }
 
-// coming counts the engines that load a model or are asked to.
+// storeCopyAsked tells that an engine is asked to load a model from the weight
+// store. One at a time is: the store is slow, and engines that wait for it are
+// kept from other background loads.
+func (r *Router) storeCopyAsked(s *service, model string) bool {
+	for key, planned := range s.store.planned {
+		if key.model == model && planned.store && planned.spread {
+			return true
+		}
+	}
+	return false
+}
+
+// coming counts the engines that load a model or are asked to. One that waits for
+// the weight store does not count: it may wait for good, and a busy model that had
+// four copies was taken to have twelve.
 func (r *Router) coming(s *service, model string) int {
 	count := 0
 	for _, b := range r.serversOf(s.name) {
@@ -151,18 +165,20 @@
 		if held == nil || b.unlistedAt != 0 {
 			continue
 		}
-		_, asked := s.store.planned[grantKey{b.loader.name, model}]
+		planned, asked := s.store.planned[grantKey{b.loader.name, model}]
 		m := findHeld(held, model)
-		if asked && (m == nil || m.State != core.HoldLoaded) ||
-			m != nil && m.State != core.HoldLoaded && m.State != core.HoldUnloading {
+		switch {
+		case m != nil && (m.State == core.HoldLoading || m.State == core.HoldStoreLoading || m.State == core.HoldQueued):
+			count++
+		case m == nil && asked && !planned.store:
 			count++
 		}
 	}
 	return count
 }
 
-// coolest returns the engine for a further copy: one with a near copy, if any
-// has, and of these the one with least to do.
+// coolest returns the engine for a further copy: the one where it is ready soonest,
+// so one with a near copy, if any has, and of these the one with least to do.
 func (r *Router) coolest(s *service, model fleet.Model) *backend {
 	type option struct {
 		b    *backend
--- a/internal/router/spread_test.go
+++ b/internal/router/spread_test.go
@@ -105,3 +105,51 @@
 		}
 	}
 }
+
+// A busy model's load needs five copies. One engine has it, one a copy on disk;
+// further ones need the weight store, which serves one load in 13 s. Asked for at
+// all of them at once, they counted as coming for good, and the disk copy at an
+// engine that became free was never used. One is to be asked from the store, and
+// it is to get its permit before a rare model that few wait for.
+func TestCopiesThatWaitForTheStoreDoNotCount(t *testing.T) {
+	w := newWorld(t)
+	w.servers(engineService, 6)
+	s := w.router.services[engineService]
+	s.speed.share = 0.04
+	s.speed.models["m1"] = &modelSpeed{pause: 20 * time.Millisecond, first: 100 * time.Millisecond, events: 35}
+	s.store.limit = 1
+	waiting := map[core.HostID]bool{}
+	for range 8 {
+		for i := range 6 {
+			holdings := core.Holdings{FreeMB: 40_000, OnDisk: []string{"m2"}}
+			switch {
+			case i == 0:
+				holdings = core.Holdings{Models: []core.HeldModel{{Name: "m1", State: core.HoldLoaded, Rate: 90}}}
+			case i == 5 && len(waiting) > 0:
+				holdings.Models = []core.HeldModel{{Name: "m9", State: core.HoldPermit, Waiting: 2, ReadyIn: 6 * time.Second}}
+			case waiting[loaderName(i)]:
+				holdings.Models = []core.HeldModel{{Name: "m1", State: core.HoldPermit, ReadyIn: 6 * time.Second}}
+			}
+			w.holds(i, holdings)
+		}
+		w.run(planInterval)
+		for i := range 5 {
+			for _, want := range w.demands[loaderName(i)].Wants {
+				if want.Model == "m1" && want.Spread {
+					waiting[loaderName(i)] = true
+				}
+			}
+		}
+	}
+	if len(waiting) != 1 {
+		t.Fatalf("%d copies are asked from the store at once, want 1", len(waiting))
+	}
+	if permits := w.demands[loaderName(5)].Permits; len(permits) != 0 {
+		t.Errorf("the rare model got the permit first: %v", permits)
+	}
+	for loader := range waiting {
+		if permits := w.demands[loader].Permits; len(permits) != 1 {
+			t.Errorf("the busy model's copy got no permit: %v", permits)
+		}
+	}
+}
