--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -151,6 +151,13 @@
 	if a.stream {
 		return c.relayStream(a)
 	}
+	// Guards against a stream that looks complete: a part of it was passed on, its
+	// server broke off, and the next one answers with a failure instead of going
+	// on. Passed on, that answer would end the stream in good order, some events
+	// short.
+	if c.started {
+		return c.breakOff(a, errors.Newf("status %d in place of the rest of the stream", a.head.Status))
+	}
 	c.writeHead(a)
 	c.pass(a.body)
 	if !a.whole {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -129,6 +129,26 @@
 	}
 }
 
+// An engine breaks a stream off, and the one that is to go on fails with a status
+// of its own. Its answer used to end the stream in good order, with three of eight
+// events: the user took half an answer for the whole. The stream must go on at a
+// third engine, or look broken.
+func TestFailureInTheMiddleOfAStreamIsNotItsEnd(t *testing.T) {
+	serve := func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		if !strings.Contains(take(conn), "Last-Event-Id") {
+			_, _ = io.WriteString(conn, answerHead("r1", streamHead)+chunk(event(1)))
+			return
+		}
+		failure := strings.Replace(answerHead("r1", "Content-Length: 0\r\n"), "200 OK", "500 Failed", 1)
+		_, _ = io.WriteString(conn, failure)
+	}
+	s := newSystem(t, serve, serve)
+	if status, body, err := s.call(http.MethodPost, "/stream/x", "r1"); err == nil {
+		t.Fatalf("status %d, body %q, and no error", status, body)
+	}
+}
+
 // No engine can go on with a stream that broke off. It must not look complete.
 func TestBrokenStreamLooksBroken(t *testing.T) {
 	s := newSystem(t, func(conn net.Conn) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -50,7 +50,8 @@
 // regressions are the seeds that failed once, with the cause. They are played in
 // CI beside the others.
 var regressions = map[uint64]string{
-	15: "a stand-in could not bind its port while a process was being started",
+	15:  "a stand-in could not bind its port while a process was being started",
+	118: "a stream broke off and was to go on at a server that answered 500: that answer ended the stream as complete",
 }
 
 // Seeds that failed once stay mended.
