--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -100,7 +100,7 @@
 	p.store = platform.NewStore(p.settings.Store.String(), storeTimeout)
 	defer p.store.Close()
 	go p.readStore(background, known)
-	go p.sweep(background)
+	go every(background, sweepInterval, p.gateway.Sweep)
 	go p.watchLag(background)
 	go p.watchSettings(background, file, func() error { return p.reload(file) })
 	select {
@@ -179,30 +179,22 @@
 	return nil
 }
 
-func (p *routerProcess) sweep(ctx context.Context) {
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			p.gateway.Sweep()
-		}
-	}
-}
-
 // watchLag tells the reducer how long work waits for the processor.
 func (p *routerProcess) watchLag(ctx context.Context) {
 	var waits schedWaits
-	ticker := time.NewTicker(lagInterval)
+	every(ctx, lagInterval, func() { p.gateway.Step(router.Lagged{Wait: waits.lately()}) })
+}
+
+// every calls f at each interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, f func()) {
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			p.gateway.Step(router.Lagged{Wait: waits.lately()})
+			f()
 		}
 	}
 }
--- a/internal/daemon/schedwaits.go
+++ b/internal/daemon/schedwaits.go
@@ -33,15 +33,11 @@
 		return 0 // a runtime without the metric: no load is shed
 	}
 	histogram := w.sample[0].Value.Float64Histogram()
-	first := w.counts == nil
-	if first {
-		w.counts = make([]uint64, len(histogram.Counts))
-	}
-	wait := quantileSince(histogram, w.counts)
-	copy(w.counts, histogram.Counts)
-	if first {
-		return 0
+	wait := time.Duration(0)
+	if w.counts != nil {
+		wait = quantileSince(histogram, w.counts)
 	}
+	w.counts = append(w.counts[:0], histogram.Counts...)
 	return wait
 }
 
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -162,8 +162,7 @@
 	c.pass(a.body)
 	if !a.whole {
 		if _, err := io.Copy(callerWriter{c}, a.response.Body); err != nil {
-			c.failConn(a.send, a.conn, router.Broken, err)
-			return false
+			return c.breakOff(a, err)
 		}
 	}
 	c.end(a)
@@ -280,7 +279,6 @@
 }
 
 func (c *call) breakOff(a *answer, err error) bool {
-	c.drop()
-	c.gateway.Step(router.AttemptFailed{Key: c.key, Attempt: a.attempt, Failure: router.Broken, Cause: err.Error()})
+	c.failConn(a.send, a.conn, router.Broken, err)
 	return false
 }
--- a/internal/loader/dump.go
+++ b/internal/loader/dump.go
@@ -1,7 +1,6 @@
 package loader
 
 import (
-	"maps"
 	"slices"
 
 	"nutmeglane.example/nutmeglane/internal/core"
@@ -23,7 +22,7 @@
 func (l *Loader) Dump() State {
 	state := State{
 		Instance: l.engine.instance, Report: l.engine.report, Ordering: l.ordering,
-		Routers: slices.Sorted(maps.Keys(l.routers)), Told: l.told.holdings,
+		Routers: slices.Clone(l.names), Told: l.told.holdings,
 	}
 	if l.task != nil {
 		state.Task = l.task.order.Kind.String() + " " + l.task.order.Model
--- a/internal/loader/evict.go
+++ b/internal/loader/evict.go
@@ -38,25 +38,24 @@
 // copies where the idle models don't make room, needed ones only where nothing
 // else can make room at all.
 func (l *Loader) victim(w wanted, wants []wanted, uses map[modelKey]used, need float64) string {
-	plan := l.planRoom(w, wants, uses, need)
-	if plan.evict != "" || w.background {
-		return plan.evict
+	options := l.roomFor(w, wants, uses, need)
+	if pick := cheapestSet(options.idle, need); pick != "" || w.background {
+		return pick
 	}
-	l.retireOf(plan.retire, uses, plan.short)
+	l.retireOf(options.all, uses, options.short)
 	return ""
 }
 
-// roomPlan is how room can be made for a want.
-type roomPlan struct {
-	// evict is the model to evict now, "" if there is none.
-	evict string
-	// retire are models in use of which some are to be retired for short MB;
-	// empty if all that is in use is better kept.
-	retire []candidate
-	short  float64
+// roomOptions are the models that can make room for a want.
+type roomOptions struct {
+	// idle ones can be evicted at once.
+	idle []candidate
+	// all are these and those in use that may be retired, for short MB.
+	all   []candidate
+	short float64
 }
 
-func (l *Loader) planRoom(w wanted, wants []wanted, uses map[modelKey]used, need float64) roomPlan {
+func (l *Loader) roomFor(w wanted, wants []wanted, uses map[modelKey]used, need float64) roomOptions {
 	var idle, spare, inUse []candidate
 	protected := 0.0
 	for _, m := range l.engine.report.Models {
@@ -76,14 +75,11 @@
 			inUse = append(inUse, c)
 		}
 	}
-	if pick := cheapestSet(idle, need); pick != "" || w.background {
-		return roomPlan{evict: pick}
-	}
 	all := slices.Concat(idle, spare)
 	if room(all)+protected < need {
 		all = append(all, inUse...)
 	}
-	return roomPlan{retire: all, short: need - protected}
+	return roomOptions{idle: idle, all: all, short: need - protected}
 }
 
 // blocked tells that no room can be made for a want: all that would have to go is
@@ -93,8 +89,8 @@
 	if need <= 0 || w.background {
 		return false
 	}
-	plan := l.planRoom(w, wants, uses, need)
-	return plan.evict == "" && room(plan.retire) < plan.short
+	options := l.roomFor(w, wants, uses, need)
+	return room(options.all) < options.short
 }
 
 func room(candidates []candidate) float64 {
--- a/internal/router/coordinate.go
+++ b/internal/router/coordinate.go
@@ -125,12 +125,15 @@
 // storeWait predicts how long a store load that is asked for now waits for its
 // permit.
 func (r *Router) storeWait(service string, model fleet.Model) time.Duration {
+	return r.permitWait(service, model, 1)
+}
+
+// permitWait predicts how long a store load waits for its permit behind those that
+// run or wait, if so many join them. One that waits already is counted among them.
+func (r *Router) permitWait(service string, model fleet.Model, joining int) time.Duration {
 	active, waiting := r.storeLoads(service)
 	limit := r.service(service).storeLimit()
-	ahead := active + waiting - limit + 1
-	if ahead <= 0 {
-		return 0
-	}
+	ahead := max(0, active+waiting+joining-limit)
 	return time.Duration(float64(ahead) / float64(limit) * float64(model.StoreLoad))
 }
 
--- a/internal/router/spread.go
+++ b/internal/router/spread.go
@@ -18,8 +18,8 @@
 
 const (
 	// targetLoad is the part of an engine's time, or of its slots, that one
-	// model's requests may take before it gets a further copy. Measured over 6 days x 2 seeds on each
-	// of two deployments (mean worth): 0.15 0.578 and 0.596, 0.3 0.671 and 0.632,
+	// model's requests may take before it gets a further copy. Measured over 6
+	// days x 2 seeds on each of two deployments (mean worth): 0.15 0.578 and 0.596, 0.3 0.671 and 0.632,
 	// 0.45 0.707 and 0.639, 0.7 0.715 and 0.635. Below, copies take the memory of
 	// rare models, whose swaps then keep engines busy; the value lies on the flat
 	// part. (0.15 was measured before models in use were retired.)
--- a/internal/router/starved.go
+++ b/internal/router/starved.go
@@ -36,19 +36,19 @@
 type lag struct {
 	wait time.Duration
 	at   core.Time
-	// starved is set while requests are refused for it.
-	starved bool
 }
 
+// starved tells that requests are to be refused for the wait.
+func (l lag) starved() bool { return l.wait >= starvedFrom }
+
 func (r *Router) lagged(e Lagged) {
-	r.lag.wait, r.lag.at = e.Wait, r.now
-	starved := e.Wait >= starvedFrom
-	if starved == r.lag.starved {
+	before := r.lag
+	r.lag = lag{wait: e.Wait, at: r.now}
+	if r.lag.starved() == before.starved() {
 		return
 	}
-	r.lag.starved = starved
 	message := "process gets its processor time again"
-	if starved {
+	if r.lag.starved() {
 		message = "process waits for the processor; a part of new requests is refused"
 	}
 	r.log(Belief, message, slog.String("wait", e.Wait.String()), slog.Int("requests", len(r.requests)))
@@ -56,7 +56,7 @@
 
 // sheds tells whether a new request is to be refused for the wait.
 func (r *Router) sheds() bool {
-	if !r.lag.starved || r.now.Sub(r.lag.at) > lagFresh {
+	if !r.lag.starved() || r.now.Sub(r.lag.at) > lagFresh {
 		return false
 	}
 	part := float64(r.lag.wait-starvedFrom) / float64(starvedFully-starvedFrom)
--- a/internal/router/wait.go
+++ b/internal/router/wait.go
@@ -264,15 +264,13 @@
 // too soon, and its callers waited in vain until they left.
 func (r *Router) heldReadyIn(service string, m *core.HeldModel, age time.Duration) time.Duration {
 	left := max(0, m.ReadyIn-age)
-	active, waiting := r.storeLoads(service)
-	limit := r.service(service).storeLimit()
 	switch m.State {
 	case core.HoldStoreLoading:
+		active, _ := r.storeLoads(service)
+		limit := r.service(service).storeLimit()
 		return time.Duration(float64(left) * max(1, float64(active)/float64(limit)))
 	case core.HoldPermit:
-		// It is one of those that wait.
-		ahead := max(0, active+waiting-limit)
-		return left + time.Duration(float64(ahead)/float64(limit)*float64(r.engine(service).Models[m.Name].StoreLoad))
+		return left + r.permitWait(service, r.engine(service).Models[m.Name], 0)
 	default:
 		return left
 	}
--- a/internal/soak/backend_test.go
+++ b/internal/soak/backend_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -131,6 +132,21 @@
 	b.crash()
 }
 
+// finish serves what has arrived, and then nothing more.
+func (b *backend) finish() {
+	b.mu.Lock()
+	server := b.server
+	b.mu.Unlock()
+	if server == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), hangGuard)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		b.referee.breaks("%s still served long after its callers had left: %v", b.name, err)
+	}
+}
+
 func (b *backend) stop() {
 	b.crash()
 	b.tasks.Wait()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -32,8 +33,6 @@
 	servedAgain = 20
 	// plannedEvery is the number of seeds of which one has planned work only.
 	plannedEvery = 3
-	// settle is the time in which what was sent last arrives and ends.
-	settle = time.Second
 )
 
 // Callers go on while processes are stopped, killed and paused, paths are cut,
@@ -91,10 +90,25 @@
 	w.awaitConfig(t)
 	cancel()
 	calling.Wait()
-	time.Sleep(settle)
+	w.quiesce()
 	w.report(t, seed, f)
 }
 
+// quiesce ends the routers, then lets the backend servers end what they have got.
+// After it nobody can send or run a request any more, so that a request which was
+// told as not run and never ran never will.
+func (w *world) quiesce() {
+	var ending sync.WaitGroup
+	for _, router := range w.routers {
+		ending.Go(func() { router.end(syscall.SIGTERM) })
+	}
+	ending.Wait()
+	for _, b := range w.backends() {
+		ending.Go(b.finish)
+	}
+	ending.Wait()
+}
+
 // awaitServed waits until calls of each kind are served again.
 func (w *world) awaitServed(t *testing.T) {
 	t.Helper()
