A planned stop closes no connection whose next request is being read

At 2.5 s the router calls http.Server.Shutdown, which closes connections in state idle; net/http leaves that state only when the next header has been parsed. On a starved host the bytes are read long before.

Ruled out: the process's end (StopLimit was not reached), the server's failure (no attempt was logged).

Change: callerConns, a listener whose reads and closes exclude each other: a connection of which a byte was read since its last answer, or for which one waits in the kernel, is not closed. The listener closes first.

--- /dev/null
+++ b/internal/daemon/callerconns.go
@@ -0,0 +1,205 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// closeInterval is the pause between two looks for idle connections while the
+// process stops: a tenth of the time in which a caller on a new connection can
+// have its answer.
+const closeInterval = 20 * time.Millisecond
+
+// callerConns are the connections of a server that is to stop without losing a
+// request.
+//
+// It guards against http.Server.Shutdown, which closes a connection while its
+// next request is being read: until the header has been parsed the connection
+// counts as idle. On a host that waits for its processor that takes a tenth of a
+// second and more, and the caller sees the connection close on a request that
+// was read, with nothing to tell whether it ran. Here reading and closing
+// exclude each other: a connection of which a byte was read since its last
+// answer, or for which one lies in the kernel, is never closed.
+type callerConns struct {
+	listener net.Listener
+
+	mu   sync.Mutex
+	open map[*callerConn]struct{}
+}
+
+func newCallerConns() *callerConns { return &callerConns{open: map[*callerConn]struct{}{}} }
+
+// listen makes the connections of the listener known. It is called once.
+func (c *callerConns) listen(l net.Listener) net.Listener {
+	c.listener = l
+	return callerListener{l, c}
+}
+
+// state is the server's ConnState hook.
+func (c *callerConns) state(conn net.Conn, state http.ConnState) {
+	if caller, ok := conn.(*callerConn); ok && state == http.StateIdle {
+		caller.answered()
+	}
+}
+
+// drain closes the listener, then connections as they fall idle, until none is
+// left or ctx ends.
+func (c *callerConns) drain(ctx context.Context) error {
+	if c.listener != nil {
+		_ = c.listener.Close() // nobody waits for what it would say
+	}
+	for c.closeIdle() > 0 {
+		select {
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "%d connections with requests", c.closeIdle())
+		case <-time.After(closeInterval):
+		}
+	}
+	return nil
+}
+
+// closeIdle closes the connections without a request and returns how many are
+// left.
+func (c *callerConns) closeIdle() int {
+	c.mu.Lock()
+	conns := make([]*callerConn, 0, len(c.open))
+	for conn := range c.open {
+		conns = append(conns, conn)
+	}
+	c.mu.Unlock()
+	left := 0
+	for _, conn := range conns {
+		if !conn.closeIfIdle() {
+			left++
+		}
+	}
+	return left
+}
+
+func (c *callerConns) forget(conn *callerConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.open, conn)
+}
+
+type callerListener struct {
+	net.Listener
+	conns *callerConns
+}
+
+// Accept implements net.Listener.
+func (l callerListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if errors.Is(err, net.ErrClosed) {
+		return nil, http.ErrServerClosed // a planned stop, no failure of Serve
+	}
+	if err != nil {
+		return nil, err
+	}
+	withFD, ok := conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.Newf("connection of type %T has no descriptor", conn)
+	}
+	raw, err := withFD.SyscallConn()
+	if err != nil {
+		return nil, errors.Wrap(err, "descriptor of connection")
+	}
+	caller := &callerConn{Conn: conn, raw: raw, conns: l.conns, idle: true}
+	l.conns.mu.Lock()
+	l.conns.open[caller] = struct{}{}
+	l.conns.mu.Unlock()
+	return caller, nil
+}
+
+// callerConn is a caller's connection.
+type callerConn struct {
+	net.Conn
+	raw   syscall.RawConn
+	conns *callerConns
+
+	mu sync.Mutex
+	// idle is set while no byte was read since the last answer.
+	idle bool
+}
+
+// Read implements net.Conn. A byte is taken from the kernel and the connection
+// stops being idle in one step under the lock.
+func (c *callerConn) Read(p []byte) (int, error) {
+	if len(p) == 0 {
+		return 0, nil
+	}
+	var n int
+	var failed error
+	err := c.raw.Read(func(fd uintptr) bool {
+		n, failed = c.take(int(fd), p)
+		return failed != syscall.EAGAIN
+	})
+	switch {
+	case err != nil:
+		return 0, err
+	case failed != nil:
+		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", failed)}
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+func (c *callerConn) take(fd int, p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for {
+		n, err := syscall.Read(fd, p)
+		if err == syscall.EINTR {
+			continue
+		}
+		if n > 0 {
+			c.idle = false
+		}
+		return max(0, n), err
+	}
+}
+
+// answered notes that the last request has its answer.
+func (c *callerConn) answered() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = true
+}
+
+// closeIfIdle closes the connection unless it has a request, and reports
+// whether it is closed.
+func (c *callerConn) closeIfIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.idle || c.unread() {
+		return false
+	}
+	_ = c.Close() // it is closed either way
+	return true
+}
+
+// unread tells whether bytes wait in the kernel.
+func (c *callerConn) unread() bool {
+	waiting := false
+	err := c.raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		waiting = err == nil && n > 0
+	})
+	return err == nil && waiting
+}
+
+// Close implements net.Conn.
+func (c *callerConn) Close() error {
+	c.conns.forget(c)
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/daemon/callerconns_test.go
@@ -0,0 +1,129 @@
+package daemon
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// callerServer serves on loopback through callerConns.
+func callerServer(t *testing.T) (*callerConns, net.Conn, *bufio.Reader) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	conns := newCallerConns()
+	server := &http.Server{
+		Handler:   http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("whole")) }),
+		ConnState: conns.state,
+	}
+	go func() { _ = server.Serve(conns.listen(listener)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return conns, conn, bufio.NewReader(conn)
+}
+
+func writeText(t *testing.T, conn net.Conn, text string) {
+	t.Helper()
+	if _, err := conn.Write([]byte(text)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func readWhole(t *testing.T, reader *bufio.Reader) {
+	t.Helper()
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	_ = response.Body.Close()
+}
+
+// await polls until the only connection is idle or not, as wanted. The test's
+// own time limit is the guard.
+func (c *callerConns) await(idle bool) {
+	for {
+		c.mu.Lock()
+		for conn := range c.open {
+			conn.mu.Lock()
+			reached := conn.idle == idle
+			conn.mu.Unlock()
+			if reached {
+				c.mu.Unlock()
+				return
+			}
+		}
+		c.mu.Unlock()
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// A caller sends a further request on a kept connection just when its router
+// stops. The process has read a part of it and, short of processor time, not
+// parsed it yet when idle connections are closed: the caller saw its connection
+// close and could not know whether the request ran. With http.Server.Shutdown in
+// place of closeIdle this test fails.
+func TestRequestBeingReadIsNotCutByStop(t *testing.T) {
+	conns, conn, reader := callerServer(t)
+	writeText(t, conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	readWhole(t, reader)
+	conns.await(true)
+	writeText(t, conn, "GET / HTTP/1.1\r\nHost")
+	conns.await(false)
+	if left := conns.closeIdle(); left != 1 {
+		t.Fatalf("%d connections left, wanted the one with a request", left)
+	}
+	writeText(t, conn, ": a\r\n\r\n")
+	readWhole(t, reader)
+}
+
+// A request has arrived in the kernel when its router stops, and no goroutine
+// has had the processor to read it. Its connection is not idle.
+func TestUnreadRequestIsNotCutByStop(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	conns := newCallerConns()
+	caller, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = caller.Close() }()
+	// Accepted, and read by nobody.
+	if _, err := conns.listen(listener).Accept(); err != nil {
+		t.Fatal(err)
+	}
+	writeText(t, caller, "GET / HTTP/1.1\r\n")
+	for conn := range conns.open {
+		for !conn.unread() {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	if left := conns.closeIdle(); left != 1 {
+		t.Fatalf("%d connections left, wanted the one with a request", left)
+	}
+}
+
+// Idle connections end at a planned stop, so that the process can.
+func TestDrainEndsIdleConnections(t *testing.T) {
+	conns, conn, reader := callerServer(t)
+	writeText(t, conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	readWhole(t, reader)
+	conns.await(true)
+	if err := conns.drain(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := reader.ReadByte(); err == nil {
+		t.Fatal("the connection is still open")
+	}
+}
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -72,9 +72,9 @@
 
 // serve runs an HTTP server until it is closed.
 func (p *nodeProcess) serve(address netip.AddrPort, server *http.Server) error {
-	l, err := net.Listen("tcp", address.String())
+	l, err := listen(address)
 	if err != nil {
-		return errors.Wrapf(err, "listen on %s", address)
+		return err
 	}
 	p.serveOn(l, server)
 	return nil
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -62,6 +62,8 @@
 	store    *platform.Store
 	ready    atomic.Bool
 	callers  *http.Server
+	// conns are the callers' connections.
+	conns *callerConns
 }
 
 // RunRouter runs a router until ctx ends and the graceful shutdown is over.
@@ -128,13 +130,20 @@
 			limits = l
 		}
 	})
+	p.conns = newCallerConns()
 	p.callers = &http.Server{
 		Handler:           p.gateway,
+		ConnState:         p.conns.state,
 		MaxHeaderBytes:    limits.MaxHeaderBytes,
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:       idleFactor * limits.IdleTimeout,
 	}
-	return p.serve(p.settings.Callers, p.callers)
+	listener, err := listen(p.settings.Callers)
+	if err != nil {
+		return err
+	}
+	p.serveOn(p.conns.listen(listener), p.callers)
+	return nil
 }
 
 // readiness answers the balancer.
@@ -163,10 +172,10 @@
 	case err := <-p.failed:
 		return err
 	}
-	if err := p.callers.Shutdown(ctx); err != nil {
-		p.log.Warn("requests cut at the end of the stop limit", "requests", p.gateway.Calls())
-		_ = p.callers.Close()
+	if err := p.conns.drain(ctx); err != nil {
+		p.log.Warn("requests cut at the end of the stop limit", "requests", p.gateway.Calls(), "error", err.Error())
 	}
+	_ = p.callers.Close()
 	return nil
 }
 
