Routers and loaders do not answer each other without news

Each word of a loader made every router look at its queues, each look marked the loader as to be told, and each demand swapped the order of two models that were waited for with nearly the same urgency, which the loader told to all routers as news.

Change: a router tells a loader of a queue only when the queue changed; a loader compares what it holds without regard to order.

--- a/internal/loader/tell.go
+++ b/internal/loader/tell.go
@@ -1,6 +1,7 @@
 package loader
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -35,15 +36,20 @@
 	}
 }
 
-// sameShape compares what routers act on at once.
+// sameShape compares what routers act on at once. The order of the models says
+// nothing: those that are waited for stand in the order of their turns, which the
+// routers' estimates, some ms apart, change with each message. Taken for news, it
+// was told to all routers, whose answers changed it again.
 func sameShape(a, b core.Holdings) bool {
 	sameModel := func(x, y core.HeldModel) bool {
 		return x.Name == y.Name && x.State == y.State && slices.Equal(x.Adapters, y.Adapters)
 	}
+	byName := func(x, y core.HeldModel) int { return cmp.Compare(x.Name, y.Name) }
+	modelsA, modelsB := slices.SortedFunc(slices.Values(a.Models), byName), slices.SortedFunc(slices.Values(b.Models), byName)
 	sameResult := a.StoreLoad == b.StoreLoad || a.StoreLoad != nil && b.StoreLoad != nil && *a.StoreLoad == *b.StoreLoad
 	return a.Instance == b.Instance && a.Draining == b.Draining && a.Coordinator == b.Coordinator &&
 		a.Routers == b.Routers && (a.FreeIn == 0) == (b.FreeIn == 0) && sameResult &&
-		slices.EqualFunc(a.Models, b.Models, sameModel) &&
+		slices.EqualFunc(modelsA, modelsB, sameModel) &&
 		slices.Equal(a.InMemory, b.InMemory) && slices.Equal(a.OnDisk, b.OnDisk)
 }
 
--- /dev/null
+++ b/internal/loader/tell_test.go
@@ -0,0 +1,46 @@
+package loader
+
+import (
+	"testing"
+	"time"
+
+	"nutmeglane.example/nutmeglane/internal/core"
+)
+
+// Two routers wait for two models whose objectives are missed at nearly the same
+// time. Each message shifts the estimates by some ms, so that the turns swap. The
+// loader told all routers of each swap, all answered, and a thousand messages a
+// second went to and fro: routers on small hosts had no time left for callers.
+func TestSwappedTurnsAreNoNews(t *testing.T) {
+	w := newWorld(t, "m0", "m2", "m4")
+	w.step(RouterUp{Router: "10.0.0.2"})
+	w.engine.report.Busy = true // another order is under way: none begins now
+	w.step(Tick{})
+	want := func(model string, within time.Duration) core.Want {
+		return core.Want{Model: model, Waiting: 1, Within: within}
+	}
+	w.demand("10.0.0.1", core.Demand{Wants: []core.Want{want("m1", 2000*time.Millisecond)}})
+	w.demand("10.0.0.2", core.Demand{Wants: []core.Want{want("m3", 2001*time.Millisecond)}})
+	told := 0
+	for i := range 20 {
+		w.now = w.now.Add(time.Millisecond)
+		jitter := time.Duration(i%2*4-2) * time.Millisecond
+		told += w.tells(RouterSaid{Router: "10.0.0.1", Demand: core.Demand{
+			Instance: "i-1", Wants: []core.Want{want("m1", 2000*time.Millisecond+jitter)},
+		}})
+	}
+	if told != 0 {
+		t.Fatalf("%d messages to routers about swapped turns, wanted none", told)
+	}
+}
+
+// tells handles an event and counts the messages to routers.
+func (w *world) tells(event Event) int {
+	count := 0
+	for _, effect := range w.loader.Step(w.now, event) {
+		if _, ok := effect.(Tell); ok {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/router/wait.go
+++ b/internal/router/wait.go
@@ -83,6 +83,7 @@
 	}
 	w.requests = append(w.requests, req)
 	req.waiting = w
+	w.touch()
 	r.place(w)
 	if req.waiting == nil {
 		return
@@ -107,7 +108,11 @@
 	}
 }
 
-// touch makes the home's loader be told of the change.
+// touch makes the home's loader be told of a change of the queue.
+//
+// It is called for changes only. Called whenever a queue was looked at, it made
+// each word of a loader be answered by all routers and each answer by the loader:
+// a thousand messages a second at each router while a few models were waited for.
 func (w *wait) touch() {
 	if w.home != nil && w.home.loader != nil {
 		w.home.loader.dirty = true
@@ -171,13 +176,14 @@
 	} else {
 		eta = current
 	}
-	w.touch()
 	r.refuseLate(w, eta)
 }
 
+// moveHome changes the engine that is asked, and tells both.
 func (r *Router) moveHome(w *wait, to *backend) {
 	w.touch()
 	w.home = to
+	w.touch()
 }
 
 // refuseLate refuses the requests whose time ends before the first event, which
