After a loss of power engines load what callers wait for, and several at once

Change: nothing is loaded ahead of demand in the 2.5 s after the first callers; a model gets as many engines as its waiting prompts take to be read in 0.8 s; loaders tell how many wait for the model that they load.

--- a/internal/loader/tell.go
+++ b/internal/loader/tell.go
@@ -88,16 +88,17 @@
 // addWanted adds what is loading and what waits for it, with the predicted
 // times.
 func (l *Loader) addWanted(h *core.Holdings, uses map[modelKey]used) {
-	at := l.taskLeft()
+	at, wants := l.taskLeft(), l.wants()
 	if t := l.task; t != nil && t.order.Kind == fleet.OrderLoad && l.findLoaded(t.order.Model) == nil {
 		state := core.HoldLoading
 		if t.tier == tierStore {
 			state = core.HoldStoreLoading
 		}
-		h.Models = append(h.Models, core.HeldModel{Name: t.order.Model, State: state, ReadyIn: at})
+		h.Models = append(h.Models, core.HeldModel{
+			Name: t.order.Model, State: state, ReadyIn: at, Waiting: waitingFor(wants, t.order.Model),
+		})
 		h.FreeMB -= l.spec.models[t.order.Model].MemoryMB
 	}
-	wants := l.wants()
 	for _, w := range wants {
 		if w.adapter != "" || findModel(h, w.model) {
 			continue
@@ -119,6 +120,16 @@
 	h.FreeIn = at
 }
 
+// waitingFor is the number of requests that wait for a model here.
+func waitingFor(wants []wanted, model string) int {
+	for _, w := range wants {
+		if w.modelKey == (modelKey{model: model}) {
+			return w.waiting
+		}
+	}
+	return 0
+}
+
 func findModel(h *core.Holdings, model string) bool {
 	return slices.ContainsFunc(h.Models, func(m core.HeldModel) bool { return m.Name == model })
 }
--- a/internal/router/background.go
+++ b/internal/router/background.go
@@ -18,6 +18,9 @@
 	spreadWithin = 500 * time.Millisecond
 	// plannedWithin ranks background loads behind those that requests wait for.
 	plannedWithin = 10 * time.Second
+	// settleTime is how long after the first callers nothing is loaded ahead of
+	// demand: three loads from disk one after the other.
+	settleTime = 2500 * time.Millisecond
 	// backgroundLife is how long a background load is asked for.
 	backgroundLife = 30 * time.Second
 )
@@ -30,7 +33,7 @@
 // filled with models from near copies.
 func (r *Router) planBackground(s *service, engine *fleet.Engine) {
 	engines := r.backgroundEngines(s)
-	if len(engines) == 0 {
+	if len(engines) == 0 || s.settles(r.now) {
 		return
 	}
 	active, waiting := r.storeLoads(s.name)
@@ -50,6 +53,15 @@
 	}
 }
 
+// settles tells that callers came for the first time a moment ago.
+//
+// It guards against filling engines with models that nobody calls just when a
+// fleet returns and all its callers with it: each such load keeps an engine from
+// the models that they wait for, for the time of a load.
+func (s *service) settles(now core.Time) bool {
+	return s.firstArrival != 0 && now.Sub(s.firstArrival) < settleTime
+}
+
 // asked counts the planned loads from the store that have not begun to wait for
 // a permit.
 func (s *storeState) asked() int {
--- a/internal/router/forecast.go
+++ b/internal/router/forecast.go
@@ -83,8 +83,6 @@
 	b, f := req.backend, req.attempt.forecast
 	b.queue.Send(r.now, uint64(req.key), f.reading, f.first)
 	b.cache.Read(req.prompt)
-	s := r.service(b.Service)
-	s.meanReading = average(s.meanReading, f.reading)
 }
 
 // promptBegan learns from a generation's first event.
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -110,6 +110,7 @@
 	service.budget.request(r.now, r.opts.Bounds.RetryWindow)
 	if req.prompt != nil {
 		service.arrival(r.now, req.prompt)
+		service.meanReading = average(service.meanReading, service.work.Reading(req.prompt.Model, req.prompt.Tokens))
 	}
 	r.requests[key] = req
 	r.dispatch(req)
--- a/internal/router/spread.go
+++ b/internal/router/spread.go
@@ -30,6 +30,10 @@
 	// busyFactor is how many times the mean makes a model busy: a rare one
 	// would have to be called four times within ten seconds at one router.
 	busyFactor = 2
+	// backlogWithin is the time in which the prompts of those who wait for a model
+	// are to be read once it is loaded: about the time of one more load from disk,
+	// so that a further copy is ready when the first would have read half of them.
+	backlogWithin = 800 * time.Millisecond
 	// spreadLife is how long beyond its predicted end a further copy is asked
 	// for: an order may have to be sent again, but demand also moves on.
 	spreadLife = 3 * time.Second
@@ -83,7 +87,28 @@
 		slots = engine.Slots
 	}
 	load := r.service(service).speed.load(model, perSecond, slots)
-	return max(needed, int(math.Ceil(load/targetLoad)))
+	return max(needed, int(math.Ceil(load/targetLoad)), r.backlogCopies(service, model))
+}
+
+// backlogCopies is the number of engines that have to load a model for those who
+// wait for it.
+//
+// It answers the return of a whole fleet: rates and load are unknown, engines are
+// empty, and 40 callers wait for the busiest model at one engine, which then reads
+// their prompts for seconds while the others hold models that nobody called.
+func (r *Router) backlogCopies(service, model string) int {
+	waiting := 0
+	for _, b := range r.serversOf(service) {
+		held := r.holdings(b)
+		if held == nil || b.unlistedAt != 0 {
+			continue
+		}
+		if m := findHeld(held, model); m != nil && m.State != core.HoldLoaded {
+			waiting += m.Waiting
+		}
+	}
+	reading := time.Duration(waiting) * r.service(service).meanReading
+	return int(math.Ceil(float64(reading) / float64(backlogWithin)))
 }
 
 // busy tells that a model is, or was within half a minute, called well more than
--- a/internal/router/spread_test.go
+++ b/internal/router/spread_test.go
@@ -153,3 +153,43 @@
 		}
 	}
 }
+
+// A whole fleet returns after a loss of power. Engines are empty, nothing is known
+// of rates, and 40 callers wait for one model. Loaded at one engine, it read their
+// prompts for four seconds, while the other engines held models that nobody had
+// called. Further engines must load it at once, and none ahead of demand.
+func TestReturningCallersGetSeveralEngines(t *testing.T) {
+	w := newWorld(t)
+	w.servers(engineService, 6)
+	hold := func(waiting int) {
+		for i := range 6 {
+			holdings := core.Holdings{FreeMB: 80_000, OnDisk: []string{"m1", "m2", "m3"}}
+			if i == 0 && waiting > 0 {
+				holdings.Models = []core.HeldModel{{Name: "m1", State: core.HoldLoading, ReadyIn: 800 * time.Millisecond, Waiting: waiting}}
+			}
+			w.holds(i, holdings)
+		}
+	}
+	hold(0)
+	for i := range 40 {
+		w.call("patient", longPrompt("m1", i))
+	}
+	for range 4 {
+		hold(40)
+		w.run(planInterval)
+	}
+	further, idle := 0, 0
+	for i := range 6 {
+		for _, want := range w.demands[loaderName(i)].Wants {
+			if want.Model == "m1" && want.Spread {
+				further++
+			}
+			if want.Background {
+				idle++
+			}
+		}
+	}
+	if further < 4 || idle != 0 {
+		t.Fatalf("%d further engines load the model and %d models that nobody called, want 4 or more and none", further, idle)
+	}
+}
