Adapters come with their model; engines' counts each 100 ms; cold starts and idle time counted

Hypothesis: callers of adapters wait for two loads, as an engine begins its next load before it hears of the adapter.

--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -24,18 +24,43 @@
 	}
 }
 
+func usageCommand(out, errOut io.Writer) *cli.Command {
+	return &cli.Command{
+		Name: "usage", Usage: "sum up from logs how long cold starts took and how long models were loaded for nobody", ArgsUsage: "FILE...",
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			if cmd.Args().Len() < 1 {
+				return exitError{errors.Newf("code %d: usage takes one log file or more", code.BadField), ExitRefused}
+			}
+			log, err := readLogs(errOut, cmd.Args().Slice())
+			if err != nil {
+				return err
+			}
+			usage := log.Usage()
+			return usage.Write(out)
+		},
+	}
+}
+
 func explainRequest(out, errOut io.Writer, id string, files []string) error {
-	var log explain.Log
+	log, err := readLogs(errOut, files)
+	if err != nil {
+		return err
+	}
+	story := log.Of(id)
+	return story.Write(out)
+}
+
+func readLogs(errOut io.Writer, files []string) (*explain.Log, error) {
+	log := &explain.Log{}
 	for _, file := range files {
-		if err := readLog(&log, file); err != nil {
-			return err
+		if err := readLog(log, file); err != nil {
+			return nil, err
 		}
 	}
 	if log.Bad > 0 {
 		fmt.Fprintf(errOut, "%d lines could not be read and were left out\n", log.Bad)
 	}
-	story := log.Of(id)
-	return story.Write(out)
+	return log, nil
 }
 
 func readLog(log *explain.Log, file string) error {
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -22,7 +22,7 @@
 			diffCommand(out), applyCommand(out, errOut),
 			getCommand(out), describeCommand(out), watchCommand(out, errOut),
 			rolloutCommand(out, errOut), drainCommand(out, errOut),
-			dumpCommand(out), replayCommand(out), explainCommand(out, errOut), loadCommand(out, errOut),
+			dumpCommand(out), replayCommand(out), explainCommand(out, errOut), usageCommand(out, errOut), loadCommand(out, errOut),
 			benchCommand(out, errOut), devCommand(out, errOut), versionCommand(out),
 		},
 	}
--- a/internal/core/loading.go
+++ b/internal/core/loading.go
@@ -94,6 +94,15 @@
 	StoreLoad *StoreLoadResult `cbor:"14,keyasint,omitempty"`
 }
 
+// Counts is a loader's word to routers when nothing but its engine's counts has
+// changed since its last Holdings: a twentieth of their size.
+type Counts struct {
+	// Running, Waiting and Unread are as in Holdings.
+	Running int `cbor:"1,keyasint,omitempty"`
+	Waiting int `cbor:"2,keyasint,omitempty"`
+	Unread  int `cbor:"3,keyasint,omitempty"`
+}
+
 // StoreLoadResult tells how long a load from the weight store took.
 type StoreLoadResult struct {
 	// Sequence counts the loader's store loads.
@@ -138,3 +147,4 @@
 
 func (Demand) message()   {}
 func (Holdings) message() {}
+func (Counts) message()   {}
--- a/internal/daemon/loader.go
+++ b/internal/daemon/loader.go
@@ -48,7 +48,7 @@
 	p := &loaderProcess{
 		nodeProcess: node, settings: s,
 		engine: platform.NewEngineClient(s.Engine.String(), s.Host, engineTimeout),
-		loader: loader.New(loader.Options{Host: core.HostID(s.Address)}),
+		loader: loader.New(loader.Options{Host: core.HostID(s.Address), IdleAfter: s.IdleAfter}),
 	}
 	err = p.run(ctx, file)
 	p.stopped(err)
@@ -108,6 +108,8 @@
 		})
 	case loader.Tell:
 		p.links.Do(core.Send{To: e.Router, Message: e.Holdings})
+	case loader.TellCounts:
+		p.links.Do(core.Send{To: e.Router, Message: e.Counts})
 	case loader.Wake:
 		p.timer.Reset(max(0, clock.Until(e.At)))
 	case loader.Log:
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -216,8 +216,11 @@
 	case core.PeerDown:
 		p.gateway.Step(router.LoaderDown{Loader: e.Peer})
 	case core.Received:
-		if holdings, ok := e.Message.(core.Holdings); ok {
-			p.gateway.Step(router.LoaderSaid{Loader: e.From, Holdings: holdings})
+		switch m := e.Message.(type) {
+		case core.Holdings:
+			p.gateway.Step(router.LoaderSaid{Loader: e.From, Holdings: m})
+		case core.Counts:
+			p.gateway.Step(router.LoaderCounted{Loader: e.From, Counts: m})
 		}
 	}
 }
--- /dev/null
+++ b/internal/explain/usage.go
@@ -0,0 +1,86 @@
+package explain
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+)
+
+// Usage sums up a run: how long callers waited who found their model not loaded,
+// and how long accelerators held models that nobody called.
+type Usage struct {
+	// Cold are the times from arrival to first event, by where the nearest copy
+	// lay: memory, disk, store, or adapter.
+	Cold map[string][]time.Duration
+	// Models and IdleModels are model-seconds, Engines and IdleEngines seconds of
+	// engines.
+	Models, IdleModels, Engines, IdleEngines time.Duration
+}
+
+// Usage sums up all lines that were read.
+func (l *Log) Usage() Usage {
+	u := Usage{Cold: map[string][]time.Duration{}}
+	last := map[string]Line{}
+	for _, line := range l.Lines {
+		switch line.Message {
+		case "request served":
+			if tier := line.text("cold"); tier != "" {
+				u.Cold[tier] = append(u.Cold[tier], line.duration("first"))
+			}
+		case "loader starting":
+			u.add(last[line.Host])
+			delete(last, line.Host)
+		case "engine use":
+			last[line.Host] = line
+		}
+	}
+	for _, line := range last {
+		u.add(line)
+	}
+	return u
+}
+
+// add adds the last sums of one loader's life.
+func (u *Usage) add(line Line) {
+	u.Models += line.duration("models")
+	u.IdleModels += line.duration("models_idle")
+	u.Engines += line.duration("engine")
+	u.IdleEngines += line.duration("engine_idle")
+}
+
+// Write prints the sums as tables.
+func (u *Usage) Write(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "cold start from\trequests\tp50\tp95\tp99")
+	var all []time.Duration
+	for _, tier := range []string{"memory", "disk", "store", "adapter"} {
+		writeTier(w, tier, u.Cold[tier])
+		all = append(all, u.Cold[tier]...)
+	}
+	writeTier(w, "any", all)
+	fmt.Fprintln(w, "\nloaded\tseconds\tidle\tshare")
+	writeIdle(w, "models", u.Models, u.IdleModels)
+	writeIdle(w, "engines", u.Engines, u.IdleEngines)
+	return w.Flush()
+}
+
+func writeTier(w io.Writer, tier string, times []time.Duration) {
+	times = slices.Sorted(slices.Values(times))
+	at := func(part float64) time.Duration {
+		if len(times) == 0 {
+			return 0
+		}
+		return times[int(part*float64(len(times)-1))].Round(time.Millisecond)
+	}
+	fmt.Fprintf(w, "%s\t%d\t%s\t%s\t%s\n", tier, len(times), at(0.5), at(0.95), at(0.99))
+}
+
+func writeIdle(w io.Writer, what string, all, idle time.Duration) {
+	share := 0.0
+	if all > 0 {
+		share = float64(idle) / float64(all)
+	}
+	fmt.Fprintf(w, "%s\t%.0f\t%.0f\t%.2f\n", what, all.Seconds(), idle.Seconds(), share)
+}
--- a/internal/loader/event.go
+++ b/internal/loader/event.go
@@ -62,6 +62,12 @@
 	Holdings core.Holdings
 }
 
+// TellCounts sends a router the engine's counts.
+type TellCounts struct {
+	Router core.HostID
+	Counts core.Counts
+}
+
 // Wake asks for a Tick in place of the one asked for before.
 type Wake struct{ At core.Time }
 
@@ -80,6 +86,7 @@
 func (ReadReport) effect() {}
 func (SendOrder) effect()  {}
 func (Tell) effect()       {}
+func (TellCounts) effect() {}
 func (Wake) effect()       {}
 func (Log) effect()        {}
 func (Count) effect()      {}
@@ -87,12 +94,16 @@
 
 // The metrics of a loader.
 const (
-	metricOrders      core.Counter = "loader_orders_total"
-	metricLoadSeconds core.Counter = "loader_load_seconds"
+	metricOrders        core.Counter = "loader_orders_total"
+	metricLoadSeconds   core.Counter = "loader_load_seconds"
+	metricModelSeconds  core.Counter = "loader_model_seconds_total"
+	metricEngineSeconds core.Counter = "loader_engine_seconds_total"
 )
 
 // Counters declares the metrics of a loader.
 var Counters = []core.CounterDef{
 	{Name: metricOrders, Help: "Orders to the engine by kind and result.", Labels: []string{"kind", "result"}},
+	{Name: metricModelSeconds, Help: "Seconds that models were loaded, by whether a request ran on them lately.", Labels: []string{"use"}},
+	{Name: metricEngineSeconds, Help: "Seconds of the engine, by whether anything ran on it.", Labels: []string{"use"}},
 	{Name: metricLoadSeconds, Help: "Time of a model's load by where its copy lay.", Labels: []string{"tier"}},
 }
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -13,13 +13,14 @@
 const (
 	// HeartbeatInterval is the longest time between two Holdings to a router.
 	HeartbeatInterval = time.Second
-	// countsInterval is the time between two Holdings that differ in counts
-	// only: routers add their own requests since, so older ones do for a while.
-	countsInterval = 250 * time.Millisecond
+	// countsInterval is the least time between two words on counts: about the time
+	// in which a long prompt is read. At 250 ms an engine that was free when it was
+	// heard of had two of them before the next word.
+	countsInterval = 100 * time.Millisecond
 	// busyRead and idleRead are the pauses between two reports of an engine
 	// with and without requests. A report from its own host costs nothing but
 	// the two processes' time, about 0.3 ms.
-	busyRead = 200 * time.Millisecond
+	busyRead = 100 * time.Millisecond
 	idleRead = 500 * time.Millisecond
 	// endRead is the pause between reports while the end of an order is due.
 	endRead = 25 * time.Millisecond
@@ -33,7 +34,11 @@
 )
 
 // Options are fixed for the life of a loader.
-type Options struct{ Host core.HostID }
+type Options struct {
+	Host core.HostID
+	// IdleAfter is how long after its last request a loaded model counts as idle.
+	IdleAfter time.Duration
+}
 
 // Loader is the reducer. Create it with New.
 type Loader struct {
@@ -66,6 +71,7 @@
 	retiring   map[string]core.Time
 	storeLoads int
 	lastStore  *core.StoreLoadResult
+	usage      usage
 	told       told
 }
 
@@ -97,6 +103,7 @@
 type told struct {
 	holdings core.Holdings
 	at       core.Time
+	countsAt core.Time
 	// known routers have got it.
 	known map[core.HostID]bool
 }
@@ -184,6 +191,7 @@
 		l.log("engine state", slog.Bool("draining", e.Report.Draining), slog.String("leaves_in", e.Report.LeavesIn.String()),
 			slog.Int("models", len(e.Report.Models)))
 	}
+	l.countUsage()
 	l.checkTask()
 }
 
--- a/internal/loader/tell.go
+++ b/internal/loader/tell.go
@@ -13,8 +13,9 @@
 // left once the load is overdue.
 const overdueShare = 0.15
 
-// tellRouters tells routers of a change of what is held at once, of counts
-// after a while, and in any case at each heartbeat.
+// tellRouters tells routers of a change of what is held at once, of counts after a
+// while, and in any case at each heartbeat. Counts alone go in a message of their
+// own: each engine that works sends several a second to each router.
 func (l *Loader) tellRouters() {
 	if len(l.routers) == 0 {
 		return
@@ -22,11 +23,12 @@
 	holdings := l.holdings()
 	since := l.now.Sub(l.told.at)
 	changed := !sameShape(holdings, l.told.holdings)
-	counts := since >= countsInterval && !sameCounts(holdings, l.told.holdings)
-	all := changed || counts || since >= HeartbeatInterval
-	if all {
+	if changed || since >= HeartbeatInterval {
 		l.told.holdings, l.told.at = holdings, l.now
+		l.told.countsAt = l.now
 		clear(l.told.known)
+	} else if l.now.Sub(l.told.countsAt) >= countsInterval && !sameCounts(holdings, l.told.holdings) {
+		l.tellCounts(holdings)
 	}
 	for _, name := range l.names {
 		if !l.told.known[name] {
@@ -36,6 +38,18 @@
 	}
 }
 
+// tellCounts sends the counts to the routers that know the rest.
+func (l *Loader) tellCounts(holdings core.Holdings) {
+	l.told.countsAt = l.now
+	l.told.holdings.Running, l.told.holdings.Waiting, l.told.holdings.Unread = holdings.Running, holdings.Waiting, holdings.Unread
+	counts := core.Counts{Running: holdings.Running, Waiting: holdings.Waiting, Unread: holdings.Unread}
+	for _, name := range l.names {
+		if l.told.known[name] {
+			l.emit(TellCounts{Router: name, Counts: counts})
+		}
+	}
+}
+
 // sameShape compares what routers act on at once. The order of the models says
 // nothing: those that are waited for stand in the order of their turns, which the
 // routers' estimates, some ms apart, change with each message. Taken for news, it
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -153,6 +153,9 @@
 	} else {
 		r.learnLatency(req.backend, latency, a.slowdown)
 	}
+	if req.cold != "" {
+		r.emit(Observe{core.Observe{Name: metricColdStart, Labels: []string{req.cold}, Value: req.first.Seconds()}})
+	}
 	r.emit(Observe{core.Observe{Name: metricFirstByte, Labels: []string{req.service}, Value: latency.Seconds()}})
 }
 
@@ -172,5 +175,6 @@
 	delete(r.requests, req.key)
 	r.emit(Count{core.Count{Name: metricRequests, Labels: []string{req.service, code.OK.String()}, Add: 1}})
 	r.log(OneRequest, "request served", req.attrs("instance", b.Instance, "attempts", req.number,
-		"waited", req.waited.String(), "first", req.first.String(), "took", r.now.Sub(req.arrived).String())...)
+		"waited", req.waited.String(), "cold", req.cold, "predicted", req.attempt.forecast.first.String(),
+		"ahead", req.attempt.forecast.ahead.String(), "first", req.first.String(), "took", r.now.Sub(req.arrived).String())...)
 }
--- a/internal/router/demand.go
+++ b/internal/router/demand.go
@@ -45,6 +45,7 @@
 	for _, key := range slices.SortedFunc(maps.Keys(r.waits), compareWaitKeys) {
 		if w := r.waits[key]; w.home == b {
 			demand.Wants = append(demand.Wants, r.want(w))
+			demand.Wants = append(demand.Wants, r.adapterWants(w)...)
 		}
 	}
 	demand.Wants = append(demand.Wants, r.plannedWants(b)...)
@@ -59,6 +60,38 @@
 	return want
 }
 
+// adapterWants asks for the adapters of those who wait for a model, ahead of its
+// being loaded.
+//
+// It guards against a to and fro: asked for when the model stands, adapters came
+// after the engine's next load had begun, during which it takes no order; callers
+// of adapters waited for two loads in place of one.
+func (r *Router) adapterWants(w *wait) []core.Want {
+	if w.key.adapter != "" {
+		return nil
+	}
+	within := map[string]core.Want{}
+	for _, req := range w.requests {
+		adapter := req.prompt.Adapter
+		if adapter == "" {
+			continue
+		}
+		left := req.arrived.Add(req.route.Objective).Sub(r.now)
+		want, known := within[adapter]
+		if !known {
+			want = core.Want{Model: w.key.model, Adapter: adapter, Within: left}
+		}
+		want.Waiting++
+		want.Within = min(want.Within, left)
+		within[adapter] = want
+	}
+	var wants []core.Want
+	for _, adapter := range slices.Sorted(maps.Keys(within)) {
+		wants = append(wants, within[adapter])
+	}
+	return wants
+}
+
 func engineSpec(version int64, engine *fleet.Engine) *core.EngineSpec {
 	spec := &core.EngineSpec{Version: version, MemoryMB: engine.MemoryMB, AdapterSlots: engine.AdapterSlots}
 	for _, name := range slices.Sorted(maps.Keys(engine.Models)) {
--- a/internal/router/ending.go
+++ b/internal/router/ending.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"log/slog"
 	"maps"
 	"slices"
 	"time"
@@ -17,6 +18,7 @@
 	if req == nil {
 		return
 	}
+	attrs := req.leftAttrs(r.now)
 	if req.backend != nil {
 		r.emit(Abandon{Key: key, Attempt: req.number})
 	}
@@ -24,7 +26,18 @@
 	r.leaveWait(req)
 	delete(r.requests, key)
 	r.emit(Count{core.Count{Name: metricRequests, Labels: []string{req.service, code.Cancelled.String()}, Add: 1}})
-	r.log(OneRequest, "caller left", req.attrs("forwarded", req.forwarded, "took", r.now.Sub(req.arrived).String())...)
+	r.log(OneRequest, "caller left", attrs...)
+}
+
+// leftAttrs tell why a caller may have left: where its request was, for how long,
+// and what had been predicted.
+func (req *request) leftAttrs(now core.Time) []slog.Attr {
+	more := []any{"forwarded", req.forwarded, "took", now.Sub(req.arrived).String(), "attempts", req.number, "first", req.first.String()}
+	if req.backend != nil {
+		more = append(more, "instance", req.backend.Instance, "sent_ago", now.Sub(req.attempt.at).String(),
+			"predicted", req.attempt.forecast.first.String(), "ahead", req.attempt.forecast.ahead.String())
+	}
+	return req.attrs(more...)
 }
 
 // giveUp ends a request that can't be served. Whether the answer promises that
@@ -127,7 +140,7 @@
 		return false
 	}
 	held := r.holdings(b)
-	if held == nil || held.Draining || held.Unread == 0 && b.loader.heardAt.Sub(req.attempt.at) > reportDelay {
+	if held == nil || held.Draining || held.Unread == 0 && b.loader.countedAt.Sub(req.attempt.at) > reportDelay {
 		return true
 	}
 	return wait-predicted > moveLate*best.cost
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -47,6 +47,12 @@
 	Holdings core.Holdings
 }
 
+// LoaderCounted is a loader's word on its engine's counts alone.
+type LoaderCounted struct {
+	Loader core.HostID
+	Counts core.Counts
+}
+
 // Arrived is a new request. Its body has been read.
 type Arrived struct {
 	Key     Key
@@ -130,6 +136,7 @@
 func (LoaderUp) event()        {}
 func (LoaderDown) event()      {}
 func (LoaderSaid) event()      {}
+func (LoaderCounted) event()   {}
 func (Arrived) event()         {}
 func (AttemptFailed) event()   {}
 func (Stalled) event()         {}
--- a/internal/router/forecast.go
+++ b/internal/router/forecast.go
@@ -51,16 +51,16 @@
 // othersAhead predicts how long the prompts that other routers sent to an engine
 // take to be read.
 //
-// It guards against a herd, as outstanding does: the engine's count is up to half
-// a second old, and all routers would send to the one that was free then. So half
-// of the estimate is what the others have there if they send as much as this one.
+// It guards against a herd, as outstanding does: the engine's count is some 200 ms
+// old, and all routers would send to the one that was free then. So what a router
+// has sent there itself counts for the others too, as half of the estimate.
 func (r *Router) othersAhead(b *backend) time.Duration {
 	own := b.queue.Len()
 	told := 0
-	if held := r.holdings(b); held != nil && r.now.Sub(b.loader.heardAt) < unreadFresh {
+	if held := r.holdings(b); held != nil && r.now.Sub(b.loader.countedAt) < unreadFresh {
 		told = max(0, held.Unread-b.loader.ownUnread)
 	}
-	estimate := (float64(told) + float64(own*(r.routers()-1))) / 2
+	estimate := max(float64(told), (float64(told)+float64(own*(r.routers()-1)))/2)
 	return time.Duration(estimate * float64(r.service(b.Service).meanReading))
 }
 
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -34,6 +34,8 @@
 	nextDial core.Time
 	holdings *core.Holdings
 	heardAt  core.Time
+	// countedAt is when the engine's counts came, with the holdings or alone.
+	countedAt core.Time
 	// ownThen is how many requests of ours ran there when the holdings came.
 	ownThen int
 	// ownUnread of them had no event yet.
@@ -287,7 +289,7 @@
 	if l == nil {
 		return
 	}
-	l.holdings, l.heardAt = &holdings, r.now
+	l.holdings, l.heardAt, l.countedAt = &holdings, r.now, r.now
 	if b := r.engineAt(l); b != nil {
 		l.ownThen, l.ownUnread = len(b.sent), b.queue.Len()
 		b.cache.Keep(func(model string) bool { has, _ := r.loaded(b, model, ""); return has })
@@ -296,6 +298,20 @@
 	r.pumpAll()
 }
 
+// loaderCounted takes an engine's counts. They change nothing that is waited for,
+// so that queues are not looked at: of a large fleet's messages these are most.
+func (r *Router) loaderCounted(name core.HostID, counts core.Counts) {
+	l := r.loaders[name]
+	if l == nil || l.holdings == nil {
+		return
+	}
+	l.holdings.Running, l.holdings.Waiting, l.holdings.Unread = counts.Running, counts.Waiting, counts.Unread
+	l.countedAt = r.now
+	if b := r.engineAt(l); b != nil {
+		l.ownThen, l.ownUnread = len(b.sent), b.queue.Len()
+	}
+}
+
 // routers is the number of routers that share bounds, as far as known.
 func (r *Router) routers() int {
 	known := 1
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -80,6 +80,9 @@
 	// waited is how long it waited for its model, first the time until its
 	// first answer or event; both count from its arrival.
 	waited, first time.Duration
+	// cold is where the nearest copy lay of what it waited for, "" if it found
+	// all loaded: memory, disk, store, or adapter.
+	cold string
 }
 
 func (r *Router) arrived(key Key, in fleet.Request) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -125,6 +125,8 @@
 		r.loaderDown(e.Loader)
 	case LoaderSaid:
 		r.loaderSaid(e.Loader, e.Holdings)
+	case LoaderCounted:
+		r.loaderCounted(e.Loader, e.Counts)
 	case Arrived:
 		r.arrived(e.Key, e.Request)
 	case AttemptFailed:
--- a/internal/router/wait.go
+++ b/internal/router/wait.go
@@ -89,11 +89,27 @@
 		return
 	}
 	if w.home != nil {
+		req.cold = r.nearest(w)
 		r.log(OneRequest, "request waits for its model", req.attrs("at", w.home.Instance,
 			"ready_in", r.readyIn(w.home, key).String(), "waiting", len(w.requests))...)
 	}
 }
 
+// nearest is where the copy lies that the home of a queue would load.
+func (r *Router) nearest(w *wait) string {
+	held := r.holdings(w.home)
+	switch {
+	case w.key.adapter != "":
+		return "adapter"
+	case held != nil && slices.Contains(held.InMemory, w.key.model):
+		return "memory"
+	case held != nil && slices.Contains(held.OnDisk, w.key.model):
+		return "disk"
+	default:
+		return "store"
+	}
+}
+
 func (r *Router) leaveWait(req *request) {
 	w := req.waiting
 	if w == nil {
@@ -252,7 +268,7 @@
 	}
 	age := r.now.Sub(b.loader.heardAt)
 	if key.adapter != "" {
-		return adapterTime
+		return adapterTime + busyFor(held, age)
 	}
 	if m := findHeld(held, key.model); m != nil && m.State != core.HoldUnloading {
 		return r.heldReadyIn(b.Service, m, age)
@@ -265,6 +281,19 @@
 	return eta
 }
 
+// busyFor is how long an engine still loads a model, by a loader's word so old.
+// It takes no order meanwhile, not for an adapter either: requests for adapters of
+// a busy model waited 0.8 s at a copy that loaded another model, beside copies
+// that could have had the adapter in 50 ms.
+func busyFor(held *core.Holdings, age time.Duration) time.Duration {
+	for _, m := range held.Models {
+		if m.State == core.HoldLoading || m.State == core.HoldStoreLoading {
+			return max(0, m.ReadyIn-age)
+		}
+	}
+	return 0
+}
+
 // heldReadyIn corrects a loader's prediction for a model on its way, so old, by
 // what only a router sees: how many engines load from the weight store. Without
 // that, a load that shares the store with two others was predicted three times
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -78,6 +78,9 @@
 	Peers netip.AddrPort `json:"peers"`
 	// Engine is the "IP:port" of the engine beside it. Required.
 	Engine netip.AddrPort `json:"engine"`
+	// IdleAfter is how long after its last request a loaded model counts as idle in
+	// metrics and logs. Default 10s.
+	IdleAfter time.Duration `json:"idleAfter"`
 }
 
 func defaultNode() Node {
@@ -90,7 +93,7 @@
 
 // DefaultLoader returns a loader's settings with every default and no required
 // field.
-func DefaultLoader() *Loader { return &Loader{Node: defaultNode()} }
+func DefaultLoader() *Loader { return &Loader{Node: defaultNode(), IdleAfter: 10 * time.Second} }
 
 // LoadRouter is Load for a router.
 func LoadRouter(file string) (*Router, error) { return loadAs[*Router](file, RoleRouter) }
