An agent is dialled at its new address, also after a dial there failed

Ready means that it has a configuration, which entries bring. On the same connection manager two parts ask by two addresses: the steward by the platform's list, the entry part by the roster. Once a dial to the new address fails, the entry part's wish for the old one replaces it, and nothing asks for the new one again: the roster is written anew only when the agent is connected.

Change: the address is what changed last, the list's word or the roster's.

--- a/internal/core/entry/agents.go
+++ b/internal/core/entry/agents.go
@@ -66,6 +66,10 @@
 	// noticed is set by the agent's own word that it is leaving.
 	noticed bool
 
+	// listAddress and rosterAddress are what the platform's list and the roster
+	// said last. The one that changed last is the address.
+	listAddress, rosterAddress string
+
 	zone    core.Zone
 	host    core.HostID
 	kind    core.BackendKind
@@ -104,6 +108,29 @@
 	}
 }
 
+// listedAt takes the address that the platform's list tells.
+//
+// It guards against a roster that is older than the list: an agent started again
+// at a new address, the first dial there failed, and the roster's old one was
+// dialled for good. The roster is written anew only once the agent is connected,
+// so that the agent stayed without a configuration, not ready.
+func (p *Part) listedAt(a *agent, address string) {
+	if a.listAddress != address {
+		a.listAddress = address
+		p.moveTo(a, address)
+	}
+}
+
+// rosteredAt takes the address that a roster tells. The first one that is read
+// says nothing new where the list has been read.
+func (p *Part) rosteredAt(a *agent, address string) {
+	before := a.rosterAddress
+	a.rosterAddress = address
+	if address != before && (before != "" || a.listAddress == "") {
+		p.moveTo(a, address)
+	}
+}
+
 func (p *Part) follow(a *agent) {
 	if p.peers.Wants(peers.Entry, a.host) {
 		p.connect(a)
--- a/internal/core/entry/membership.go
+++ b/internal/core/entry/membership.go
@@ -65,7 +65,7 @@
 func (p *Part) rosterEntry(zone core.Zone, e *core.RosterEntry) {
 	a := p.agent(e.Host)
 	a.rostered, a.zone = true, zone
-	p.moveTo(a, e.Address)
+	p.rosteredAt(a, e.Address)
 	a.kind, a.service = e.Kind, e.Service
 	a.rosterIncarnation, a.rosterFenced, a.rosterLeaving = e.Incarnation, e.Fenced, e.Leaving
 	if !a.up && a.incarnation != e.Incarnation {
@@ -107,8 +107,8 @@
 		a.listed, a.gone, a.listLeaving = true, false, host.State == core.HostLeaving
 		if !a.rostered {
 			a.zone = host.Zone
-			p.moveTo(a, host.Address)
 		}
+		p.listedAt(a, host.Address)
 	}
 	for _, host := range core.SortedKeys(p.agents) {
 		if a := p.agents[host]; a.listed && !listed[host] {
