A lost answer makes no engine late; the registry's models wait for the loaders' word

In the two seconds after the loss of power 524 requests were refused by engines with 421: the registry listed what they had held before.

Ruled out: engines that hang are still told by what comes back from none of them.

TestAbsentModelIsRemembered now lets that time pass first; it checks the same.

--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -90,15 +90,6 @@
 	heardAt core.Time
 }
 
-// task is an order for a model that was accepted.
-type task struct {
-	order fleet.Order
-	tier  tier
-	began core.Time
-	// due is when it should have ended.
-	due core.Time
-}
-
 // told is what routers were told last.
 type told struct {
 	holdings core.Holdings
@@ -161,139 +152,6 @@
 	r.demand, r.heardAt = e.Demand, l.now
 }
 
-func (l *Loader) reportRead(e ReportRead) {
-	l.reading = false
-	if l.readAt < l.acceptedAt {
-		// Guards against a report that overtakes an order: it was read before
-		// the engine accepted it, and shows memory as free that is promised.
-		l.nextRead = l.now
-		return
-	}
-	if e.Err != nil {
-		l.engine.failed++
-		if l.engine.failed == failedReads {
-			l.log("engine does not answer", slog.String("error", e.Err.Error()))
-			l.engine.report, l.task = nil, nil
-		}
-		return
-	}
-	if l.engine.failed >= failedReads {
-		l.log("engine answers again", slog.Int64("orders", e.Report.Sequence))
-	}
-	l.engine.failed = 0
-	before := l.engine.report
-	l.engine.report = &e.Report
-	if before != nil && e.Report.Sequence < before.Sequence {
-		l.log("engine started again", slog.Int64("orders_before", before.Sequence), slog.Int64("orders", e.Report.Sequence))
-		l.task = nil
-	}
-	if before == nil || before.Draining != e.Report.Draining {
-		l.log("engine state", slog.Bool("draining", e.Report.Draining), slog.String("leaves_in", e.Report.LeavesIn.String()),
-			slog.Int("models", len(e.Report.Models)))
-	}
-	l.countUsage()
-	l.checkTask()
-}
-
-// checkTask ends the task once the engine is no longer busy with it.
-func (l *Loader) checkTask() {
-	t := l.task
-	if t == nil || l.engine.report.Busy {
-		return
-	}
-	l.task = nil
-	took := l.now.Sub(t.began)
-	has := l.findLoaded(t.order.Model) != nil
-	if has != (t.order.Kind == fleet.OrderLoad) {
-		l.log("order had no effect", orderAttrs(t.order, slog.String("took", took.String()))...)
-		return
-	}
-	l.log("order carried out", orderAttrs(t.order, slog.String("took", took.String()),
-		slog.String("tier", t.tier.String()), slog.Int("models", len(l.engine.report.Models)))...)
-	if t.order.Kind != fleet.OrderLoad {
-		return
-	}
-	l.loadedAt[t.order.Model] = l.now
-	l.emit(Observe{core.Observe{Name: metricLoadSeconds, Labels: []string{t.tier.String()}, Value: took.Seconds()}})
-	if t.tier == tierStore {
-		l.storeLoads++
-		l.lastStore = &core.StoreLoadResult{
-			Sequence: l.storeLoads, Took: took, Nominal: l.spec.models[t.order.Model].StoreLoad,
-		}
-	}
-}
-
-func (l *Loader) orderDone(e OrderDone) {
-	l.ordering = false
-	l.nextRead = l.now
-	l.emit(Count{core.Count{Name: metricOrders, Labels: []string{e.Order.Kind.String(), e.Result.String()}, Add: 1}})
-	switch e.Result {
-	case fleet.OrderAccepted, fleet.OrderHolds:
-		l.accepted(e.Order, e.Result)
-		return
-	case fleet.OrderWrongInstance:
-		l.engine.instance = e.Instance
-	}
-	l.nextOrder = l.now.Add(retryOrder)
-	attrs := orderAttrs(e.Order, slog.String("result", e.Result.String()), slog.String("instance", e.Order.Instance))
-	if e.Err != nil {
-		attrs = append(attrs, slog.String("error", e.Err.Error()))
-	}
-	l.log("order not accepted", attrs...)
-}
-
-func (l *Loader) accepted(order fleet.Order, result fleet.OrderResult) {
-	l.acceptedAt = l.now
-	if order.Adapter != "" || result == fleet.OrderHolds {
-		return
-	}
-	t := &task{order: order, began: l.now, due: l.now}
-	if order.Kind == fleet.OrderLoad {
-		t.tier = l.tierOf(order.Model)
-		t.due = l.now.Add(l.loadTime(order.Model))
-	}
-	l.task = t
-	l.log("order accepted", orderAttrs(order, slog.String("tier", t.tier.String()),
-		slog.String("expected", t.due.Sub(l.now).String()))...)
-}
-
-func orderAttrs(order fleet.Order, more ...slog.Attr) []slog.Attr {
-	attrs := []slog.Attr{slog.String("order", order.Kind.String()), slog.String("model", order.Model)}
-	if order.Adapter != "" {
-		attrs = append(attrs, slog.String("adapter", order.Adapter))
-	}
-	attrs = append(attrs, slog.Int64("sequence", order.Sequence))
-	return append(attrs, more...)
-}
-
-// scheduleRead asks for a report when one is due.
-func (l *Loader) scheduleRead() {
-	if l.reading || l.now < l.nextRead {
-		return
-	}
-	l.reading, l.readAt = true, l.now
-	l.nextRead = l.now.Add(l.readPause())
-	l.emit(ReadReport{})
-}
-
-// readPause is the pause before the next report but one.
-func (l *Loader) readPause() time.Duration {
-	switch t := l.task; {
-	case t != nil && l.now < t.due:
-		return min(busyRead, t.due.Sub(l.now))
-	case t != nil && l.now.Sub(t.due) < lateAfter:
-		return endRead
-	case t != nil:
-		return lateRead
-	case l.engine.report != nil && len(l.engine.report.Coming) > 0:
-		return endRead
-	case l.engine.report != nil && l.engine.report.Running > 0:
-		return busyRead
-	default:
-		return idleRead
-	}
-}
-
 func (l *Loader) nextWake() core.Time {
 	wake := l.now.Add(countsInterval)
 	if !l.reading {
@@ -312,15 +170,3 @@
 	}
 	return l.names[0]
 }
-
-func (l *Loader) findLoaded(model string) *fleet.LoadedModel {
-	if l.engine.report == nil {
-		return nil
-	}
-	for i := range l.engine.report.Models {
-		if l.engine.report.Models[i].Name == model {
-			return &l.engine.report.Models[i]
-		}
-	}
-	return nil
-}
--- /dev/null
+++ b/internal/loader/orders.go
@@ -0,0 +1,62 @@
+package loader
+
+import (
+	"log/slog"
+
+	"nutmeglane.example/nutmeglane/internal/core"
+	"nutmeglane.example/nutmeglane/internal/fleet"
+)
+
+// This file follows the orders that were sent to the engine.
+
+// task is an order for a model that was accepted.
+type task struct {
+	order fleet.Order
+	tier  tier
+	began core.Time
+	// due is when it should have ended.
+	due core.Time
+}
+
+func (l *Loader) orderDone(e OrderDone) {
+	l.ordering = false
+	l.nextRead = l.now
+	l.emit(Count{core.Count{Name: metricOrders, Labels: []string{e.Order.Kind.String(), e.Result.String()}, Add: 1}})
+	switch e.Result {
+	case fleet.OrderAccepted, fleet.OrderHolds:
+		l.accepted(e.Order, e.Result)
+		return
+	case fleet.OrderWrongInstance:
+		l.engine.instance = e.Instance
+	}
+	l.nextOrder = l.now.Add(retryOrder)
+	attrs := orderAttrs(e.Order, slog.String("result", e.Result.String()), slog.String("instance", e.Order.Instance))
+	if e.Err != nil {
+		attrs = append(attrs, slog.String("error", e.Err.Error()))
+	}
+	l.log("order not accepted", attrs...)
+}
+
+func (l *Loader) accepted(order fleet.Order, result fleet.OrderResult) {
+	l.acceptedAt = l.now
+	if order.Adapter != "" || result == fleet.OrderHolds {
+		return
+	}
+	t := &task{order: order, began: l.now, due: l.now}
+	if order.Kind == fleet.OrderLoad {
+		t.tier = l.tierOf(order.Model)
+		t.due = l.now.Add(l.loadTime(order.Model))
+	}
+	l.task = t
+	l.log("order accepted", orderAttrs(order, slog.String("tier", t.tier.String()),
+		slog.String("expected", t.due.Sub(l.now).String()))...)
+}
+
+func orderAttrs(order fleet.Order, more ...slog.Attr) []slog.Attr {
+	attrs := []slog.Attr{slog.String("order", order.Kind.String()), slog.String("model", order.Model)}
+	if order.Adapter != "" {
+		attrs = append(attrs, slog.String("adapter", order.Adapter))
+	}
+	attrs = append(attrs, slog.Int64("sequence", order.Sequence))
+	return append(attrs, more...)
+}
--- a/internal/router/backend.go
+++ b/internal/router/backend.go
@@ -12,6 +12,14 @@
 	// holdingsFresh is how long a loader's word counts. Loaders speak at least
 	// every loader.HeartbeatInterval (1 s), so two may be lost.
 	holdingsFresh = 3 * time.Second
+	// loaderGrace is how long after an engine was found its loader's word is waited
+	// for before the registry's is taken: some round trips and the loaders' start.
+	//
+	// It guards against the return of a whole fleet: for a moment the registry lists
+	// what engines held before they lost power, and each router sent requests by it
+	// that were refused, 524 in two seconds on 47 engines, until none of the
+	// attempts and of the budget of repeats was left.
+	loaderGrace = 700 * time.Millisecond
 	// loadFresh is how long the load told by a server counts beside our own
 	// count; a plain request takes some 30 ms, so that older ones say nothing.
 	loadFresh = time.Second
@@ -36,6 +44,8 @@
 // backend is what a router knows of one backend server.
 type backend struct {
 	fleet.Backend
+	// foundAt is when it was first seen in the registry.
+	foundAt core.Time
 	// unlistedAt is when the registry dropped the server, 0 while listed.
 	unlistedAt core.Time
 	// lapsed servers were dropped by the registry around an outage of the
@@ -114,6 +124,9 @@
 		}
 		return true, fleet.LoadedModel{Adapters: m.Adapters}.HasAdapter(adapter)
 	}
+	if r.now.Sub(b.foundAt) < loaderGrace {
+		return false, false
+	}
 	// Without the loader's word the registry's is the best there is. It is up
 	// to two heartbeats old; a wrong one costs an attempt, which the engine
 	// refuses as not run.
--- a/internal/router/forecast.go
+++ b/internal/router/forecast.go
@@ -88,7 +88,7 @@
 // promptBegan learns from a generation's first event.
 func (r *Router) promptBegan(req *request, took time.Duration) {
 	b, f := req.backend, req.attempt.forecast
-	b.queue.Ended(r.now, uint64(req.key))
+	b.queue.Began(r.now, uint64(req.key))
 	if f.ahead > f.reading/2 {
 		return
 	}
--- /dev/null
+++ b/internal/router/loaders.go
@@ -0,0 +1,190 @@
+package router
+
+import (
+	"log/slog"
+	"maps"
+	"net/netip"
+	"slices"
+	"strconv"
+	"time"
+
+	"nutmeglane.example/nutmeglane/internal/core"
+)
+
+// This file keeps the connections to the loaders beside engines, and takes their
+// words.
+
+// redialAfter is the pause before a loader is dialled again: below the time of a
+// load, so that a loader that restarts misses one at the most.
+const redialAfter = 500 * time.Millisecond
+
+// loader is the connection to the loader beside an engine.
+type loader struct {
+	name    core.HostID
+	address string
+	up      bool
+	dialing bool
+	// nextDial is the earliest next dial.
+	nextDial core.Time
+	holdings *core.Holdings
+	heardAt  core.Time
+	// countedAt is when the engine's counts came, with the holdings or alone.
+	countedAt core.Time
+	// ownThen is how many requests of ours ran there when the holdings came.
+	ownThen int
+	// ownUnread of them had no event yet.
+	ownUnread int
+	// specSent is set once the engine's configuration was sent on this
+	// connection.
+	specSent bool
+	toldAt   core.Time
+	dirty    bool
+	// storeLoads is the sequence of the last store load seen.
+	storeLoads int
+}
+
+// connect makes sure that the loader beside an engine is being dialled.
+func (r *Router) connect(b *backend) {
+	if r.engine(b.Service) == nil {
+		return
+	}
+	address, err := netip.ParseAddrPort(b.Address)
+	if err != nil {
+		return // platform.DecodeBackend lets no such entry through
+	}
+	name := core.HostID(address.Addr().String())
+	l := r.loaders[name]
+	if l == nil {
+		l = &loader{name: name, address: string(name) + ":" + strconv.Itoa(r.opts.LoaderPort)}
+		r.loaders[name] = l
+		r.loaderNames = nil
+	}
+	b.loader = l
+}
+
+// engineAt returns the listed engine beside a loader, nil if there is none.
+func (r *Router) engineAt(l *loader) *backend {
+	var found *backend
+	for _, b := range r.backends {
+		if b.loader != l || b.unlistedAt != 0 {
+			continue
+		}
+		if found == nil || found.Draining || found.Draining == b.Draining && b.Instance > found.Instance {
+			found = b
+		}
+	}
+	return found
+}
+
+// checkLoaders dials the loaders of listed engines and drops the others.
+func (r *Router) checkLoaders() {
+	for _, b := range r.backends {
+		if b.loader == nil && b.unlistedAt == 0 {
+			r.connect(b)
+		}
+	}
+	for _, name := range r.sortedLoaders() {
+		l := r.loaders[name]
+		if r.engineAt(l) == nil && !r.servesAnyone(l) {
+			delete(r.loaders, name)
+			r.loaderNames = nil
+			r.emit(Hangup{Loader: name})
+			continue
+		}
+		r.checkLoader(l)
+	}
+}
+
+// sortedLoaders are the names of all loaders, sorted. The caller must not change
+// the slice.
+func (r *Router) sortedLoaders() []core.HostID {
+	if r.loaderNames == nil {
+		r.loaderNames = slices.Sorted(maps.Keys(r.loaders))
+	}
+	return r.loaderNames
+}
+
+func (r *Router) servesAnyone(l *loader) bool {
+	for _, b := range r.backends {
+		if b.loader == l {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *Router) checkLoader(l *loader) {
+	// Guards against a connection that went silent: the loader would seem to
+	// hold what it held minutes ago, and wants would reach nobody. Its
+	// heartbeats stop, so it is dialled anew.
+	if l.up && r.now.Sub(l.heardAt) > holdingsFresh {
+		r.log(Belief, "loader is silent; dialling it again", slog.String("loader", string(l.name)),
+			slog.String("silent", r.now.Sub(l.heardAt).String()))
+		r.emit(Hangup{Loader: l.name})
+		l.up, l.dialing = false, false
+	}
+	if !l.up && !l.dialing && r.now >= l.nextDial {
+		l.dialing = true
+		r.emit(Dial{Loader: l.name, Address: l.address})
+	}
+}
+
+func (r *Router) loaderUp(name core.HostID) {
+	l := r.loaders[name]
+	if l == nil {
+		r.emit(Hangup{Loader: name})
+		return
+	}
+	l.up, l.dialing, l.specSent, l.dirty, l.heardAt = true, false, false, true, r.now
+	r.log(Belief, "loader connected", slog.String("loader", string(name)))
+}
+
+func (r *Router) loaderDown(name core.HostID) {
+	l := r.loaders[name]
+	if l == nil {
+		return
+	}
+	if l.up {
+		r.log(Belief, "loader lost", slog.String("loader", string(name)))
+	}
+	l.up, l.dialing, l.nextDial = false, false, r.now.Add(redialAfter)
+}
+
+func (r *Router) loaderSaid(name core.HostID, holdings core.Holdings) {
+	l := r.loaders[name]
+	if l == nil {
+		return
+	}
+	l.holdings, l.heardAt, l.countedAt = &holdings, r.now, r.now
+	if b := r.engineAt(l); b != nil {
+		l.ownThen, l.ownUnread = len(b.sent), b.queue.Len()
+		b.cache.Keep(func(model string) bool { has, _ := r.loaded(b, model, ""); return has })
+		r.learnStoreLoad(b, l)
+	}
+	r.pumpAll()
+}
+
+// loaderCounted takes an engine's counts. They change nothing that is waited for,
+// so that queues are not looked at: of a large fleet's messages these are most.
+func (r *Router) loaderCounted(name core.HostID, counts core.Counts) {
+	l := r.loaders[name]
+	if l == nil || l.holdings == nil {
+		return
+	}
+	l.holdings.Running, l.holdings.Waiting, l.holdings.Unread = counts.Running, counts.Waiting, counts.Unread
+	l.countedAt = r.now
+	if b := r.engineAt(l); b != nil {
+		l.ownThen, l.ownUnread = len(b.sent), b.queue.Len()
+	}
+}
+
+// routers is the number of routers that share bounds, as far as known.
+func (r *Router) routers() int {
+	known := 1
+	for _, l := range r.loaders {
+		if l.holdings != nil {
+			known = max(known, l.holdings.Routers)
+		}
+	}
+	return known
+}
--- a/internal/router/members_test.go
+++ b/internal/router/members_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"nutmeglane.example/nutmeglane/internal/core"
 	"nutmeglane.example/nutmeglane/internal/fleet"
 )
 
@@ -92,3 +93,37 @@
 		t.Fatalf("version %d in force, want 7", got)
 	}
 }
+
+// A whole fleet returns after a loss of power. For a moment the registry lists what
+// engines held before. Requests that were sent by it came back refused, and used
+// up the attempts of their routes; they must wait for the loaders, which connect
+// at once, and not be refused meanwhile.
+func TestRegistryIsNotTakenForLoadersThatConnect(t *testing.T) {
+	w := newWorld(t)
+	entry := w.server(engineService, 0)
+	entry.Models = []fleet.LoadedModel{{Name: "m1"}}
+	w.step(BackendsRead{Backends: map[string]fleet.Backend{"s0": entry}})
+	key := w.call("patient", prompt("m1"))
+	w.run(200 * time.Millisecond)
+	if len(w.sends[key]) != 0 || len(w.finishes) != 0 {
+		t.Fatalf("sent %v, ended %v before the loader could connect", w.sends[key], w.finishes)
+	}
+	w.holds(0, core.Holdings{OnDisk: []string{"m1"}, FreeMB: 80_000})
+	if wants := w.demands[loaderName(0)].Wants; len(wants) != 1 {
+		t.Fatalf("the model is not asked for: %+v", wants)
+	}
+}
+
+// Loaders are cut off, the engines are well. After a short while the registry's
+// word is taken, and callers are served by it.
+func TestRegistryServesWhereNoLoaderConnects(t *testing.T) {
+	w := newWorld(t)
+	entry := w.server(engineService, 0)
+	entry.Models = []fleet.LoadedModel{{Name: "m1"}}
+	w.step(BackendsRead{Backends: map[string]fleet.Backend{"s0": entry}})
+	key := w.call("patient", prompt("m1"))
+	w.run(loaderGrace + 2*tickInterval)
+	if len(w.sends[key]) != 1 {
+		t.Fatalf("not sent; ended %v", w.finishes)
+	}
+}
--- a/internal/router/request_test.go
+++ b/internal/router/request_test.go
@@ -158,6 +158,7 @@
 		list[b.Instance] = b
 	}
 	w.step(BackendsRead{Backends: list})
+	w.run(loaderGrace) // no loader connects: the registry's word is all there is
 	first := w.call("quick", prompt("m1"))
 	stale := w.lastSend(first).Instance
 	w.step(Answered{Key: first, Attempt: 1, Answer: fleet.Answer{Status: 421, NotRun: true, Absent: true}})
--- a/internal/router/wait.go
+++ b/internal/router/wait.go
@@ -179,6 +179,9 @@
 // requests for which that is too late.
 func (r *Router) place(w *wait) {
 	best, eta := r.bestHome(w)
+	if best == nil && r.loadersDue(w.key.service) {
+		return
+	}
 	if best == nil {
 		for _, req := range slices.Clone(w.requests) {
 			r.giveUp(req, code.NoBackend, "no engine can load the model now")
@@ -195,6 +198,17 @@
 	r.refuseLate(w, eta)
 }
 
+// loadersDue tells that an engine was found so lately that its loader may still
+// connect. Those who wait for a model are not refused before it has had the time.
+func (r *Router) loadersDue(service string) bool {
+	for _, b := range r.serversOf(service) {
+		if b.unlistedAt == 0 && r.holdings(b) == nil && r.now.Sub(b.foundAt) < loaderGrace {
+			return true
+		}
+	}
+	return false
+}
+
 // moveHome changes the engine that is asked, and tells both.
 func (r *Router) moveHome(w *wait, to *backend) {
 	w.touch()
--- a/internal/work/queue.go
+++ b/internal/work/queue.go
@@ -17,8 +17,10 @@
 // unread is a prompt whose first event has not come.
 type unread struct {
 	reading time.Duration
-	// due is when its first event was predicted.
-	due core.Time
+	// sent is when it was sent, due when its first event was predicted.
+	sent, due core.Time
+	// passed is set once a prompt that was sent later has begun.
+	passed bool
 }
 
 // Send notes that a prompt was sent.
@@ -27,10 +29,30 @@
 		q.unread = map[uint64]unread{}
 	}
 	q.until = max(q.until, now).Add(reading)
-	q.unread[key] = unread{reading, now.Add(first)}
+	q.unread[key] = unread{reading: reading, sent: now, due: now.Add(first)}
 }
 
-// Ended notes that a prompt's first event has come, or that it was given up.
+// Began notes that a prompt's first event has come.
+//
+// It guards against an answer that is lost on its way while its engine works: its
+// prompt grew later and later, and an engine that answered everything else within
+// 100 ms was taken to be seconds behind, so that callers of its models were
+// refused. An engine that has begun a prompt does not hang at one before it.
+func (q *Queue) Began(now core.Time, key uint64) {
+	begun, ok := q.unread[key]
+	if !ok {
+		return
+	}
+	for other, u := range q.unread {
+		if u.sent < begun.sent {
+			u.passed = true
+			q.unread[other] = u
+		}
+	}
+	q.Ended(now, key)
+}
+
+// Ended notes that a prompt was given up, or has begun.
 func (q *Queue) Ended(now core.Time, key uint64) {
 	if _, ok := q.unread[key]; !ok {
 		return
@@ -54,8 +76,10 @@
 func (q *Queue) Ahead(now core.Time) time.Duration {
 	late, left := time.Duration(0), time.Duration(0)
 	for _, u := range q.unread {
-		late = max(late, now.Sub(u.due))
 		left += u.reading
+		if !u.passed {
+			late = max(late, now.Sub(u.due))
+		}
 	}
 	if late <= 0 {
 		return max(0, q.until.Sub(now))
--- a/internal/work/work_test.go
+++ b/internal/work/work_test.go
@@ -130,3 +130,17 @@
 		t.Errorf("%d tokens of a prompt that had to yield, %d kept", got, c.tokens)
 	}
 }
+
+// The answer to one prompt is lost on its way; the engine answers all that comes
+// after it. It is not behind, and its callers must not be refused for it.
+func TestLostAnswerDoesNotMakeItsEngineLate(t *testing.T) {
+	q := Queue{}
+	now := core.Time(time.Hour)
+	q.Send(now, 1, 20*time.Millisecond, 40*time.Millisecond)
+	now = now.Add(10 * time.Millisecond)
+	q.Send(now, 2, 20*time.Millisecond, 60*time.Millisecond)
+	q.Began(now.Add(60*time.Millisecond), 2)
+	if got := q.Ahead(now.Add(5 * time.Second)); got > 50*time.Millisecond {
+		t.Fatalf("%s ahead at an engine that answers", got)
+	}
+}
