Of two instances at one address the one that registered later is there

Entries were taken in by name, the last one at an address counting as its holder, so that every other engine was taken for dead and got requests meant for the dead instance: 110 refused with 421 in two seconds.

Change: entries are taken in in the order of their registration, which the store's creation revision tells.

The test fails before.

--- a/internal/fleet/backend.go
+++ b/internal/fleet/backend.go
@@ -25,6 +25,9 @@
 	SlowFor time.Duration
 	// Models are those loaded at the last heartbeat; empty for plain services.
 	Models []LoadedModel
+	// Registered grows with each registration: of two instances at one address the
+	// one that registered later is there. 0 if the registry does not tell.
+	Registered int64
 }
 
 // LoadedModel is a model in an engine's memory, with its loaded adapters.
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"log/slog"
 	"maps"
 	"slices"
@@ -31,8 +32,8 @@
 }
 
 func (r *Router) changeBackends(written map[string]fleet.Backend, removed map[string]bool) {
-	for _, instance := range slices.Sorted(maps.Keys(written)) {
-		r.writeBackend(written[instance])
+	for _, entry := range byRegistration(written) {
+		r.writeBackend(entry)
 	}
 	for _, instance := range slices.Sorted(maps.Keys(removed)) {
 		r.removeBackend(instance)
@@ -40,6 +41,18 @@
 	r.pumpAll()
 }
 
+// byRegistration lists entries in the order in which they registered.
+//
+// It guards against a router that starts while the entry of a dead instance still
+// stands beside that of its successor at the same address: the one that it takes in
+// last counts as there. In the order of their names that was the dead one every
+// other time, and all requests for the engine came back refused for a second.
+func byRegistration(written map[string]fleet.Backend) []fleet.Backend {
+	return slices.SortedFunc(maps.Values(written), func(a, b fleet.Backend) int {
+		return cmp.Or(cmp.Compare(a.Registered, b.Registered), cmp.Compare(a.Instance, b.Instance))
+	})
+}
+
 func (r *Router) writeBackend(entry fleet.Backend) {
 	b := r.backends[entry.Instance]
 	if b == nil {
--- a/internal/router/members_test.go
+++ b/internal/router/members_test.go
@@ -127,3 +127,18 @@
 		t.Fatalf("not sent; ended %v", w.finishes)
 	}
 }
+
+// Engines restart, and a router with them. The registry still lists the dead
+// instance of an engine beside the new one, at the same address, and the dead one's
+// name comes later. Requests were sent for it and refused, until its entry lapsed.
+func TestLaterRegistrationHoldsTheAddress(t *testing.T) {
+	w := newWorld(t)
+	dead, alive := w.server(engineService, 0), w.server(engineService, 0)
+	dead.Instance, dead.Registered = "z-dead", 10
+	alive.Instance, alive.Registered = "a-alive", 20
+	w.step(BackendsRead{Backends: map[string]fleet.Backend{dead.Instance: dead, alive.Instance: alive}})
+	w.holds(0, core.Holdings{Models: loadedModels("m1")})
+	if got := w.lastSend(w.call("patient", prompt("m1"))).Instance; got != "a-alive" {
+		t.Fatalf("sent for %s", got)
+	}
+}
