Connections end with their answer while a router drains

Ruled out: a new connection (the listener was closed), the server (it was at work).

Change: while connections are drained, one closes with its answer.

--- a/internal/daemon/callerconns.go
+++ b/internal/daemon/callerconns.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -31,6 +32,9 @@
 type callerConns struct {
 	listener net.Listener
 
+	// draining is set once connections are to end with their answers.
+	draining atomic.Bool
+
 	mu   sync.Mutex
 	open map[*callerConn]struct{}
 }
@@ -53,6 +57,7 @@
 // drain closes the listener, then connections as they fall idle, until none is
 // left or ctx ends.
 func (c *callerConns) drain(ctx context.Context) error {
+	c.draining.Store(true)
 	if c.listener != nil {
 		_ = c.listener.Close() // nobody waits for what it would say
 	}
@@ -169,10 +174,19 @@
 }
 
 // answered notes that the last request has its answer.
+//
+// It guards against a request that is taken long after the stop was announced: a
+// stream whose head went out before then ends in the meantime, its connection is
+// kept as its head said, and the caller's next stream would be cut at the stop
+// limit. So while connections are drained, one closes with its answer. What its
+// caller may have sent by then was not read, which tells it that it did not run.
 func (c *callerConn) answered() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idle = true
+	if c.conns.draining.Load() {
+		_ = c.Close() // it is closed either way
+	}
 }
 
 // closeIfIdle closes the connection unless it has a request, and reports
--- a/internal/daemon/callerconns_test.go
+++ b/internal/daemon/callerconns_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -127,3 +128,48 @@
 		t.Fatal("the connection is still open")
 	}
 }
+
+// A stream began before its router was told to stop, so that its head promised to
+// keep the connection. It ends while connections are drained, and the caller sends
+// its next stream on the same connection, three seconds before the stop limit: it
+// was taken, and cut. The connection must end with the first answer.
+func TestNoRequestIsTakenAfterTheLastAnswerOfADrain(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	conns := newCallerConns()
+	began, end := make(chan struct{}, 2), make(chan struct{})
+	server := &http.Server{ConnState: conns.state, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(w).Flush()
+		began <- struct{}{}
+		<-end
+	})}
+	go func() { _ = server.Serve(conns.listen(listener)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	writeText(t, conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	<-began
+	conns.draining.Store(true)
+	if left := conns.closeIdle(); left != 1 {
+		t.Fatalf("%d connections left beside a request", left)
+	}
+	close(end)
+	reader := bufio.NewReader(conn)
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		t.Fatalf("the answer broke off: %v", err)
+	}
+	_, _ = conn.Write([]byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n")) // may fail: the connection ends
+	if _, err := http.ReadResponse(reader, nil); err == nil {
+		t.Fatal("a further request was taken")
+	}
+}
--- a/internal/router/ending.go
+++ b/internal/router/ending.go
@@ -127,8 +127,8 @@
 // It guards against an engine that hangs, and against the opposite: a prompt
 // taken from a crowded engine is read once more by another, which is crowded the
 // next moment. So a prompt is moved when its engine, by its own word, reads
-// nothing, or says nothing; and from one that reads only if another engine is
-// predicted to be faster by more than the prompt is late here already.
+// nothing, or says nothing; and from one that reads only once it is late by several
+// times what another engine is predicted to take.
 func (r *Router) promptOverdue(req *request, wait time.Duration) bool {
 	b, predicted := req.backend, req.attempt.forecast.first
 	patience := max(lateAfter*predicted, time.Duration(hedgeObjective*float64(req.route.Objective)))
--- a/internal/router/forecast.go
+++ b/internal/router/forecast.go
@@ -78,7 +78,7 @@
 	return time.Duration(float64(over) / float64(b.Slots) * float64(answer))
 }
 
-// sent notes that a generation was sent to an engine.
+// promptSent notes that a generation was sent to an engine.
 func (r *Router) promptSent(req *request) {
 	b, f := req.backend, req.attempt.forecast
 	b.queue.Send(r.now, uint64(req.key), f.reading, f.first)
