Read again: tests of callers' connections wait for events; one time left of an objective

Cause: two polls of callerconns_test.go slept between looks; the time left until an objective was worked out in want and in adapterWants.

Change: the tests wait for the server's own reads and idle states, or until the kernel has bytes, without a sleep; objectiveLeft serves both. Assertions and behaviour stay.

--- a/internal/daemon/callerconns_test.go
+++ b/internal/daemon/callerconns_test.go
@@ -7,29 +7,68 @@
 	"net"
 	"net/http"
 	"testing"
-	"time"
 )
 
+// watchedConn is a caller's connection that tells when the server has read from it.
+type watchedConn struct {
+	*callerConn
+	reads chan struct{}
+}
+
+// Read implements net.Conn.
+func (c watchedConn) Read(p []byte) (int, error) {
+	n, err := c.callerConn.Read(p)
+	if n > 0 {
+		c.reads <- struct{}{}
+	}
+	return n, err
+}
+
+// watchedListener accepts watchedConns.
+type watchedListener struct {
+	net.Listener
+	reads chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l watchedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return watchedConn{conn.(*callerConn), l.reads}, nil
+}
+
+// watched are the events of the server's only connection: a read of bytes, and the
+// end of an answer.
+type watched struct{ reads, idle chan struct{} }
+
 // callerServer serves on loopback through callerConns.
-func callerServer(t *testing.T) (*callerConns, net.Conn, *bufio.Reader) {
+func callerServer(t *testing.T) (*callerConns, watched, net.Conn, *bufio.Reader) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	conns := newCallerConns()
+	events := watched{make(chan struct{}, 16), make(chan struct{}, 16)}
 	server := &http.Server{
-		Handler:   http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("whole")) }),
-		ConnState: conns.state,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("whole")) }),
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			conns.state(conn.(watchedConn).callerConn, state)
+			if state == http.StateIdle {
+				events.idle <- struct{}{}
+			}
+		},
 	}
-	go func() { _ = server.Serve(conns.listen(listener)) }()
+	go func() { _ = server.Serve(watchedListener{conns.listen(listener), events.reads}) }()
 	t.Cleanup(func() { _ = server.Close() })
 	conn, err := net.Dial("tcp", listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = conn.Close() })
-	return conns, conn, bufio.NewReader(conn)
+	return conns, events, conn, bufio.NewReader(conn)
 }
 
 func writeText(t *testing.T, conn net.Conn, text string) {
@@ -48,37 +87,19 @@
 	_ = response.Body.Close()
 }
 
-// await polls until the only connection is idle or not, as wanted. The test's
-// own time limit is the guard.
-func (c *callerConns) await(idle bool) {
-	for {
-		c.mu.Lock()
-		for conn := range c.open {
-			conn.mu.Lock()
-			reached := conn.idle == idle
-			conn.mu.Unlock()
-			if reached {
-				c.mu.Unlock()
-				return
-			}
-		}
-		c.mu.Unlock()
-		time.Sleep(time.Millisecond)
-	}
-}
-
 // A caller sends a further request on a kept connection just when its router
 // stops. The process has read a part of it and, short of processor time, not
 // parsed it yet when idle connections are closed: the caller saw its connection
 // close and could not know whether the request ran. With http.Server.Shutdown in
 // place of closeIdle this test fails.
 func TestRequestBeingReadIsNotCutByStop(t *testing.T) {
-	conns, conn, reader := callerServer(t)
+	conns, events, conn, reader := callerServer(t)
 	writeText(t, conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	<-events.reads
 	readWhole(t, reader)
-	conns.await(true)
+	<-events.idle
 	writeText(t, conn, "GET / HTTP/1.1\r\nHost")
-	conns.await(false)
+	<-events.reads
 	if left := conns.closeIdle(); left != 1 {
 		t.Fatalf("%d connections left, wanted the one with a request", left)
 	}
@@ -106,8 +127,9 @@
 	}
 	writeText(t, caller, "GET / HTTP/1.1\r\n")
 	for conn := range conns.open {
-		for !conn.unread() {
-			time.Sleep(time.Millisecond)
+		// Waits until bytes are there, and reads none.
+		if err := conn.raw.Read(func(uintptr) bool { return conn.unread() }); err != nil {
+			t.Fatal(err)
 		}
 	}
 	if left := conns.closeIdle(); left != 1 {
@@ -117,10 +139,10 @@
 
 // Idle connections end at a planned stop, so that the process can.
 func TestDrainEndsIdleConnections(t *testing.T) {
-	conns, conn, reader := callerServer(t)
+	conns, events, conn, reader := callerServer(t)
 	writeText(t, conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
 	readWhole(t, reader)
-	conns.await(true)
+	<-events.idle
 	if err := conns.drain(context.Background()); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/router/demand.go
+++ b/internal/router/demand.go
@@ -55,11 +55,16 @@
 func (r *Router) want(w *wait) core.Want {
 	want := core.Want{Model: w.key.model, Adapter: w.key.adapter, Waiting: len(w.requests), Within: time.Hour}
 	for _, req := range w.requests {
-		want.Within = min(want.Within, req.arrived.Add(req.route.Objective).Sub(r.now))
+		want.Within = min(want.Within, req.objectiveLeft(r.now))
 	}
 	return want
 }
 
+// objectiveLeft is the time until the request misses its objective.
+func (req *request) objectiveLeft(now core.Time) time.Duration {
+	return req.arrived.Add(req.route.Objective).Sub(now)
+}
+
 // adapterWants asks for the adapters of those who wait for a model, ahead of its
 // being loaded.
 //
@@ -76,7 +81,7 @@
 		if adapter == "" {
 			continue
 		}
-		left := req.arrived.Add(req.route.Objective).Sub(r.now)
+		left := req.objectiveLeft(r.now)
 		want, known := within[adapter]
 		if !known {
 			want = core.Want{Model: w.key.model, Adapter: adapter, Within: left}
