--- a/internal/core/loading.go
+++ b/internal/core/loading.go
@@ -9,8 +9,10 @@
 // wait for and how much they use what is loaded. Each Demand replaces the one
 // before, so a lost one is mended by the next.
 type Demand struct {
-	// Instance is the engine's instance, as the router read it in the registry.
+	// Instance and Born are the engine's life, as the router read it in the
+	// registry; see fleet.Incarnation.
 	Instance string `cbor:"1,keyasint"`
+	Born     int64  `cbor:"6,keyasint,omitempty"`
 	// Engine is set when the router has a configuration.
 	Engine *EngineSpec `cbor:"2,keyasint,omitempty"`
 	Wants  []Want      `cbor:"3,keyasint,omitempty"`
@@ -90,8 +92,10 @@
 // Holdings is a loader's word to routers about its engine. Each replaces the
 // one before.
 type Holdings struct {
-	// Instance is the engine's, as far as known.
+	// Instance and Born are the engine's life that the rest is about, as far as
+	// known.
 	Instance string      `cbor:"1,keyasint"`
+	Born     int64       `cbor:"15,keyasint,omitempty"`
 	Models   []HeldModel `cbor:"2,keyasint,omitempty"`
 	// NearAsBefore says that InMemory and OnDisk are those told before on this
 	// connection. They are most of a message and change with loads only.
--- a/internal/fleet/backend.go
+++ b/internal/fleet/backend.go
@@ -1,19 +1,39 @@
 package fleet
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
 	"nutmeglane.example/nutmeglane/internal/core"
 )
 
+// Incarnation is one life of a backend server. A server that starts again may keep
+// its instance; it holds and knows nothing of before.
+type Incarnation struct {
+	// Instance is the server's name in the registry.
+	Instance string
+	// Born is when it started, in Unix milliseconds of its own clock; 0 where it
+	// does not tell.
+	Born int64
+}
+
+// Compare orders two lives at one address by their start: below 0 if i began before
+// other. Lives that can't be told apart, since one does not say when it began, are
+// equal.
+func (i Incarnation) Compare(other Incarnation) int {
+	if i.Born == 0 || other.Born == 0 {
+		return 0
+	}
+	return cmp.Compare(i.Born, other.Born)
+}
+
 // Backend is a backend server as the platform's registry lists it. The
 // registry lags by up to a heartbeat, and holds servers that died a few
 // heartbeats ago.
 type Backend struct {
-	// Instance identifies one life of the server; a restart has another.
-	Instance string
-	Service  string
+	Incarnation
+	Service string
 	// Address is "IP:port". It may belong to another instance later.
 	Address string
 	Zone    core.Zone
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -63,7 +63,8 @@
 // Target is a share of a route's requests.
 type Target struct {
 	Service string
-	Weight  int
+	// Weight is any share; a service gets its part of the sum.
+	Weight float64
 }
 
 // Service is a group of interchangeable backend servers.
@@ -123,7 +124,7 @@
 	// RetryRatio and RetrySlack bound the repeats to a service within
 	// RetryWindow, over all routers: ratio x requests + slack.
 	RetryRatio  float64
-	RetrySlack  int
+	RetrySlack  float64
 	RetryWindow time.Duration
 	// StoreLoadWindow, StoreLoadSlack: no more loads from the weight store
 	// begin within the window than its rate x window x slack.
--- a/internal/fleet/engine.go
+++ b/internal/fleet/engine.go
@@ -4,6 +4,9 @@
 
 // Report is the state of an engine as it tells it to the loader beside it.
 type Report struct {
+	// Born is when this life of the engine began, as in Incarnation. A report does
+	// not tell its instance.
+	Born int64
 	// Busy engines carry out an order and take no other for a model.
 	Busy bool
 	// Sequence is the number of orders accepted in this life of the engine.
@@ -49,8 +52,9 @@
 	// Sequence is the engine's order count that the decision is based on. An
 	// order that arrives late, after others, is refused by it.
 	Sequence int64
-	// Instance is the life of the engine that the order is for, "" if unknown.
-	Instance string
+	// For is the life of the engine that the order is for; its instance is "" if
+	// unknown.
+	For Incarnation
 }
 
 // OrderResult is what became of an order.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -75,6 +75,8 @@
 		if c := g.calls[e.Key]; c != nil {
 			c.abandon(e.Attempt)
 		}
+	case router.Reconnect:
+		g.pool.dropIdle(e.Address)
 	case router.Dial:
 		g.opts.Links.Do(core.Dial{Peer: e.Loader, Address: e.Address})
 	case router.Hangup:
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -58,7 +58,7 @@
 			}
 		}()
 		id := fmt.Sprintf("i-%d", i)
-		list[id] = fleet.Backend{Instance: id, Service: "s", Address: address, Slots: 4}
+		list[id] = fleet.Backend{Incarnation: fleet.Incarnation{Instance: id}, Service: "s", Address: address, Slots: 4}
 	}
 	log := slog.New(slog.DiscardHandler)
 	g := New(router.New(router.Options{Host: "r", Bounds: fleet.Bounds{RetrySlack: 100, RetryWindow: 10 * time.Second}}),
--- a/internal/loader/decide.go
+++ b/internal/loader/decide.go
@@ -49,7 +49,7 @@
 
 func (l *Loader) order(order fleet.Order) {
 	order.Sequence = l.engine.report.Sequence
-	order.Instance = l.engine.instance
+	order.For = l.engine.life
 	l.ordering = true
 	l.emit(SendOrder{Order: order})
 }
--- a/internal/loader/dump.go
+++ b/internal/loader/dump.go
@@ -9,7 +9,7 @@
 
 // State is the dump of a loader.
 type State struct {
-	Instance string
+	Life     fleet.Incarnation
 	Report   *fleet.Report
 	Ordering bool
 	// Task is the order for a model under way, "" without one.
@@ -21,7 +21,7 @@
 // Dump returns the state between two steps.
 func (l *Loader) Dump() State {
 	state := State{
-		Instance: l.engine.instance, Report: l.engine.report, Ordering: l.ordering,
+		Life: l.engine.life, Report: l.engine.report, Ordering: l.ordering,
 		Routers: slices.Clone(l.names), Told: l.told.holdings,
 	}
 	if l.task != nil {
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -70,6 +70,8 @@
 	nextOrder core.Time
 	// task is the order for a model that the engine carries out.
 	task *task
+	// stray is an order to an earlier life of the engine that may still arrive.
+	stray *strayOrder
 
 	// loadedAt is when models were loaded in this process's life.
 	loadedAt map[string]core.Time
@@ -84,7 +86,9 @@
 
 // engine is what is known of the engine.
 type engine struct {
-	instance string
+	// life is the engine's present life; its instance is "" until a router or the
+	// engine itself has told it.
+	life fleet.Incarnation
 	// report is nil before the first.
 	report *fleet.Report
 	failed int
@@ -150,20 +154,33 @@
 	if e.Demand.Engine != nil {
 		l.setSpec(e.Demand.Engine)
 	}
-	if e.Demand.Instance != r.demand.Instance && e.Demand.Instance != "" {
-		l.engine.instance = e.Demand.Instance
-	}
 	before := r.demand
+	if e.Demand.Instance != before.Instance || e.Demand.Born != before.Born {
+		l.learnInstance(fleet.Incarnation{Instance: e.Demand.Instance, Born: e.Demand.Born})
+	}
 	r.demand, r.heardAt = e.Demand, l.now
 	return before
 }
 
+// learnInstance takes a router's word on what the engine's life is called.
+//
+// It guards against an old word: a router that starts reads the registry's entry of
+// a life that is over. Taken for the present one, the next order was refused, and
+// the callers who waited for it lost the time of an order and a report.
+func (l *Loader) learnInstance(life fleet.Incarnation) {
+	if life.Instance == "" || life.Compare(l.engine.life) < 0 {
+		return
+	}
+	l.engine.life.Instance = life.Instance
+}
+
 // actsOn tells whether a demand may change what is ordered or told now. Most only
 // tell uses, which the next report's step reads: to look at all routers' demands
 // for each of them took a loader beside 100 routers 17 ms a second.
 func (l *Loader) actsOn(before, demand core.Demand) bool {
 	asks := func(d core.Demand) bool { return len(d.Wants)+len(d.Permits) > 0 }
-	return asks(before) || asks(demand) || demand.Engine != nil || demand.Instance != before.Instance || len(l.retiring) > 0
+	return asks(before) || asks(demand) || demand.Engine != nil || demand.Instance != before.Instance ||
+		demand.Born != before.Born || len(l.retiring) > 0
 }
 
 func (l *Loader) nextWake() core.Time {
--- a/internal/loader/orders.go
+++ b/internal/loader/orders.go
@@ -21,16 +21,26 @@
 func (l *Loader) orderDone(e OrderDone) {
 	l.ordering = false
 	l.nextRead = l.now
+	if e.Result == fleet.OrderUnknown {
+		l.noteStray(e.Order)
+	}
 	l.emit(Count{core.Count{Name: metricOrders, Labels: []string{e.Order.Kind.String(), e.Result.String()}, Add: 1}})
+	// Guards against an answer of an earlier life: what it accepted is lost with
+	// it. A task that never ends would keep the engine from all further orders.
+	if e.Order.For.Compare(l.engine.life) < 0 {
+		l.acceptedAt = l.now
+		l.log("order was to an earlier life of the engine", orderAttrs(e.Order, slog.String("result", e.Result.String()))...)
+		return
+	}
 	switch e.Result {
 	case fleet.OrderAccepted, fleet.OrderHolds:
 		l.accepted(e.Order, e.Result)
 		return
 	case fleet.OrderWrongInstance:
-		l.engine.instance = e.Instance
+		l.engine.life.Instance = e.Instance
 	}
 	l.nextOrder = l.now.Add(retryOrder)
-	attrs := orderAttrs(e.Order, slog.String("result", e.Result.String()), slog.String("instance", e.Order.Instance))
+	attrs := orderAttrs(e.Order, slog.String("result", e.Result.String()), slog.String("instance", e.Order.For.Instance))
 	if e.Err != nil {
 		attrs = append(attrs, slog.String("error", e.Err.Error()))
 	}
--- a/internal/loader/report.go
+++ b/internal/loader/report.go
@@ -26,16 +26,15 @@
 		}
 		return
 	}
+	if !l.presentLife(e.Report) {
+		return
+	}
 	if l.engine.failed >= failedReads {
 		l.log("engine answers again", slog.Int64("orders", e.Report.Sequence))
 	}
 	l.engine.failed = 0
 	before := l.engine.report
 	l.engine.report = &e.Report
-	if before != nil && e.Report.Sequence < before.Sequence {
-		l.log("engine started again", slog.Int64("orders_before", before.Sequence), slog.Int64("orders", e.Report.Sequence))
-		l.task = nil
-	}
 	if before == nil || before.Draining != e.Report.Draining {
 		l.log("engine state", slog.Bool("draining", e.Report.Draining), slog.String("leaves_in", e.Report.LeavesIn.String()),
 			slog.Int("models", len(e.Report.Models)))
--- a/internal/loader/spec.go
+++ b/internal/loader/spec.go
@@ -74,7 +74,7 @@
 
 // freeMB is the engine's memory that is not taken.
 func (l *Loader) freeMB() float64 {
-	free := l.spec.memoryMB
+	free := l.spec.memoryMB - l.strayMB()
 	for _, m := range l.engine.report.Models {
 		free -= l.sizeOf(m)
 	}
--- a/internal/loader/world_test.go
+++ b/internal/loader/world_test.go
@@ -142,7 +142,7 @@
 
 // take is the engine's side of an order.
 func (e *fakeEngine) take(now core.Time, order fleet.Order) fleet.OrderResult {
-	if order.Instance != "" && order.Instance != e.instance {
+	if order.For.Instance != "" && order.For.Instance != e.instance {
 		return fleet.OrderWrongInstance
 	}
 	if e.report.Busy || order.Sequence != e.report.Sequence {
--- a/internal/router/backend.go
+++ b/internal/router/backend.go
@@ -76,6 +76,8 @@
 	loadOwn int
 
 	indexed indexed
+	// aliveAt is when a word of its present life came last.
+	aliveAt core.Time
 }
 
 // attempt is one request at one server.
@@ -114,6 +116,9 @@
 	if l == nil || !l.up || l.holdings == nil || r.now.Sub(l.heardAt) > holdingsFresh {
 		return nil
 	}
+	if l.life().Compare(b.Incarnation) != 0 {
+		return nil // of another life of the engine
+	}
 	return l.holdings
 }
 
--- a/internal/router/demand.go
+++ b/internal/router/demand.go
@@ -65,7 +65,8 @@
 		return a == b
 	}
 	sameUse := func(a, b core.Use) bool { return sameUse(a, b, past) }
-	return now.Engine == nil && told.Instance == now.Instance && slices.Equal(told.Permits, now.Permits) &&
+	return now.Engine == nil && told.Instance == now.Instance && told.Born == now.Born &&
+		slices.Equal(told.Permits, now.Permits) &&
 		slices.EqualFunc(told.Wants, now.Wants, sameWant) && slices.EqualFunc(told.Uses, now.Uses, sameUse)
 }
 
@@ -87,7 +88,7 @@
 }
 
 func (r *Router) demand(l *loader, b *backend) core.Demand {
-	demand := core.Demand{Instance: b.Instance, Permits: r.permits(l), Uses: r.uses(b)}
+	demand := core.Demand{Instance: b.Instance, Born: b.Born, Permits: r.permits(l), Uses: r.uses(b)}
 	if !l.specSent {
 		demand.Engine = engineSpec(r.config.Version, r.engine(b.Service))
 		l.specSent = true
--- a/internal/router/effect.go
+++ b/internal/router/effect.go
@@ -52,6 +52,10 @@
 	Attempt int
 }
 
+// Reconnect closes the idle connections to a server, which lead to a life of it
+// that is over.
+type Reconnect struct{ Address string }
+
 // Dial asks for a connection to a loader; Hangup ends it.
 type (
 	Dial struct {
@@ -95,14 +99,15 @@
 	Observe struct{ core.Observe }
 )
 
-func (Send) effect()    {}
-func (Forward) effect() {}
-func (Finish) effect()  {}
-func (Abandon) effect() {}
-func (Dial) effect()    {}
-func (Hangup) effect()  {}
-func (Tell) effect()    {}
-func (Wake) effect()    {}
-func (Log) effect()     {}
-func (Count) effect()   {}
-func (Observe) effect() {}
+func (Send) effect()      {}
+func (Forward) effect()   {}
+func (Finish) effect()    {}
+func (Abandon) effect()   {}
+func (Reconnect) effect() {}
+func (Dial) effect()      {}
+func (Hangup) effect()    {}
+func (Tell) effect()      {}
+func (Wake) effect()      {}
+func (Log) effect()       {}
+func (Count) effect()     {}
+func (Observe) effect()   {}
--- a/internal/router/loaders.go
+++ b/internal/router/loaders.go
@@ -172,6 +172,9 @@
 	}
 	l.holdings, l.heardAt, l.countedAt = &holdings, r.now, r.now
 	for _, b := range l.engines {
+		if b.unlistedAt == 0 && b.Instance == holdings.Instance && r.newLife(b, l.life()) {
+			b.aliveAt = r.now
+		}
 		r.reindex(b)
 	}
 	if b := r.engineAt(l); b != nil {
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -62,6 +62,8 @@
 		b.Backend = entry
 		r.replaceInstances(b)
 		r.log(Belief, "backend server found", b.attrs("slots", entry.Slots, "draining", entry.Draining)...)
+	} else if !r.newLife(b, entry.Incarnation) {
+		return
 	} else if entry.Draining != b.Draining {
 		r.log(Belief, "backend server changed state", b.attrs("draining", entry.Draining)...)
 	}
@@ -72,7 +74,10 @@
 		r.byService = nil
 		r.unindex(b)
 	}
-	b.Backend, b.lapsed = entry, false
+	if entry.Born == 0 {
+		entry.Born = b.Born
+	}
+	b.Backend, b.lapsed, b.aliveAt = entry, false, r.now
 	if !b.replaced {
 		b.unlistedAt = 0
 	}
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -220,7 +220,7 @@
 
 func (r *Router) takeRepeat(service string) bool {
 	b := r.opts.Bounds
-	slack := float64(b.RetrySlack) / float64(r.routers())
+	slack := b.RetrySlack / float64(r.routers())
 	return r.service(service).budget.take(r.now, b.RetryWindow, b.RetryRatio, slack)
 }
 
--- a/internal/router/request_test.go
+++ b/internal/router/request_test.go
@@ -103,7 +103,7 @@
 		}
 	}
 	bounds := testBounds()
-	if most := int(bounds.RetryRatio*requests) + bounds.RetrySlack; repeats > most || repeats < most/2 {
+	if most := int(bounds.RetryRatio*requests + bounds.RetrySlack); repeats > most || repeats < most/2 {
 		t.Fatalf("%d repeats of %d requests, want up to %d", repeats, requests, most)
 	}
 }
--- a/internal/router/routes.go
+++ b/internal/router/routes.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"math"
 	"slices"
 	"strings"
 
@@ -37,14 +38,11 @@
 
 // target picks a service by weight. The same request id always gets the same.
 func target(route *fleet.Route, requestID string) string {
-	total := 0
+	total := 0.0
 	for _, t := range route.Targets {
 		total += max(0, t.Weight)
 	}
-	if total == 0 {
-		return route.Targets[0].Service
-	}
-	point := int(xxhash.Sum64String(requestID) % uint64(total))
+	point := float64(xxhash.Sum64String(requestID)) / math.MaxUint64 * total
 	for _, t := range route.Targets {
 		point -= max(0, t.Weight)
 		if point < 0 {
--- a/internal/router/world_test.go
+++ b/internal/router/world_test.go
@@ -127,7 +127,7 @@
 		slots = 64
 	}
 	return fleet.Backend{
-		Instance: fmt.Sprintf("s%d", i), Service: service, Zone: "a", Slots: slots,
+		Incarnation: fleet.Incarnation{Instance: fmt.Sprintf("s%d", i)}, Service: service, Zone: "a", Slots: slots,
 		Address: string(loaderName(i)) + ":8000",
 	}
 }
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -55,7 +55,7 @@
 	Drain           time.Duration `json:"drain"`
 	ConfigDelay     time.Duration `json:"configDelay"`
 	RetryRatio      float64       `json:"retryRatio"`
-	RetrySlack      int           `json:"retrySlack"`
+	RetrySlack      float64       `json:"retrySlack"`
 	RetryWindow     time.Duration `json:"retryWindow"`
 	StoreLoadWindow time.Duration `json:"storeLoadWindow"`
 	StoreLoadSlack  float64       `json:"storeLoadSlack"`
