--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -27,12 +27,6 @@
 	// collection. Half of Go's default: these processes are priced by their
 	// memory, and allocate little.
 	collectAt = 50
-	// heapFloor is counted into the heap from which it grows. It is never written,
-	// so that it takes address space and no memory. It guards against a collector
-	// that runs with every megabyte or two: that is half of what a process that
-	// lives on 3 MB allocates in a second, and each run takes the processor from
-	// its requests.
-	heapFloor = 8 << 20
 	// memoryShare of the limit is where the collector works harder; the rest
 	// is for what it does not count.
 	memoryShare = 0.8
@@ -58,11 +52,7 @@
 	failed        chan error
 }
 
-// floor keeps the memory of heapFloor from being collected.
-var floor []byte
-
 func newNodeProcess(s *settings.Node, out io.Writer, counters []core.CounterDef) (*nodeProcess, error) {
-	floor = make([]byte, heapFloor)
 	debug.SetGCPercent(collectAt)
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(s.MemoryMB * memoryShare * (1 << 20)))
--- a/internal/loader/tell.go
+++ b/internal/loader/tell.go
@@ -170,10 +170,17 @@
 	return slices.Equal(a.InMemory, b.InMemory) && slices.Equal(a.OnDisk, b.OnDisk)
 }
 
+// sameCounts tells whether counts make no difference to where a router sends a
+// request: of an engine's requests one or two always come and go.
 func sameCounts(a, b core.Holdings) bool {
-	return a.Running == b.Running && a.Waiting == b.Waiting && a.Unread == b.Unread
+	near := func(x, y int) bool { return max(x-y, y-x) <= max(countsOff, max(x, y)/4) }
+	return near(a.Running+a.Waiting, b.Running+b.Waiting) && near(a.Unread, b.Unread)
 }
 
+// countsOff is by how many requests the count of an engine, or of its unread
+// prompts, may be off untold; of larger counts it is a quarter.
+const countsOff = 1
+
 // holdings describes the engine to routers.
 func (l *Loader) holdings() core.Holdings {
 	h := core.Holdings{
