--- a/internal/router/backend.go
+++ b/internal/router/backend.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"math"
 	"time"
 
 	"nutmeglane.example/nutmeglane/internal/core"
@@ -158,7 +159,7 @@
 //
 // It guards against a herd: what loaders tell of all routers' requests is some
 // 250 ms old. Were it taken as it is, all routers would see the same server as
-// the least loaded and send everything there until the next word. So half of
+// the least loaded and send everything there until the next word. So a part of
 // the estimate is what the server would have if all routers sent as much as
 // this one, which spreads its requests evenly and is never late.
 func (r *Router) outstanding(b *backend) int {
@@ -171,8 +172,25 @@
 	} else {
 		return own
 	}
-	told := own + max(0, others)
-	return (told + own*r.routers() + 1) / 2
+	told, alike := float64(own+max(0, others)), float64(own*r.routers())
+	return int(math.Round(r.blend(told, alike)))
+}
+
+// blendRouters is the number of routers at which an old word on all requests and
+// this router's own, taken for all, are about equally wrong: a word that is some
+// 250 ms old misses what a few requests a second made of it, and with five routers
+// one's own requests differ from a fifth by as much.
+const blendRouters = 5
+
+// blend weighs what is told of all routers' requests against what this router's own
+// would make if all were alike. The error of the latter grows with the number of
+// routers: of 68, one that has a request somewhere knows nothing of 67 others. Taken
+// for half of the estimate there, one request of a router's own counted as 34, its
+// engine seemed full, and callers who could have been served were refused.
+func (r *Router) blend(told, alike float64) float64 {
+	ratio := float64(r.routers()) / blendRouters
+	weight := 1 / (1 + ratio*ratio)
+	return told + weight*(alike-told)
 }
 
 // usual is the usual latency of a plain service's server without load.
--- a/internal/router/background.go
+++ b/internal/router/background.go
@@ -104,7 +104,7 @@
 	models := slices.Collect(maps.Values(engine.Models))
 	rates := map[string]float64{}
 	for _, m := range models {
-		rates[m.Name] = s.rate(modelKey{model: m.Name}).perSecond(r.now)
+		rates[m.Name] = r.rate(s.name, m.Name)
 	}
 	slices.SortFunc(models, func(a, b fleet.Model) int {
 		return cmp.Or(cmp.Compare(rates[b.Name], rates[a.Name]),
--- a/internal/router/forecast.go
+++ b/internal/router/forecast.go
@@ -54,14 +54,14 @@
 //
 // It guards against a herd, as outstanding does: the engine's count is some 200 ms
 // old, and all routers would send to the one that was free then. So what a router
-// has sent there itself counts for the others too, as half of the estimate.
+// has sent there itself counts for the others too, as a part of the estimate.
 func (r *Router) othersAhead(b *backend) time.Duration {
 	own := b.queue.Len()
 	told := 0
 	if held := r.holdings(b); held != nil && r.now.Sub(b.loader.countedAt) < unreadFresh {
 		told = max(0, held.Unread-b.loader.ownUnread)
 	}
-	estimate := max(float64(told), (float64(told)+float64(own*(r.routers()-1)))/2)
+	estimate := max(float64(told), r.blend(float64(told), float64(own*(r.routers()-1))))
 	return time.Duration(estimate * float64(r.service(b.Service).meanReading))
 }
 
--- a/internal/router/forecast_test.go
+++ b/internal/router/forecast_test.go
@@ -121,3 +121,29 @@
 		t.Fatalf("sent %d times", n)
 	}
 }
+
+// 68 routers share 78 engines. One request of a router's own was taken for a sign
+// that each of the others had one there too: its engine seemed to have 34, more than
+// its slots, and those who waited for a model there were refused although the
+// engine's own word was that nothing ran.
+func TestOwnRequestIsNoSignOfThirtyOthers(t *testing.T) {
+	w := newWorld(t)
+	w.servers(engineService, 2)
+	hold := func() {
+		for i := range 2 {
+			w.step(LoaderUp{Loader: loaderName(i)})
+			w.step(LoaderSaid{Loader: loaderName(i), Holdings: core.Holdings{Models: loadedModels("m1"), Routers: 68, Coordinator: "10.0.0.1"}})
+		}
+	}
+	hold()
+	w.lastSend(w.call("patient", prompt("m1")))
+	hold()
+	for _, b := range w.router.serversOf(engineService) {
+		if got := w.router.outstanding(b); got > len(b.sent)+1 {
+			t.Errorf("%d requests estimated at %s, where %d are known of", got, b.Instance, len(b.sent))
+		}
+		if ahead := w.router.othersAhead(b); ahead > 10*time.Millisecond {
+			t.Errorf("%v of others' prompts estimated at %s", ahead, b.Instance)
+		}
+	}
+}
--- a/internal/router/rate.go
+++ b/internal/router/rate.go
@@ -13,9 +13,6 @@
 	// loaders are told of too.
 	slowMemory = core.RateMemory
 	fastMemory = core.FastRateMemory
-	// longMemory is that of the long rate, which tells a model that was busy
-	// within the last half minute: demand that left it may come back.
-	longMemory = 30 * time.Second
 	// historyNeeded is two time constants of the fast rate: by then it shows
 	// 0.86 of a steady demand.
 	historyNeeded = 2 * fastMemory
@@ -26,15 +23,14 @@
 
 // rate is an arrival rate, as exponentially decaying counts.
 type rate struct {
-	long, slow, fast float64
-	at               core.Time
+	slow, fast float64
+	at         core.Time
 	// since is when counting began.
 	since core.Time
 }
 
 func (r *rate) decay(now core.Time) {
 	past := float64(now.Sub(r.at))
-	r.long *= math.Exp(-past / float64(longMemory))
 	r.slow *= math.Exp(-past / float64(slowMemory))
 	r.fast *= math.Exp(-past / float64(fastMemory))
 	r.at = now
@@ -42,7 +38,6 @@
 
 func (r *rate) add(now core.Time) {
 	r.decay(now)
-	r.long++
 	r.slow++
 	r.fast++
 }
@@ -77,12 +72,6 @@
 	return r.slow / slowMemory.Seconds()
 }
 
-// overLong is the long rate.
-func (r *rate) overLong(now core.Time) float64 {
-	r.decay(now)
-	return r.long / longMemory.Seconds()
-}
-
 // knowsDemand tells whether arrivals were counted for long enough to say that a
 // model is not called.
 //
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -87,6 +87,8 @@
 	// firstArrival is when the first generation arrived in this process's life.
 	firstArrival core.Time
 	store        storeState
+	// busyUntil is until when models count as busy.
+	busyUntil map[string]core.Time
 	// models is the index of engines by model.
 	models map[string]*modelEngines
 }
@@ -203,7 +205,7 @@
 func (r *Router) service(name string) *service {
 	s := r.services[name]
 	if s == nil {
-		s = &service{name: name, rates: map[modelKey]*rate{}, speed: newSpeed(), models: map[string]*modelEngines{}}
+		s = &service{name: name, rates: map[modelKey]*rate{}, speed: newSpeed(), busyUntil: map[string]core.Time{}, models: map[string]*modelEngines{}}
 		r.services[name] = s
 	}
 	return s
--- a/internal/router/spread.go
+++ b/internal/router/spread.go
@@ -30,6 +30,12 @@
 	// busyFactor is how many times the mean makes a model busy: a rare one
 	// would have to be called four times within ten seconds at one router.
 	busyFactor = 2
+	// busyMemory is how long a model counts as busy after it was: demand that left it
+	// may come back.
+	busyMemory = 30 * time.Second
+	// surelyCalled is the number of calls within the memory of the slow rate from
+	// which a router's own count stands for the others: its error is a half then.
+	surelyCalled = 4
 	// backlogWithin is the time in which the prompts of those who wait for a model
 	// are to be read once it is loaded: about the time of one more load from disk,
 	// so that a further copy is ready when the first would have read half of them.
@@ -58,17 +64,22 @@
 // for the others too.
 func (r *Router) rate(service, model string) float64 {
 	rate := r.service(service).rate(modelKey{model: model})
-	own := rate.perSecond(r.now)
+	if told := r.toldRate(service, model); told > 0 {
+		return max(rate.perSecond(r.now), told)
+	}
+	return rate.slowly(r.now) * float64(r.routers())
+}
+
+// toldRate is the sum of all routers' rates as told by the loaders that hold the
+// model, 0 if none does.
+func (r *Router) toldRate(service, model string) float64 {
 	sum := 0.0
 	for _, b := range r.holders(service, model) {
 		if m := r.heldAt(b, model); m != nil {
 			sum = max(sum, m.Rate)
 		}
 	}
-	if sum > 0 {
-		return max(own, sum)
-	}
-	return rate.slowly(r.now) * float64(r.routers())
+	return sum
 }
 
 // neededCopies is the number of engines that should have a model loaded.
@@ -116,11 +127,26 @@
 		return false
 	}
 	s := r.service(service)
-	routers := float64(r.routers())
-	mean := s.all.slowly(r.now) * routers / float64(len(engine.Models))
-	own := s.rate(modelKey{model: model})
-	recent := max(own.slowly(r.now), own.overLong(r.now)) * routers
-	return recent > max(leastBusy, busyFactor*mean)
+	mean := s.all.slowly(r.now) * float64(r.routers()) / float64(len(engine.Models))
+	if r.sureRate(s, model) > max(leastBusy, busyFactor*mean) {
+		s.busyUntil[model] = r.now.Add(busyMemory)
+	}
+	return r.now < s.busyUntil[model]
+}
+
+// sureRate is a model's rate at all routers as far as it is known well: by the
+// loaders' sums, or by this router's own calls where these are some.
+//
+// It guards against one router's chance in a large fleet: of 68 routers each gets a
+// call in 68, and one call within ten seconds, times 68, made any rare model busy
+// for the router that shares out copies.
+func (r *Router) sureRate(s *service, model string) float64 {
+	own := s.rate(modelKey{model: model}).slowly(r.now)
+	rate := r.toldRate(s.name, model)
+	if own*slowMemory.Seconds() >= surelyCalled {
+		rate = max(rate, own*float64(r.routers()))
+	}
+	return rate
 }
 
 // heat is the part of an engine's time that the requests there take.
--- a/internal/router/spread_test.go
+++ b/internal/router/spread_test.go
@@ -193,3 +193,29 @@
 		t.Fatalf("%d further engines load the model and %d models that nobody called, want 4 or more and none", further, idle)
 	}
 }
+
+// In a fleet of 68 routers one of them shares out copies. A rare model was called
+// there once within ten seconds; times 68 that made seven calls a second, and the
+// model got a second copy, for which a busy model's had to go.
+func TestOneCallOfManyRoutersIsNotBusy(t *testing.T) {
+	w := newWorld(t)
+	w.servers(engineService, 2)
+	for i := range 2 {
+		w.step(LoaderUp{Loader: loaderName(i)})
+		w.step(LoaderSaid{Loader: loaderName(i), Holdings: core.Holdings{Routers: 68, Coordinator: "10.0.0.1", Models: []core.HeldModel{
+			{Name: "m0", State: core.HoldLoaded, Rate: 30}, {Name: "m1", State: core.HoldLoaded, Rate: 0.2},
+		}}})
+	}
+	s := w.router.services[engineService]
+	for range 60 {
+		w.now = w.now.Add(150 * time.Millisecond)
+		s.arrival(w.now, prompt("m0"))
+	}
+	s.arrival(w.now, prompt("m1"))
+	if got := w.router.neededCopies(engineService, "m1"); got != 1 {
+		t.Errorf("the rare model needs %d copies, want 1", got)
+	}
+	if got := w.router.neededCopies(engineService, "m0"); got < 2 {
+		t.Errorf("the busy model needs %d copies, want 2 or more", got)
+	}
+}
