--- /dev/null
+++ b/internal/router/news_test.go
@@ -0,0 +1,55 @@
+package router
+
+import (
+	"testing"
+
+	"nutmeglane.example/nutmeglane/internal/core"
+	"nutmeglane.example/nutmeglane/internal/fleet"
+)
+
+// Another router has read that a server leaves and that one is gone. This router has
+// not read for a second; its requests must not go there, although no call of its own
+// told so. What it knows of engines' models stays: the news do not tell them.
+func TestNewsOfAnotherRouterCount(t *testing.T) {
+	w := newWorld(t)
+	w.servers(plainService, 3)
+	leaving := w.server(plainService, 0)
+	leaving.Draining = true
+	engine := w.born(7, firstBorn, "m1")
+	w.lists(engine)
+	w.step(NewsHeard{News: core.RegistryNews{
+		From: 1, To: 2, Written: []core.ListedBackend{leaving.Listed(), engine.Listed()}, Removed: []string{"s1"},
+	}})
+	for range 6 {
+		if send := w.lastSend(w.call("once", nil)); send.Instance != "s2" {
+			t.Fatalf("sent to %s, of which another router read that it leaves or is gone", send.Instance)
+		}
+	}
+	if models := w.router.backends["s7"].Models; len(models) != 1 {
+		t.Errorf("models %v, want those that were known", models)
+	}
+}
+
+// The registry changes with each load of each engine. Told in full, that was ten
+// times what routers need to tell each other: loaders speak of models first hand.
+func TestNewsTellOnlyWhatRoutersGoBy(t *testing.T) {
+	w := newWorld(t)
+	w.servers(plainService, 2)
+	same, slow := w.server(plainService, 0), w.server(plainService, 1)
+	same.Models = []fleet.LoadedModel{{Name: "m5"}}
+	slow.Slots++
+	news := w.router.NewsOf(map[string]fleet.Backend{"s0": same, "s1": slow, "s2": w.server(plainService, 2)})
+	if len(news) != 2 || news[0].Instance != "s1" || news[1].Instance != "s2" {
+		t.Errorf("told %+v, want s1 and s2", news)
+	}
+}
+
+// Entries lapse while the store is away, and another router reads that they are gone
+// once it is back. They may only not have registered again yet: they are kept.
+func TestNewsOfLapsedServersKeepThem(t *testing.T) {
+	w := newWorld(t)
+	w.servers(plainService, 2)
+	w.step(StoreState{Reachable: false})
+	w.step(NewsHeard{News: core.RegistryNews{From: 1, To: 2, Removed: []string{"s0", "s1"}}})
+	w.lastSend(w.call("once", nil))
+}
