--- a/internal/router/demand.go
+++ b/internal/router/demand.go
@@ -21,8 +21,10 @@
 	// Rates are told again once the loader's own estimate is off by more than
 	// rateOff of it and more than rateLeast or fastRateLeast: half of what one
 	// arrival adds to the slow and to the fast rate. An arrival is told, its fading
-	// away is not: the loader works that out.
-	rateOff       = 0.2
+	// away is not: the loader works that out. A model that is called once a second
+	// at a router is told with nearly each call: at 0.2 two calls went by untold, and
+	// the loaders' sums were a tenth too low.
+	rateOff       = 0.08
 	rateLeast     = 0.05
 	fastRateLeast = 0.2
 )
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -87,6 +87,8 @@
 	// firstArrival is when the first generation arrived in this process's life.
 	firstArrival core.Time
 	store        storeState
+	// withoutLoader is set while no engine has a loader that answers.
+	withoutLoader bool
 	// busyUntil is until when models count as busy.
 	busyUntil map[string]core.Time
 	// models is the index of engines by model.
--- a/internal/router/spread.go
+++ b/internal/router/spread.go
@@ -94,7 +94,48 @@
 		slots = engine.Slots
 	}
 	load := r.service(service).speed.load(model, perSecond, slots)
-	return max(needed, int(math.Ceil(load/targetLoad)), r.backlogCopies(service, model))
+	return max(needed, int(math.Ceil(load/targetLoad)), r.crowdCopies(service, model, slots), r.backlogCopies(service, model))
+}
+
+// crowdCopies is the number of engines that a model needs by what runs at those that
+// have it, whatever was predicted.
+//
+// It answers this pattern: demand rises, answers take twice as long as they did
+// undisturbed, and an engine's slots are full at a rate that should leave a third of
+// them free. By the rate alone four copies seemed to do while each had 37 requests in
+// 32 slots, for seven seconds.
+func (r *Router) crowdCopies(service, model string, slots int) int {
+	if slots <= 0 {
+		return 0
+	}
+	running := 0.0
+	for _, b := range r.holders(service, model) {
+		if has, _ := r.loaded(b, model, ""); has && b.unlistedAt == 0 {
+			running += float64(r.outstanding(b)) * r.shareAt(b, model)
+		}
+	}
+	return int(math.Ceil(running / (targetLoad * float64(slots))))
+}
+
+// shareAt is the part of an engine's requests that are for a model, by the rates of
+// all that it has loaded, each spread over the engines that have it.
+func (r *Router) shareAt(b *backend, model string) float64 {
+	held := r.holdings(b)
+	if held == nil {
+		return 0
+	}
+	own, all := 0.0, 0.0
+	for _, m := range held.Models {
+		rate := m.Rate / float64(max(1, len(r.holders(b.Service, m.Name))))
+		all += rate
+		if m.Name == model {
+			own = rate
+		}
+	}
+	if all == 0 {
+		return 0
+	}
+	return own / all
 }
 
 // backlogCopies is the number of engines that have to load a model for those who
--- a/internal/router/spread_test.go
+++ b/internal/router/spread_test.go
@@ -219,3 +219,33 @@
 		t.Errorf("the busy model needs %d copies, want 2 or more", got)
 	}
 }
+
+// Demand rises to 64 calls a second for a model that four engines have. By the rate
+// four copies do, yet all slots of the four are taken and callers wait for seconds:
+// answers beside each other take longer than was learnt. What runs there counts.
+func TestCrowdedEnginesGetCopies(t *testing.T) {
+	w := newWorld(t)
+	w.servers(engineService, 8)
+	hold := func() {
+		for i := range 8 {
+			holdings := core.Holdings{FreeMB: 40_000, OnDisk: []string{"m1"}}
+			if i < 4 {
+				holdings = core.Holdings{Running: 64, Waiting: 8, Models: []core.HeldModel{
+					{Name: "m1", State: core.HoldLoaded, Rate: 64}, {Name: "m2", State: core.HoldLoaded, Rate: 0.1},
+				}}
+			}
+			holdings.Routers, holdings.Coordinator = 68, "10.0.0.1"
+			w.step(LoaderUp{Loader: loaderName(i)})
+			w.step(LoaderSaid{Loader: loaderName(i), Holdings: holdings})
+		}
+	}
+	hold()
+	s := w.router.services[engineService]
+	s.speed.models["m1"] = &modelSpeed{pause: 20 * time.Millisecond, first: 100 * time.Millisecond, events: 35}
+	if got, want := w.router.neededCopies(engineService, "m1"), int(math.Ceil(4*72/(targetLoad*64))); got != want {
+		t.Errorf("%d copies needed, want %d", got, want)
+	}
+	if got := w.router.neededCopies(engineService, "m2"); got != 1 {
+		t.Errorf("%d copies of the rare model beside it needed, want 1", got)
+	}
+}
--- a/internal/router/wait.go
+++ b/internal/router/wait.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"log/slog"
 	"maps"
 	"slices"
 	"time"
@@ -27,6 +28,9 @@
 	// busy model's copy needs; an engine half busy counts as later by the
 	// time of a load from disk.
 	homeHeat = 2 * time.Second
+	// noLoaderReturn is when callers should come back while no engine has a loader:
+	// about the time in which a host and its processes start.
+	noLoaderReturn = 5 * time.Second
 	// adapterTime is the time of an adapter's load with the messages around.
 	adapterTime = 50 * time.Millisecond
 )
@@ -209,9 +213,7 @@
 		return
 	}
 	if best == nil {
-		for _, req := range slices.Clone(w.requests) {
-			r.giveUp(req, code.NoBackend, "no engine can load the model now")
-		}
+		r.refuseAll(w)
 		return
 	}
 	if w.home == nil || !r.canLoad(w.home, w.key) {
@@ -224,6 +226,39 @@
 	r.refuseLate(w, eta)
 }
 
+// refuseAll refuses the requests for a model that no engine can load.
+func (r *Router) refuseAll(w *wait) {
+	after := unknownReturn
+	if r.withoutLoader(w.key.service) {
+		after = noLoaderReturn
+	}
+	for _, req := range slices.Clone(w.requests) {
+		if req.mayHaveRun {
+			r.giveUp(req, code.NoBackend, "no engine can load the model now")
+			continue
+		}
+		r.finish(req, code.NoBackend, r.returnIn(after), "no engine can load the model now")
+	}
+}
+
+// withoutLoader tells that no engine of a service has a loader that answers, and logs
+// that once until one does. Without loaders nothing is loaded, so that what stands in
+// the engines is all that can be served, and each other request would need a line of
+// its own to tell why it was refused.
+func (r *Router) withoutLoader(service string) bool {
+	s := r.service(service)
+	// One that was found a moment ago may have one yet: a fleet that returns is not
+	// without loaders, and its callers would come back seconds late.
+	mayHave := func(b *backend) bool { return r.holdings(b) != nil || r.now.Sub(b.foundAt) < noLoaderReturn }
+	none := !slices.ContainsFunc(r.serversOf(service), mayHave)
+	if none && !s.withoutLoader {
+		r.log(Belief, "no engine of the service has a loader that answers; only models that are loaded are served",
+			slog.String("service", service), slog.Int("engines", len(r.serversOf(service))))
+	}
+	s.withoutLoader = none
+	return none
+}
+
 // loadersDue tells that an engine was found so lately that its loader may still
 // connect. Those who wait for a model are not refused before it has had the time.
 func (r *Router) loadersDue(service string) bool {
--- a/internal/router/wait_test.go
+++ b/internal/router/wait_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -113,3 +114,26 @@
 		t.Errorf("told to come back in %v, want about 12 s", finish.RetryAfter)
 	}
 }
+
+// A deployment has no loader beside its engines. Requests for a model that stands in
+// none are refused at once and truly, and one line tells why, not one a request.
+func TestWithoutLoadersCallersAreToldAtOnce(t *testing.T) {
+	w := newWorld(t)
+	w.servers(engineService, 2)
+	w.run(noLoaderReturn)
+	for range 3 {
+		finish, ended := w.finishes[w.call("patient", prompt("m1"))]
+		if !ended || finish.Code != code.NoBackend || finish.RetryAfter < noLoaderReturn {
+			t.Fatalf("ended %t: %+v", ended, finish)
+		}
+	}
+	lines := 0
+	for _, l := range w.logs {
+		if l.About == Belief && strings.Contains(l.Message, "loader that answers") {
+			lines++
+		}
+	}
+	if lines != 1 {
+		t.Errorf("%d lines on the cause, want one", lines)
+	}
+}
