--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -58,7 +58,9 @@
 	// goes through them: sorted anew for each want, they took two thirds of a
 	// loader's time beside 27 routers.
 	names []core.HostID
-	spec  *spec
+	// followed is the coordinator as worked out in this step, "" before.
+	followed core.HostID
+	spec     *spec
 
 	reading  bool
 	readAt   core.Time
@@ -97,8 +99,9 @@
 // router is a connected router.
 type router struct {
 	demand core.Demand
-	// heardAt is when the demand came; its times count from then.
-	heardAt core.Time
+	// heardAt is when the demand came; its times count from then. upAt is when the
+	// router connected.
+	heardAt, upAt core.Time
 	// version and nearVersion are those of the holdings that it was told last, 0
 	// before the first.
 	version, nearVersion int
@@ -113,6 +116,7 @@
 func (l *Loader) Step(now core.Time, event Event) []Effect {
 	l.now, l.out = now, l.out[:0]
 	l.merged.forget()
+	l.followed = ""
 	switch e := event.(type) {
 	case Tick:
 	case ReportRead:
@@ -120,7 +124,7 @@
 	case OrderDone:
 		l.orderDone(e)
 	case RouterUp:
-		l.routers[e.Router] = &router{heardAt: now}
+		l.routers[e.Router] = &router{heardAt: now, upAt: now}
 		l.names = slices.Sorted(maps.Keys(l.routers))
 		l.log("router connected", slog.String("router", string(e.Router)))
 	case RouterDown:
@@ -204,11 +208,3 @@
 	}
 	return wake
 }
-
-// coordinator is the connected router of the lowest name.
-func (l *Loader) coordinator() core.HostID {
-	if len(l.names) == 0 {
-		return ""
-	}
-	return l.names[0]
-}
--- a/internal/loader/merge.go
+++ b/internal/loader/merge.go
@@ -69,7 +69,10 @@
 	if len(wants) == 0 {
 		return wants
 	}
-	permits := l.routers[l.coordinator()].demand.Permits
+	var permits []string
+	if r := l.routers[l.coordinator()]; r != nil {
+		permits = r.demand.Permits
+	}
 	for i := range wants {
 		wants[i].permitted = slices.Contains(permits, wants[i].model)
 	}
