--- a/internal/router/coordinate.go
+++ b/internal/router/coordinate.go
@@ -217,7 +217,7 @@
 			requests = append(requests, permitRequest{b.loader, m})
 		}
 	}
-	gain := func(p permitRequest) int { return s.permitGain(p, engine) }
+	gain := func(p permitRequest) float64 { return r.permitGain(s, p, engine) }
 	slices.SortStableFunc(requests, func(a, b permitRequest) int { return cmp.Compare(gain(b), gain(a)) })
 	for _, p := range requests {
 		if active >= s.storeLimit() || !s.store.mayBegin(r.now, engine, r.opts.Bounds) {
@@ -231,15 +231,18 @@
 	}
 }
 
-// permitGain is how many requests a load from the weight store helps at once:
-// those that wait for it, or those that a further copy of a busy model would take
-// off the others. Ranked by waiting requests alone, of which it has none, such a
-// copy never came.
-func (s *service) permitGain(p permitRequest, engine *fleet.Engine) int {
-	if planned, ok := s.store.planned[grantKey{p.loader.name, p.model.Name}]; ok && planned.spread {
-		return p.model.Waiting + int(targetLoad*float64(engine.Slots))
-	}
-	return p.model.Waiting
+// permitGain is how many requests a load from the weight store helps: those that wait
+// for it, and those that will come while another load takes the store, of which the
+// copy gets its part.
+//
+// It guards against a model that many call and nobody waits for: its load takes
+// longer than callers stay, so that they are refused at once and leave no queue.
+// Ranked by waiting requests alone, it was read after rare models that one caller
+// waited for, and 40 callers a second were refused for half a minute.
+func (r *Router) permitGain(s *service, p permitRequest, engine *fleet.Engine) float64 {
+	copies := len(r.copiesOf(s.name, p.model.Name))
+	coming := r.rate(s.name, p.model.Name) * engine.Models[p.model.Name].StoreLoad.Seconds()
+	return float64(p.model.Waiting) + coming/float64(1+copies)
 }
 
 // mayBegin keeps the loads that begin within the ceiling's window below its
--- a/internal/router/coordinate_test.go
+++ b/internal/router/coordinate_test.go
@@ -89,3 +89,27 @@
 		t.Errorf("limit %d, want 1", got)
 	}
 }
+
+// Demand has moved to a model that only the weight store has. Its load takes longer
+// than callers stay: each is refused at once, and none waits. Rare models, for each of
+// which one patient caller waits, were read before it, one after the other, while 40
+// callers a second went away. The model that most will call comes first.
+func TestMuchCalledModelIsReadBeforeRareOnes(t *testing.T) {
+	w := newWorld(t)
+	w.servers(engineService, 4)
+	s := w.router.services[engineService]
+	s.store.limit = 1
+	for i := range 4 {
+		waits := core.HeldModel{Name: "m1", State: core.HoldPermit, Waiting: 1, Rate: 0.2}
+		if i == 3 {
+			waits = core.HeldModel{Name: "m2", State: core.HoldPermit, Rate: 40}
+		}
+		w.holds(i, core.Holdings{Models: []core.HeldModel{waits}})
+	}
+	w.run(planInterval + tickInterval)
+	for i := range 4 {
+		if granted := len(w.demands[loaderName(i)].Permits) > 0; granted != (i == 3) {
+			t.Errorf("engine %d: permit %t", i, granted)
+		}
+	}
+}
