--- a/internal/core/loading.go
+++ b/internal/core/loading.go
@@ -176,8 +176,10 @@
 	Adapters []string `cbor:"4,keyasint,omitempty"`
 	// Waiting is the number of requests that wait for it, at all routers.
 	Waiting int `cbor:"5,keyasint,omitempty"`
-	// Rate is the sum of the rates that routers told.
-	Rate float64 `cbor:"6,keyasint,omitempty"`
+	// Rate is the sum of the rates that routers told, the larger of slow and fast;
+	// SlowRate is that of the slow ones alone.
+	Rate     float64 `cbor:"6,keyasint,omitempty"`
+	SlowRate float64 `cbor:"7,keyasint,omitempty"`
 }
 
 // RegistryNews is what a router read of the platform's registry. Loaders pass it on
--- a/internal/loader/tell.go
+++ b/internal/loader/tell.go
@@ -201,7 +201,7 @@
 	for _, m := range report.Models {
 		use := uses[modelKey{model: m.Name}]
 		held := core.HeldModel{
-			Name: m.Name, State: l.stateOf(m.Name), Adapters: m.Adapters, Rate: use.rate,
+			Name: m.Name, State: l.stateOf(m.Name), Adapters: m.Adapters, Rate: use.rate, SlowRate: use.slow,
 		}
 		h.Models = append(h.Models, held)
 	}
--- a/internal/router/spread.go
+++ b/internal/router/spread.go
@@ -64,22 +64,21 @@
 // for the others too.
 func (r *Router) rate(service, model string) float64 {
 	rate := r.service(service).rate(modelKey{model: model})
-	if told := r.toldRate(service, model); told > 0 {
+	if told, _ := r.toldRates(service, model); told > 0 {
 		return max(rate.perSecond(r.now), told)
 	}
 	return rate.slowly(r.now) * float64(r.routers())
 }
 
-// toldRate is the sum of all routers' rates as told by the loaders that hold the
-// model, 0 if none does.
-func (r *Router) toldRate(service, model string) float64 {
-	sum := 0.0
+// toldRates are the sums of all routers' rates as told by the loaders that hold the
+// model, the larger of slow and fast and the slow one; 0 if none holds it.
+func (r *Router) toldRates(service, model string) (rate, slow float64) {
 	for _, b := range r.holders(service, model) {
 		if m := r.heldAt(b, model); m != nil {
-			sum = max(sum, m.Rate)
+			rate, slow = max(rate, m.Rate), max(slow, m.SlowRate)
 		}
 	}
-	return sum
+	return rate, slow
 }
 
 // neededCopies is the number of engines that should have a model loaded.
@@ -183,7 +182,7 @@
 // for the router that shares out copies.
 func (r *Router) sureRate(s *service, model string) float64 {
 	own := s.rate(modelKey{model: model}).slowly(r.now)
-	rate := r.toldRate(s.name, model)
+	_, rate := r.toldRates(s.name, model)
 	if own*slowMemory.Seconds() >= surelyCalled {
 		rate = max(rate, own*float64(r.routers()))
 	}
--- a/internal/router/spread_test.go
+++ b/internal/router/spread_test.go
@@ -203,7 +203,7 @@
 	for i := range 2 {
 		w.step(LoaderUp{Loader: loaderName(i)})
 		w.step(LoaderSaid{Loader: loaderName(i), Holdings: core.Holdings{Routers: 68, Coordinator: "10.0.0.1", Models: []core.HeldModel{
-			{Name: "m0", State: core.HoldLoaded, Rate: 30}, {Name: "m1", State: core.HoldLoaded, Rate: 0.2},
+			{Name: "m0", State: core.HoldLoaded, Rate: 30, SlowRate: 30}, {Name: "m1", State: core.HoldLoaded, Rate: 0.2, SlowRate: 0.2},
 		}}})
 	}
 	s := w.router.services[engineService]
@@ -249,3 +249,23 @@
 		t.Errorf("%d copies of the rare model beside it needed, want 1", got)
 	}
 }
+
+// Three callers of a rare model come within two seconds, by chance. By the fast rate
+// it was busy for half a minute and got a second copy, for which the weight store was
+// read and another model evicted: three times as many loads as before on a small
+// fleet. Only the slow rate tells a busy model.
+func TestThreeCallsByChanceMakeNoBusyModel(t *testing.T) {
+	w := newWorld(t)
+	w.servers(engineService, 2)
+	s := w.router.services[engineService]
+	for range 60 {
+		w.now = w.now.Add(100 * time.Millisecond)
+		s.arrival(w.now, prompt("m0"))
+	}
+	for i := range 2 {
+		w.holds(i, core.Holdings{Models: []core.HeldModel{{Name: "m1", State: core.HoldLoaded, Rate: 1.6, SlowRate: 0.4}}})
+	}
+	if got := w.router.neededCopies(engineService, "m1"); got != 1 {
+		t.Errorf("%d copies of the rare model needed, want 1", got)
+	}
+}
