--- a/internal/core/loading.go
+++ b/internal/core/loading.go
@@ -129,13 +129,15 @@
 	StoreLoad *StoreLoadResult `cbor:"14,keyasint,omitempty"`
 }
 
-// Counts is a loader's word to routers when nothing but its engine's counts has
-// changed since its last Holdings: a twentieth of their size.
+// Counts is a loader's word to routers when nothing else has changed since its last
+// Holdings, also as a heartbeat: a twentieth of their size.
 type Counts struct {
-	// Running, Waiting and Unread are as in Holdings.
-	Running int `cbor:"1,keyasint,omitempty"`
-	Waiting int `cbor:"2,keyasint,omitempty"`
-	Unread  int `cbor:"3,keyasint,omitempty"`
+	// The fields are as in Holdings.
+	Running int     `cbor:"1,keyasint,omitempty"`
+	Waiting int     `cbor:"2,keyasint,omitempty"`
+	Unread  int     `cbor:"3,keyasint,omitempty"`
+	FreeMB  float64 `cbor:"4,keyasint,omitempty"`
+	IdleMB  float64 `cbor:"5,keyasint,omitempty"`
 }
 
 // StoreLoadResult tells how long a load from the weight store took.
--- a/internal/loader/tell.go
+++ b/internal/loader/tell.go
@@ -1,6 +1,7 @@
 package loader
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -28,7 +29,10 @@
 // tellRouters tells routers of changes of what is held, and in any case at each
 // heartbeat. A router that waits for something here is told of each change at
 // once, as all are of a model that takes no more requests; the rest is told to
-// all together after a while.
+// all together after a while. A heartbeat of an engine at which nothing happens has
+// its counts alone: told in full each second to each router, holdings were nearly all
+// of what crossed availability zones, and their price took most of a day's worth in
+// a fleet of 300 hosts.
 func (l *Loader) tellRouters() {
 	if len(l.routers) == 0 {
 		return
@@ -38,13 +42,14 @@
 	t := &l.told
 	since := l.now.Sub(t.at)
 	heartbeat := since >= HeartbeatInterval
-	news := since >= l.wordInterval()
+	news := heartbeat || since >= l.wordInterval()
+	full := heartbeat && !steady(holdings, t.holdings)
 	t.whole, t.light = t.whole[:0], t.light[:0]
 	behind := false
 	for _, name := range l.names {
 		r := l.routers[name]
 		late := r.version < t.version
-		if !heartbeat && !(late && (news || l.hearsAtOnce(name, r))) {
+		if !full && !(late && (news || l.hearsAtOnce(name, r))) {
 			behind = behind || late
 			continue
 		}
@@ -57,9 +62,12 @@
 	}
 	l.emitHoldings(holdings)
 	switch {
-	case heartbeat, news && len(t.whole)+len(t.light) > 0 && !behind:
+	case full, news && len(t.whole)+len(t.light) > 0 && !behind:
 		t.holdings = holdings
 		t.at, t.countsAt = l.now, l.now
+	case heartbeat:
+		t.at = l.now
+		l.tellCounts(holdings)
 	case l.now.Sub(t.countsAt) >= max(leastCountsInterval, l.wordInterval()) && !sameCounts(holdings, t.holdings):
 		l.tellCounts(holdings)
 	}
@@ -116,10 +124,36 @@
 			know = append(know, name)
 		}
 	}
-	counts := core.Counts{Running: holdings.Running, Waiting: holdings.Waiting, Unread: holdings.Unread}
+	counts := core.Counts{
+		Running: holdings.Running, Waiting: holdings.Waiting, Unread: holdings.Unread,
+		FreeMB: holdings.FreeMB, IdleMB: holdings.IdleMB,
+	}
 	l.emit(TellCounts{Routers: know, Counts: counts})
 }
 
+// steady tells whether holdings of the same shape as told before need not be told
+// again: nothing is loaded or waited for, so that no time that was predicted runs
+// out, and the rates are about the same.
+func steady(now, told core.Holdings) bool {
+	if now.FreeIn != 0 || len(now.Models) != len(told.Models) {
+		return false
+	}
+	return !slices.ContainsFunc(now.Models, func(m core.HeldModel) bool {
+		i := slices.IndexFunc(told.Models, func(t core.HeldModel) bool { return t.Name == m.Name })
+		return i < 0 || m.Waiting != told.Models[i].Waiting || m.ReadyIn != 0 ||
+			!sameRate(m.Rate, told.Models[i].Rate) || !sameRate(m.SlowRate, told.Models[i].SlowRate)
+	})
+}
+
+const (
+	// A rate is told again when it is off by more than rateOff of it and rateLeast: what
+	// it decides, copies and what is evicted, changes by less than an engine.
+	rateOff   = 0.2
+	rateLeast = 0.05
+)
+
+func sameRate(a, b float64) bool { return math.Abs(a-b) <= max(rateLeast, rateOff*max(a, b)) }
+
 // takesLess tells that an engine takes requests no more that it took before.
 // Routers that do not know it send them there, and each comes back refused.
 func takesLess(now, before core.Holdings) bool {
--- a/internal/loader/tell_test.go
+++ b/internal/loader/tell_test.go
@@ -44,3 +44,42 @@
 	}
 	return count
 }
+
+// An engine at which nothing happens beats once a second. Told in full, its holdings
+// were nearly all of the bytes of a large fleet. Routers need to hear that the loader
+// lives, and its counts; a change of rates that matters is told in full.
+func TestSteadyHeartbeatIsSmall(t *testing.T) {
+	w := newWorld(t, "m0", "m2")
+	w.demand("10.0.0.1", core.Demand{Uses: []core.Use{{Model: "m0", Rate: 5, FastRate: 5}}})
+	w.run(2 * HeartbeatInterval)
+	whole, beats := 0, 0
+	count := func(d time.Duration) {
+		for end := w.now.Add(d); w.now < end; w.now = w.now.Add(50 * time.Millisecond) {
+			for _, effect := range w.loader.Step(w.now, ReportRead{Report: w.engine.report}) {
+				switch effect.(type) {
+				case Tell:
+					whole++
+				case TellCounts:
+					beats++
+				}
+			}
+			w.demand("10.0.0.1", core.Demand{Uses: []core.Use{{Model: "m0", Rate: 5, FastRate: 5}}})
+		}
+	}
+	count(10 * time.Second)
+	if whole != 0 || beats < 9 {
+		t.Errorf("%d messages in full and %d small ones in 10 s, want none and one a second", whole, beats)
+	}
+	w.loader.Step(w.now, RouterSaid{Router: "10.0.0.1", Demand: core.Demand{Instance: "i-1", Uses: []core.Use{{Model: "m0", Rate: 9, FastRate: 9}}}})
+	for range 30 {
+		w.now = w.now.Add(50 * time.Millisecond)
+		for _, effect := range w.loader.Step(w.now, ReportRead{Report: w.engine.report}) {
+			if _, ok := effect.(Tell); ok {
+				whole++
+			}
+		}
+	}
+	if whole == 0 {
+		t.Error("a rate that nearly doubled is not told")
+	}
+}
--- a/internal/router/home.go
+++ b/internal/router/home.go
@@ -68,7 +68,7 @@
 	if held == nil {
 		return holdingsFresh
 	}
-	age := r.now.Sub(b.loader.heardAt)
+	age := r.now.Sub(b.loader.saidAt)
 	if key.adapter != "" {
 		return adapterTime + busyFor(held, age)
 	}
--- a/internal/router/loaders.go
+++ b/internal/router/loaders.go
@@ -29,7 +29,9 @@
 	// nextDial is the earliest next dial.
 	nextDial core.Time
 	holdings *core.Holdings
-	heardAt  core.Time
+	// heardAt is when its last word came, saidAt when the last holdings did: the times
+	// in them count from then.
+	heardAt, saidAt core.Time
 	// countedAt is when the engine's counts came, with the holdings or alone.
 	countedAt core.Time
 	// ownThen is how many requests of ours ran there when the holdings came.
@@ -175,7 +177,7 @@
 	if holdings.NearAsBefore && l.holdings != nil {
 		holdings.InMemory, holdings.OnDisk = l.holdings.InMemory, l.holdings.OnDisk
 	}
-	l.holdings, l.heardAt, l.countedAt = &holdings, r.now, r.now
+	l.holdings, l.heardAt, l.saidAt, l.countedAt = &holdings, r.now, r.now, r.now
 	for _, b := range l.engines {
 		if b.unlistedAt == 0 && b.Instance == holdings.Instance && r.newLife(b, l.life()) {
 			b.aliveAt = r.now
@@ -198,8 +200,12 @@
 		return
 	}
 	l.holdings.Running, l.holdings.Waiting, l.holdings.Unread = counts.Running, counts.Waiting, counts.Unread
-	l.countedAt = r.now
+	l.holdings.FreeMB, l.holdings.IdleMB = counts.FreeMB, counts.IdleMB
+	l.heardAt, l.countedAt = r.now, r.now
 	if b := r.engineAt(l); b != nil {
+		if l.life().Compare(b.Incarnation) == 0 {
+			b.aliveAt = r.now
+		}
 		l.ownThen, l.ownUnread = len(b.sent), b.queue.Len()
 	}
 }
--- a/internal/router/news_test.go
+++ b/internal/router/news_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"nutmeglane.example/nutmeglane/internal/core"
 	"nutmeglane.example/nutmeglane/internal/fleet"
@@ -53,3 +54,21 @@
 	w.step(NewsHeard{News: core.RegistryNews{From: 1, To: 2, Removed: []string{"s0", "s1"}}})
 	w.lastSend(w.call("once", nil))
 }
+
+// An engine at which nothing happens tells its counts alone, for as long as nothing
+// does. Its loader must not be taken for silent, nor what it holds for old; and a load
+// whose end it predicted is as much nearer as time has passed since it said so.
+func TestCountsKeepAWordFresh(t *testing.T) {
+	w := newWorld(t)
+	w.servers(engineService, 1)
+	w.holds(0, core.Holdings{FreeMB: 10_000, Models: loadedModels("m1")})
+	for range 10 {
+		w.run(time.Second)
+		w.step(LoaderCounted{Loader: loaderName(0), Counts: core.Counts{Running: 1, FreeMB: 20_000, IdleMB: 30_000}})
+	}
+	w.lastSend(w.call("patient", prompt("m1")))
+	l := w.router.loaders[loaderName(0)]
+	if !l.up || l.holdings.IdleMB != 30_000 || w.now.Sub(l.saidAt) < 9*time.Second {
+		t.Errorf("up %t, idle %.0f MB, holdings %v old", l.up, l.holdings.IdleMB, w.now.Sub(l.saidAt))
+	}
+}
