--- a/internal/daemon/storereader.go
+++ b/internal/daemon/storereader.go
@@ -26,8 +26,6 @@
 	// configWait is how long one call waits for the first configuration. 68 routers
 	// that asked each 100 ms until there was one made a third of a day's calls.
 	configWait = 2 * time.Second
-	// storeRetry is the pause after a failed read, doubled up to the usual one.
-	storeRetry = 100 * time.Millisecond
 	// relays is how many loaders pass on what a router has read. One may be frozen
 	// or cut off; with two, news are late only where both are.
 	relays = 2
@@ -69,20 +67,17 @@
 
 // run reads until ctx ends. It calls known once the router can judge requests.
 func (s *storeReader) run(ctx context.Context, known func()) {
-	retry := storeRetry
 	for ctx.Err() == nil {
 		err := s.read(ctx)
 		switch {
 		case err == nil:
-			retry = storeRetry
 		case errors.Is(err, platform.ErrCompacted):
 			s.log.Info("store history was discarded; reading the whole again")
 			s.locked(func() { s.reader.Forget(clock.Now()) })
 		default:
 			s.log.Warn("store read failed", "error", err.Error())
 			s.gateway.Step(router.StoreState{Reachable: false})
-			s.retryIn(retry)
-			retry *= 2
+			s.failed()
 		}
 		if known != nil && s.ready() {
 			known()
@@ -110,11 +105,10 @@
 	return version
 }
 
-func (s *storeReader) retryIn(after time.Duration) {
+func (s *storeReader) failed() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := clock.Now()
-	s.reader.RetryIn(now, after)
+	s.reader.Failed(clock.Now())
 	s.wantedDue = s.reader.Due()
 }
 
@@ -180,7 +174,7 @@
 	s.gateway.Step(router.BackendsRead{Backends: snapshot.Backends})
 	s.reader.ReadWhole(clock.Now(), snapshot.Revision)
 	if snapshot.Config == nil {
-		s.reader.RetryIn(clock.Now(), 0) // by waiting for it
+		s.reader.ReadNow(clock.Now()) // by waiting for it
 	}
 	return nil
 }
--- a/internal/registry/reader.go
+++ b/internal/registry/reader.go
@@ -23,12 +23,18 @@
 // its news is everywhere before most of the others are due.
 const soonest = 0.5
 
+// firstRetry is the pause after a read that failed; each further failure doubles it,
+// up to the longest pause.
+const firstRetry = 100 * time.Millisecond
+
 // Reader is when one router reads. The zero value is not usable; see NewReader.
 type Reader struct {
 	rand     *rand.Rand
 	pause    time.Duration
 	revision int64
 	due      core.Time
+	// retry is the pause after the last failure, 0 since a read that went well.
+	retry time.Duration
 }
 
 // NewReader returns a reader that is due at once. It reads at the latest after the
@@ -87,12 +93,21 @@
 // history since the revision that is known.
 func (r *Reader) Forget(now core.Time) { r.revision, r.due = 0, now }
 
-// RetryIn puts the next read off after one that failed.
-func (r *Reader) RetryIn(now core.Time, after time.Duration) {
-	r.due = now.Add(min(after, r.pause))
+// Failed notes that a read failed, and puts the next one off.
+//
+// It guards against a long outage: a pause that is doubled without a bound is beyond
+// what a number holds after some 40 failures, and from then on the store was asked
+// without a pause, by every router, just when it came back.
+func (r *Reader) Failed(now core.Time) {
+	r.retry = min(max(firstRetry, 2*r.retry), r.pause)
+	r.due = now.Add(r.retry)
 }
 
+// ReadNow makes the next read due at once.
+func (r *Reader) ReadNow(now core.Time) { r.due = now }
+
 func (r *Reader) fresh(now core.Time) {
+	r.retry = 0
 	share := soonest + (1-soonest)*r.rand.Float64()
 	r.due = now.Add(time.Duration(share * float64(r.pause)))
 }
--- a/internal/registry/reader_test.go
+++ b/internal/registry/reader_test.go
@@ -127,3 +127,26 @@
 		t.Error("the whole is not read at once")
 	}
 }
+
+// The store is away for an hour. The pause between two tries grows to the usual one
+// and stays there: doubled for good, it turned to nothing after 40 tries, and the store
+// was asked without a pause.
+func TestRetriesOfALongOutageKeepTheirPause(t *testing.T) {
+	now := core.Time(time.Hour)
+	r := NewReader(pause, 1)
+	r.ReadWhole(now, 100)
+	last := time.Duration(0)
+	for range 3000 {
+		r.Failed(now)
+		wait := r.Due().Sub(now)
+		if wait < max(firstRetry, last) || wait > pause {
+			t.Fatalf("pause of %v after one of %v", wait, last)
+		}
+		now, last = r.Due(), wait
+	}
+	r.ReadChanges(now, 100, 120)
+	r.Failed(now)
+	if got := r.Due().Sub(now); got != firstRetry {
+		t.Errorf("pause of %v after a read that went well", got)
+	}
+}
