--- a/internal/loader/tell.go
+++ b/internal/loader/tell.go
@@ -30,9 +30,7 @@
 // heartbeat. A router that waits for something here is told of each change at
 // once, as all are of a model that takes no more requests; the rest is told to
 // all together after a while. A heartbeat of an engine at which nothing happens has
-// its counts alone: told in full each second to each router, holdings were nearly all
-// of what crossed availability zones, and their price took most of a day's worth in
-// a fleet of 300 hosts.
+// its counts alone, a twentieth of the holdings' size.
 func (l *Loader) tellRouters() {
 	if len(l.routers) == 0 {
 		return
