--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -180,7 +180,7 @@
 		return err
 	}
 	p.gateway.Look(func(r *router.Router) { r.SetBounds(s.Fleet()) })
-	p.reader.locked(func() { p.reader.reader.SetPause(readPause(s.Bounds)) })
+	p.reader.setPause(readPause(s.Bounds))
 	return nil
 }
 
--- a/internal/daemon/storereader.go
+++ b/internal/daemon/storereader.go
@@ -87,6 +87,11 @@
 	}
 }
 
+// setPause replaces the longest time between two looks at the store.
+func (s *storeReader) setPause(pause time.Duration) {
+	s.locked(func() { s.reader.SetPause(pause) })
+}
+
 func (s *storeReader) locked(f func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
