A request is known by its work, not by its caller's address; ends are not taken back by answers

And an answer of 421 by a server's successor was taken for a sign that the server lives, which cleared what had been counted. Change: credentials in place of the address; no sign of an end is taken back.

--- a/internal/core/poison.go
+++ b/internal/core/poison.go
@@ -43,11 +43,9 @@
 // the platform's store it lasts beyond all processes.
 type PoisonNews struct {
 	Ends []ServerEnd `cbor:"1,keyasint,omitempty"`
-	// Alive are lives that were told as ended and go on.
-	Alive []ServerLife `cbor:"2,keyasint,omitempty"`
 	// Cleared are requests that are well after all: one was served, or an operator
 	// said so.
-	Cleared []Fingerprint `cbor:"3,keyasint,omitempty"`
+	Cleared []Fingerprint `cbor:"2,keyasint,omitempty"`
 }
 
 func (PoisonNews) message() {}
--- a/internal/gateway/fingerprint_test.go
+++ b/internal/gateway/fingerprint_test.go
@@ -17,20 +17,25 @@
 	return r, []byte(body)
 }
 
-// A caller sends a request again over a new connection and with a new id. That is the
-// same work; the same path or body alone is not, and neither is what another caller
-// asks.
+// A caller sends a request again with a new id, over a new connection, and by way of
+// another zone, where it has another address. Told apart by that, a request that crashed
+// twelve servers went on to each zone's router as a new one. It is the same work; the
+// same path or body alone is not, and neither is what one with other credentials asks.
 func TestFingerprintIsOfTheWork(t *testing.T) {
 	first := fingerprint(asking("100.64.0.9:4000", "POST", "/a/b?n=1", "note", "r1"))
-	if again := fingerprint(asking("100.64.0.9:4001", "POST", "/a/b?n=1", "note", "r2")); again != first {
-		t.Errorf("sent again as %s, first as %s", again, first)
+	for _, from := range []string{"100.64.0.9:4001", "100.67.0.2:4000"} {
+		if again := fingerprint(asking(from, "POST", "/a/b?n=1", "note", "r2")); again != first {
+			t.Errorf("sent again from %s as %s, first as %s", from, again, first)
+		}
 	}
+	other, body := asking("100.64.0.9:4000", "POST", "/a/b?n=1", "note", "r1")
+	other.Header.Set("Authorization", "Bearer b")
 	for name, other := range map[string]core.Fingerprint{
-		"caller": fingerprint(asking("100.64.0.8:4000", "POST", "/a/b?n=1", "note", "r1")),
-		"method": fingerprint(asking("100.64.0.9:4000", "PUT", "/a/b?n=1", "note", "r1")),
-		"path":   fingerprint(asking("100.64.0.9:4000", "POST", "/a/c?n=1", "note", "r1")),
-		"query":  fingerprint(asking("100.64.0.9:4000", "POST", "/a/b?n=2", "note", "r1")),
-		"body":   fingerprint(asking("100.64.0.9:4000", "POST", "/a/b?n=1", "notes", "r1")),
+		"credential": fingerprint(other, body),
+		"method":     fingerprint(asking("100.64.0.9:4000", "PUT", "/a/b?n=1", "note", "r1")),
+		"path":       fingerprint(asking("100.64.0.9:4000", "POST", "/a/c?n=1", "note", "r1")),
+		"query":      fingerprint(asking("100.64.0.9:4000", "POST", "/a/b?n=2", "note", "r1")),
+		"body":       fingerprint(asking("100.64.0.9:4000", "POST", "/a/b?n=1", "notes", "r1")),
 	} {
 		if other == first {
 			t.Errorf("another %s has the same fingerprint", name)
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -99,9 +99,6 @@
 	for _, e := range news.Ends {
 		poison = append(poison, l.add(now, e)...)
 	}
-	for _, life := range news.Alive {
-		l.Withdraw(life)
-	}
 	for _, f := range news.Cleared {
 		l.Clear(now, f)
 	}
@@ -227,24 +224,6 @@
 	}
 }
 
-// Withdraw forgets an end that was none: the server is alive.
-func (l *Ledger) Withdraw(life core.ServerLife) bool {
-	e := l.find(life)
-	if e == nil {
-		return false
-	}
-	for _, f := range e.Requests {
-		r := l.requests[f]
-		r.ends = slices.DeleteFunc(r.ends, func(other *end) bool { return other == e })
-		if len(r.ends) == 0 {
-			delete(l.requests, f)
-		}
-	}
-	e.Requests = nil
-	l.dropEmpty(e)
-	return true
-}
-
 func (l *Ledger) dropEmpty(e *end) {
 	if len(e.Requests) > 0 {
 		return
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -114,20 +114,6 @@
 	}
 }
 
-// A server that was taken for gone answers. What counted against the requests there
-// counts no more.
-func TestWithdrawnEndCountsNoMore(t *testing.T) {
-	l := New()
-	tell(l, died("a", 1), died("b", 1), died("c", 1, 2))
-	if !l.Withdraw(core.ServerLife{Instance: "c"}) || l.Withdraw(core.ServerLife{Instance: "x"}) {
-		t.Error("withdrew another end than that of c")
-	}
-	checkPoison(t, l, 1, false)
-	if l.Ends(2) != 0 || len(l.requests) != 1 {
-		t.Errorf("left of request 2: %d ends, %d requests in all", l.Ends(2), len(l.requests))
-	}
-}
-
 // A request was served, or an operator lifts it. Nothing is held against it.
 func TestClearedRequest(t *testing.T) {
 	l := New()
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -64,9 +64,6 @@
 		return
 	}
 	b := req.backend
-	if b.endedAt != 0 && req.attempt.at > b.endedAt {
-		r.serverAlive(b)
-	}
 	if e.Answer.Load != nil {
 		b.load, b.loadAt, b.loadOwn = e.Answer.Load, r.now, len(b.sent)
 	}
--- a/internal/router/serverend.go
+++ b/internal/router/serverend.go
@@ -15,6 +15,10 @@
 // of the server's end comes: its port refuses connections, its loader finds it gone,
 // another instance or life is at its address, or the registry drops it.
 //
+// None of these signs is taken back: an answer from the address shows no more than that
+// something is there, which may be the next life. One that is wrong makes one end, and
+// three at two addresses are needed.
+//
 // A host without power closes no connections. What was there is not lost by a crash
 // of the server's process, and counts against no request.
 
@@ -76,17 +80,6 @@
 	}
 }
 
-// serverAlive takes back that a server ended: it has answered a request that was sent
-// to it afterwards.
-func (r *Router) serverAlive(b *backend) {
-	b.endedAt, b.lost = 0, nil
-	withdrawn := r.ledger.Withdraw(lifeOf(b.Incarnation))
-	r.log(Belief, "backend server has not ended after all", b.attrs("withdrawn", withdrawn)...)
-	if withdrawn {
-		r.tellOthers(core.PoisonNews{Alive: []core.ServerLife{lifeOf(b.Incarnation)}})
-	}
-}
-
 func (r *Router) endOf(b *backend, life fleet.Incarnation, at core.Time, requests ...core.Fingerprint) core.ServerEnd {
 	return core.ServerEnd{
 		Life: lifeOf(life), Service: b.Service, Address: b.Address, Sole: r.soleAddress(b),
--- a/internal/router/serverend_test.go
+++ b/internal/router/serverend_test.go
@@ -50,12 +50,14 @@
 			w.lists(b)
 			w.step(BackendsChanged{Removed: map[string]bool{"s0": true}})
 		}, 0},
-		"it answers again": {func(w *world) {
+		// Its successor at the address refuses what was meant for it. Taken for a sign of
+		// life, that cleared a request that went on to end four more servers.
+		"its successor answers": {func(w *world) {
 			w.refused()
 			w.run(tickInterval)
 			key := w.callAs(3, "patient", prompt("m1"))
-			w.step(Answered{Key: key, Attempt: w.lastSend(key).Attempt, Answer: fleet.Answer{Status: 200}})
-		}, 0},
+			w.step(Answered{Key: key, Attempt: w.lastSend(key).Attempt, Answer: fleet.Answer{Status: 421, NotRun: true, Absent: true}})
+		}, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			w := newWorld(t)
--- a/internal/soak/poison_test.go
+++ b/internal/soak/poison_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -25,12 +26,14 @@
 	poisonPause = 200 * time.Millisecond
 	// poisonTries is how often it comes after each phase of the test.
 	poisonTries = 12
+	// addresses is from how many the request comes in turn.
+	addresses = 12
 	// poisonSeed is the network of the worlds, apart from those of other tests.
 	poisonSeed = 77
 )
 
 // One caller's request crashes each engine that runs it. The caller sends it again and
-// again under new ids, to all routers in turn. Users saw their streams break and their
+// again under new ids, from several addresses, to all routers in turn. Users saw their streams break and their
 // model gone from one engine after the other, twelve in all: each router judged each
 // try as a new request. From the third engine on it must reach no further one: also
 // after a router, and then all routers and loaders, have started again; and its
@@ -86,6 +89,12 @@
 	return &poisoner{caller: newCaller(w, "poison", &atomic.Bool{})}
 }
 
+// from returns a transport that calls from one of several addresses.
+func from(n int) *http.Transport {
+	dialer := &net.Dialer{Timeout: time.Second, LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, byte(2+n))}}
+	return &http.Transport{DisableKeepAlives: true, DialContext: dialer.DialContext}
+}
+
 // untilThird tries until three servers have ended, and then until contact is over.
 func (p *poisoner) untilThird(t *testing.T) {
 	t.Helper()
@@ -117,6 +126,7 @@
 func (p *poisoner) try() {
 	p.sent++
 	p.router = p.sent % routerCount
+	p.client.Transport = from(p.sent % addresses)
 	id := fmt.Sprintf("poison-%d", p.sent)
 	a := asked{method: http.MethodPost, path: "/plainstream/poison", body: poisonBody, model: modelNames[0]}
 	ctx, cancel := context.WithTimeout(context.Background(), callerDeadline)
