--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -97,9 +97,12 @@
 	// report is nil before the first.
 	report *fleet.Report
 	failed int
-	// leaving is the last report's word that it leaves, ended that its port has refused
-	// connections since.
-	leaving, ended bool
+	// answered is set once this life has answered, leaving is its last word that it
+	// leaves, and ended that its port has refused connections since.
+	//
+	// They guard against an end that is none: an engine that has only registered does not
+	// listen yet, and one that follows another is not what was refused before it.
+	answered, leaving, ended bool
 }
 
 // router is a connected router.
@@ -207,6 +210,9 @@
 	if life.Instance == "" || life.Compare(l.engine.life) < 0 {
 		return
 	}
+	if l.engine.ended && l.engine.life.Instance != life.Instance {
+		l.engine.answered, l.engine.leaving, l.engine.ended = false, false, false
+	}
 	l.engine.life.Instance = life.Instance
 }
 
--- a/internal/loader/report.go
+++ b/internal/loader/report.go
@@ -23,7 +23,7 @@
 	}
 	if e.Err != nil {
 		l.engine.failed++
-		l.engine.ended = errors.Is(e.Err, syscall.ECONNREFUSED) && !l.engine.leaving
+		l.engine.ended = errors.Is(e.Err, syscall.ECONNREFUSED) && l.engine.answered && !l.engine.leaving
 		if l.engine.failed == failedReads {
 			l.log("engine does not answer", slog.String("error", e.Err.Error()))
 			l.engine.report, l.task = nil, nil
@@ -36,7 +36,8 @@
 	if l.engine.failed >= failedReads {
 		l.log("engine answers again", slog.Int64("orders", e.Report.Sequence))
 	}
-	l.engine.failed, l.engine.ended, l.engine.leaving = 0, false, e.Report.Draining
+	l.engine.failed = 0
+	l.engine.answered, l.engine.leaving, l.engine.ended = true, e.Report.Draining, false
 	before := l.engine.report
 	l.engine.report = &e.Report
 	if before == nil || before.Draining != e.Report.Draining {
--- a/internal/loader/world_test.go
+++ b/internal/loader/world_test.go
@@ -18,6 +18,8 @@
 	wake   core.Time
 	engine *fakeEngine
 	told   map[core.HostID]core.Holdings
+	// passed is what routers were sent of other routers' words.
+	passed map[core.HostID][]core.Message
 	// orders are all that were sent, in order.
 	orders []fleet.Order
 	// loseNext is how many answers to orders are lost from now on.
@@ -34,6 +36,8 @@
 	done  func()
 	// late are orders that arrive later.
 	late []lateOrder
+	// refuses is set while its port refuses connections.
+	refuses bool
 	// broken is set when an order broke a limit of the engine.
 	broken string
 }
@@ -60,7 +64,7 @@
 
 func newWorld(t testing.TB, loaded ...string) *world {
 	w := &world{
-		t: t, now: core.Time(time.Hour), loader: New(Options{Host: "10.1.0.1"}), told: map[core.HostID]core.Holdings{},
+		t: t, now: core.Time(time.Hour), loader: New(Options{Host: "10.1.0.1"}), told: map[core.HostID]core.Holdings{}, passed: map[core.HostID][]core.Message{},
 		engine: &fakeEngine{spec: testSpec(), instance: "i-1"},
 	}
 	for i := range 8 {
@@ -97,9 +101,17 @@
 				}
 				w.told[router] = holdings
 			}
+		case PassOn:
+			for _, router := range e.Routers {
+				w.passed[router] = append(w.passed[router], e.News)
+			}
 		case ReadReport:
 			report := w.engine.report
 			report.Models = append([]fleet.LoadedModel(nil), report.Models...)
+			if w.engine.refuses {
+				w.step(ReportRead{Err: errRefused})
+				continue
+			}
 			w.step(ReportRead{Report: report})
 		case SendOrder:
 			w.orders = append(w.orders, e.Order)
--- a/internal/router/serverend.go
+++ b/internal/router/serverend.go
@@ -45,6 +45,9 @@
 
 // lostAt notes that a request ran at a server when its connection was closed.
 //
+// A connection that is closed long after the server's end can't have led to it: it had
+// not ended then.
+//
 // It guards against planned ends: a server that announced that it leaves, or whose
 // entry was withdrawn, may cut what still runs there when it exits.
 func (r *Router) lostAt(b *backend, req *request) {
@@ -52,9 +55,10 @@
 	case b.Draining:
 	case life.Compare(b.Incarnation) < 0:
 		r.takeEnd(r.endOf(b, life, r.now, req.fingerprint))
-	case b.endedAt != 0:
+	case b.endedAt != 0 && r.now.Sub(b.endedAt) < lostWindow:
 		r.takeEnd(r.endOf(b, life, b.endedAt, req.fingerprint))
 	case b.unlistedAt == 0:
+		b.endedAt = 0 // what still runs there shows that it had not ended
 		b.lost = append(b.lost, lostRequest{req.fingerprint, r.now})
 	}
 }
--- a/internal/router/serverend_test.go
+++ b/internal/router/serverend_test.go
@@ -104,3 +104,18 @@
 		t.Errorf("%d servers ended under it, want 1", n)
 	}
 }
+
+// A refused connection is taken for a server's end, but the server goes on. A connection
+// that is closed there much later is no end under its request.
+func TestServerThatGoesOnHasNotEnded(t *testing.T) {
+	w := newWorld(t)
+	w.servers(engineService, 0)
+	w.lists(w.born(0, 0, "m1"))
+	w.run(loaderGrace)
+	w.refused()
+	w.run(lostWindow)
+	w.closed(w.callAs(1, "patient", prompt("m1")))
+	if n := w.router.ledger.Ends(1); n != 0 {
+		t.Errorf("%d servers ended under it, want none", n)
+	}
+}
