Of equal suspects the younger one is poison; notes are overwritten; operators lift

Cause: on reading: a stream that is well could be beside the poison request at all three servers, with as many ends; without a connected loader a clearance was told nobody. Ruled out: sparing both at a tie (costs a fourth server and up to 64 callers); removing notes (a late write brings them back). Change: routers tell how long a lost request had been at its server; of as many ends the request that was there for less explains the others. What is cleared is kept over the evidence in the store. Operators lift a request (nutmeglane lift, /admin/lift); the refusal names its fingerprint.

--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -21,7 +21,7 @@
 			validateCommand(out), schemaCommand(out),
 			diffCommand(out), applyCommand(out, errOut),
 			getCommand(out), describeCommand(out), watchCommand(out, errOut),
-			rolloutCommand(out, errOut), drainCommand(out, errOut),
+			rolloutCommand(out, errOut), drainCommand(out, errOut), liftCommand(out),
 			dumpCommand(out), replayCommand(out), explainCommand(out, errOut), usageCommand(out, errOut), loadCommand(out, errOut),
 			benchCommand(out, errOut), devCommand(out, errOut), versionCommand(out),
 		},
--- a/internal/core/loading.go
+++ b/internal/core/loading.go
@@ -200,8 +200,8 @@
 	// Config is the version of the configuration that was written meanwhile, 0 if
 	// none was. Who does not have it reads it.
 	Config int64 `cbor:"5,keyasint,omitempty"`
-	// Ends are those that were written to the store meanwhile, as in PoisonNews.
-	Ends []ServerEnd `cbor:"6,keyasint,omitempty"`
+	// Poison is what was written to the store of poison requests meanwhile.
+	Poison PoisonNews `cbor:"6,keyasint,omitempty"`
 }
 
 // ListedBackend is a registry entry without the models, of which loaders know more.
--- a/internal/core/poison.go
+++ b/internal/core/poison.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"strconv"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // This file holds what routers tell each other about servers that ended while
@@ -15,6 +18,15 @@
 // String is the fingerprint as logs and operators write it: 16 hexadecimal digits.
 func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
 
+// ParseFingerprint reads what String writes.
+func ParseFingerprint(text string) (Fingerprint, error) {
+	f, err := strconv.ParseUint(text, 16, 64)
+	if err != nil || f == 0 || len(text) != 16 {
+		return 0, errors.Newf("%q is no fingerprint: 16 hexadecimal digits, not all 0", text)
+	}
+	return Fingerprint(f), nil
+}
+
 // ServerLife is one life of a backend server, from its start to its end.
 type ServerLife struct {
 	// Instance is the server's name in the registry. It may stay over several lives.
@@ -34,8 +46,16 @@
 	Sole bool `cbor:"4,keyasint,omitempty"`
 	// Ago is how long ago the end was noticed, when the message was sent.
 	Ago time.Duration `cbor:"5,keyasint,omitempty"`
-	// Requests are the requests that the router lost there.
-	Requests []Fingerprint `cbor:"6,keyasint"`
+	// Requests are those that the router lost there.
+	Requests []LostRequest `cbor:"6,keyasint"`
+}
+
+// LostRequest is a request that was at a server when that ended.
+type LostRequest struct {
+	_           struct{} `cbor:",toarray"`
+	Fingerprint Fingerprint
+	// Age is for how long it had been there, in ms.
+	Age uint32
 }
 
 // PoisonNews is what a router tells the others of servers that ended under requests.
--- a/internal/daemon/loader.go
+++ b/internal/daemon/loader.go
@@ -62,7 +62,7 @@
 	if err := p.serve(p.settings.Peers, &http.Server{Handler: p.links.Handler(), ReadHeaderTimeout: drainTime}); err != nil {
 		return err
 	}
-	if err := p.serveOperators(p.dump, func() bool { return true }); err != nil {
+	if err := p.serveOperators(p.dump, func() bool { return true }, nil); err != nil {
 		return err
 	}
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -92,10 +92,14 @@
 	}()
 }
 
-// serveOperators serves metrics and the state dump.
-func (p *nodeProcess) serveOperators(dump func() any, ready func() bool) error {
-	handler := p.metrics.Handler(dump, ready)
-	return p.serve(p.settings.Operators, &http.Server{Handler: handler, ReadHeaderTimeout: drainTime})
+// serveOperators serves metrics, the state dump and what mount adds, if it is not nil.
+func (p *nodeProcess) serveOperators(dump func() any, ready func() bool, mount func(*http.ServeMux)) error {
+	mux := http.NewServeMux()
+	mux.Handle("/", p.metrics.Handler(dump, ready))
+	if mount != nil {
+		mount(mux)
+	}
+	return p.serve(p.settings.Operators, &http.Server{Handler: sameOrigin(mux), ReadHeaderTimeout: drainTime})
 }
 
 // links returns the node's connections to peers. Events reach post from one
--- a/internal/daemon/notes.go
+++ b/internal/daemon/notes.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,7 +25,6 @@
 // noteStore is the part of the platform's store that keeps notes.
 type noteStore interface {
 	KeepNote(ctx context.Context, name string, value []byte, lasts time.Duration) error
-	DropNote(ctx context.Context, name string) error
 }
 
 // noteKeeper writes a router's notes to the platform's store, one after the other, and
@@ -34,27 +35,25 @@
 	wake  chan struct{}
 
 	mu sync.Mutex
-	// waiting are router.Publish and router.Retract effects, oldest first, one a name.
-	waiting []router.Effect
+	// waiting are oldest first, one a name.
+	waiting []router.Publish
 }
 
 func newNoteKeeper(store noteStore, log *slog.Logger) *noteKeeper {
 	return &noteKeeper{store: store, log: log, wake: make(chan struct{}, 1)}
 }
 
-// put takes an effect. It never blocks.
-func (k *noteKeeper) put(effect router.Effect) {
+// put takes a note. It never blocks.
+func (k *noteKeeper) put(note router.Publish) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for i, other := range k.waiting {
-		if noteName(other) == noteName(effect) {
-			k.waiting[i] = effect
-			return
-		}
+	if i := k.find(note.Name); i >= 0 {
+		k.waiting[i] = note
+		return
 	}
-	k.waiting = append(k.waiting, effect)
+	k.waiting = append(k.waiting, note)
 	if len(k.waiting) > maxNotes {
-		k.log.Error("note dropped, as too many wait for the store", "note", noteName(k.waiting[0]))
+		k.log.Error("note dropped, as too many wait for the store", "note", k.waiting[0].Name)
 		k.waiting = k.waiting[1:]
 	}
 	select {
@@ -63,72 +62,58 @@
 	}
 }
 
-func noteName(effect router.Effect) string {
-	switch e := effect.(type) {
-	case router.Publish:
-		return e.Name
-	case router.Retract:
-		return e.Name
-	}
-	return ""
+// find returns the place of a note that waits, -1 without one.
+func (k *noteKeeper) find(name string) int {
+	return slices.IndexFunc(k.waiting, func(other router.Publish) bool { return other.Name == name })
 }
 
 // run writes until ctx ends.
 func (k *noteKeeper) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		effect := k.take()
-		if effect == nil {
+		note, ok := k.take()
+		if !ok {
 			select {
 			case <-ctx.Done():
 			case <-k.wake:
 			}
 			continue
 		}
-		if err := k.write(ctx, effect); err != nil {
-			k.log.Warn("note not written", "note", noteName(effect), "error", err.Error())
-			k.putBack(effect)
+		if err := k.write(ctx, note); err != nil {
+			k.log.Warn("note not written", "note", note.Name, "error", err.Error())
+			k.putBack(note)
 			pause(ctx, notePause)
 			continue
 		}
-		k.log.Info("note written", "note", noteName(effect))
+		k.log.Info("note written", "note", note.Name)
 	}
 }
 
-func (k *noteKeeper) take() router.Effect {
+func (k *noteKeeper) take() (note router.Publish, ok bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if len(k.waiting) == 0 {
-		return nil
+		return router.Publish{}, false
 	}
-	effect := k.waiting[0]
+	note = k.waiting[0]
 	k.waiting = k.waiting[1:]
-	return effect
+	return note, true
 }
 
-// putBack lets an effect be tried again, unless a newer one of its name has come.
-func (k *noteKeeper) putBack(effect router.Effect) {
+// putBack lets a note be tried again, unless a newer one of its name has come.
+func (k *noteKeeper) putBack(note router.Publish) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for _, other := range k.waiting {
-		if noteName(other) == noteName(effect) {
-			return
-		}
+	if k.find(note.Name) < 0 {
+		k.waiting = slices.Insert(k.waiting, 0, note)
 	}
-	k.waiting = append([]router.Effect{effect}, k.waiting...)
 }
 
-func (k *noteKeeper) write(ctx context.Context, effect router.Effect) error {
-	switch e := effect.(type) {
-	case router.Publish:
-		value, err := core.EncodeMessage(e.News)
-		if err != nil {
-			return err
-		}
-		return k.store.KeepNote(ctx, e.Name, value, poison.Keep)
-	case router.Retract:
-		return k.store.DropNote(ctx, e.Name)
+func (k *noteKeeper) write(ctx context.Context, note router.Publish) error {
+	value, err := core.EncodeMessage(note.News)
+	if err != nil {
+		return err
 	}
-	return nil
+	return k.store.KeepNote(ctx, note.Name, value, poison.Keep)
 }
 
 func pause(ctx context.Context, d time.Duration) {
@@ -138,18 +123,23 @@
 	}
 }
 
-// decodeNotes returns the ends that notes tell of. One that can't be decoded is logged
-// and left out.
-func decodeNotes(notes [][]byte, log *slog.Logger) []core.ServerEnd {
-	var ends []core.ServerEnd
+// decodeNotes returns what notes tell of poison requests. One that can't be decoded is
+// logged and left out.
+func decodeNotes(notes [][]byte, log *slog.Logger) core.PoisonNews {
+	var all core.PoisonNews
 	for _, note := range notes {
 		message, err := core.DecodeMessage(note)
+		if err != nil {
+			log.Error("note can't be read and is left out", "error", err.Error())
+			continue
+		}
 		news, ok := message.(core.PoisonNews)
-		if err != nil || !ok {
-			log.Error("note of another kind left out", "error", err)
+		if !ok {
+			log.Error("note of another kind is left out", "kind", fmt.Sprintf("%T", message))
 			continue
 		}
-		ends = append(ends, news.Ends...)
+		all.Ends = append(all.Ends, news.Ends...)
+		all.Cleared = append(all.Cleared, news.Cleared...)
 	}
-	return ends
+	return all
 }
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -12,6 +12,7 @@
 	"nutmeglane.example/nutmeglane/internal/core"
 	"nutmeglane.example/nutmeglane/internal/fleet"
 	"nutmeglane.example/nutmeglane/internal/gateway"
+	"nutmeglane.example/nutmeglane/internal/operator"
 	"nutmeglane.example/nutmeglane/internal/router"
 	"nutmeglane.example/nutmeglane/internal/settings"
 	"nutmeglane.example/nutmeglane/internal/wire"
@@ -82,13 +83,13 @@
 	p.gateway = gateway.New(router.New(router.Options{
 		Host: core.HostID(p.settings.Address), Zone: p.settings.Zone, LoaderPort: p.settings.LoaderPort,
 		Bounds: p.settings.Fleet(), Seed: randomUint64(),
-	}), gateway.Options{Links: p.links, Notes: notes.put, Metrics: p.metrics, Log: p.log, Requests: p.requests})
+	}), gateway.Options{Links: p.links, Publish: notes.put, Metrics: p.metrics, Log: p.log, Requests: p.requests})
 	p.reader = newStoreReader(store, p.gateway, readPause(p.settings.Bounds), p.log)
 	p.reader.send = func(to []core.HostID, news core.Message) { p.links.SendAll(to, news) }
 	if err := p.serve(p.settings.Readiness, &http.Server{Handler: p.readiness(), ReadHeaderTimeout: drainTime}); err != nil {
 		return err
 	}
-	if err := p.serveOperators(p.dump, p.ready.Load); err != nil {
+	if err := p.serveOperators(p.dump, p.ready.Load, p.mountLift); err != nil {
 		return err
 	}
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -238,6 +239,19 @@
 	p.log.Info("ready")
 }
 
+// mountLift lets operators have a request sent to servers again.
+func (p *routerProcess) mountLift(mux *http.ServeMux) {
+	mux.HandleFunc("POST "+operator.LiftPath, func(w http.ResponseWriter, r *http.Request) {
+		fingerprint, err := core.ParseFingerprint(r.FormValue("request"))
+		if err != nil {
+			operator.WriteNoFingerprint(w, err)
+			return
+		}
+		p.gateway.Step(router.Lift{Fingerprint: fingerprint})
+		operator.WriteLifted(w, p.settings.Host, fingerprint.String())
+	})
+}
+
 func (p *routerProcess) dump() any {
 	state := map[string]any{}
 	p.gateway.Look(func(r *router.Router) { state["router"] = r.Dump() })
--- a/internal/daemon/storereader.go
+++ b/internal/daemon/storereader.go
@@ -176,7 +176,7 @@
 	if snapshot.Config != nil {
 		s.gateway.Step(router.ConfigRead{Config: snapshot.Config})
 	}
-	s.gateway.Step(router.PoisonHeard{News: core.PoisonNews{Ends: decodeNotes(snapshot.Notes, s.log)}})
+	s.gateway.Step(router.PoisonHeard{News: decodeNotes(snapshot.Notes, s.log)})
 	s.gateway.Step(router.BackendsRead{Backends: snapshot.Backends})
 	s.reader.ReadWhole(clock.Now(), snapshot.Revision)
 	if snapshot.Config == nil {
@@ -214,9 +214,9 @@
 		s.gateway.Step(router.ConfigRead{Config: changes.Config})
 	}
 	if s.reader.ReadChanges(clock.Now(), revision, changes.Revision) {
-		ends := decodeNotes(changes.Notes, s.log)
-		s.passOn(revision, changes, ends)
-		s.gateway.Step(router.PoisonHeard{News: core.PoisonNews{Ends: ends}})
+		poison := decodeNotes(changes.Notes, s.log)
+		s.passOn(revision, changes, poison)
+		s.gateway.Step(router.PoisonHeard{News: poison})
 		s.gateway.Step(router.BackendsChanged{Written: changes.Written, Removed: changes.Removed})
 	}
 	return nil
@@ -224,8 +224,8 @@
 
 // passOn tells the other routers, before the changes are applied here: what is told is
 // what differs from what was known.
-func (s *storeReader) passOn(from int64, changes platform.Changes, ends []core.ServerEnd) {
-	news := core.RegistryNews{From: from, To: changes.Revision, Ends: ends}
+func (s *storeReader) passOn(from int64, changes platform.Changes, poison core.PoisonNews) {
+	news := core.RegistryNews{From: from, To: changes.Revision, Poison: poison}
 	for instance := range changes.Removed {
 		news.Removed = append(news.Removed, instance)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,9 +17,8 @@
 type Options struct {
 	// Links carries out Dial, Hangup and Tell. It must not call back.
 	Links interface{ Do(core.Effect) bool }
-	// Notes carries out Publish and Retract. It must not call back. It may be nil where
-	// there is no store.
-	Notes func(router.Effect)
+	// Publish carries out Publish. It must not call back. Nil where there is no store.
+	Publish func(router.Publish)
 	// Metrics carries out Count and Observe.
 	Metrics interface{ Do(core.Effect) bool }
 	// Log takes lines about the process, Requests those about single requests.
@@ -90,9 +89,9 @@
 		for _, to := range e.Via {
 			g.opts.Links.Do(core.Send{To: to, Message: e.News})
 		}
-	case router.Publish, router.Retract:
-		if g.opts.Notes != nil {
-			g.opts.Notes(e)
+	case router.Publish:
+		if g.opts.Publish != nil {
+			g.opts.Publish(e)
 		}
 	case router.Wake:
 		g.timer.Reset(max(0, clock.Until(e.At)))
--- a/internal/loader/ended_test.go
+++ b/internal/loader/ended_test.go
@@ -67,7 +67,7 @@
 func TestLoaderTellsRoutersThatStart(t *testing.T) {
 	w := newWorld(t)
 	w.step(RouterUp{Router: "10.0.0.2"})
-	end := core.ServerEnd{Life: core.ServerLife{Instance: "i-9"}, Address: "10.1.0.9:1", Requests: []core.Fingerprint{1, 2}}
+	end := core.ServerEnd{Life: core.ServerLife{Instance: "i-9"}, Address: "10.1.0.9:1", Requests: []core.LostRequest{{Fingerprint: 1}, {Fingerprint: 2}}}
 	w.step(RouterTold{Router: "10.0.0.1", News: core.PoisonNews{Ends: []core.ServerEnd{end}}})
 	if got := w.passed["10.0.0.2"]; len(got) != 1 || len(w.passed["10.0.0.1"]) != 0 {
 		t.Fatalf("passed on to the other %v, to the teller %v", got, w.passed["10.0.0.1"])
@@ -76,7 +76,7 @@
 	w.now = w.now.Add(time.Second)
 	w.step(RouterUp{Router: "10.0.0.3"})
 	got, ok := w.passed["10.0.0.3"][0].(core.PoisonNews)
-	if !ok || len(got.Ends) != 1 || len(got.Ends[0].Requests) != 1 || got.Ends[0].Requests[0] != 1 || got.Ends[0].Ago != time.Second {
+	if !ok || len(got.Ends) != 1 || len(got.Ends[0].Requests) != 1 || got.Ends[0].Requests[0].Fingerprint != 1 || got.Ends[0].Ago != time.Second {
 		t.Errorf("told a router that starts %+v", w.passed["10.0.0.3"])
 	}
 }
--- a/internal/operator/answer.go
+++ b/internal/operator/answer.go
@@ -111,6 +111,21 @@
 	writeJSON(w, http.StatusAccepted, Draining{Host: host, Draining: true})
 }
 
+// Lifted answers a lift.
+type Lifted struct {
+	Host string `json:"host"`
+	// Request is the fingerprint.
+	Request string `json:"request"`
+}
+
+// WriteLifted answers that a request is sent to servers again.
+func WriteLifted(w http.ResponseWriter, host, request string) {
+	writeJSON(w, http.StatusAccepted, Lifted{Host: host, Request: request})
+}
+
+// WriteNoFingerprint answers a lift that names no fingerprint.
+func WriteNoFingerprint(w http.ResponseWriter, err error) { writeBadQuery(w, err) }
+
 func writeAbsent(w http.ResponseWriter, key api.Key) {
 	writeError(w, http.StatusNotFound, Failure{
 		Code: code.UnknownPath, Message: key.String() + " does not exist", Next: "list the kind to see the names",
--- a/internal/operator/client/client.go
+++ b/internal/operator/client/client.go
@@ -117,6 +117,14 @@
 	return call[operator.Draining](ctx, c, c.base.New().Post(operator.DrainPath))
 }
 
+// Lift lets a request, by its fingerprint, be sent to backend servers again.
+func (c *Client) Lift(ctx context.Context, fingerprint string) (operator.Lifted, error) {
+	query := struct {
+		Request string `url:"request"`
+	}{fingerprint}
+	return call[operator.Lifted](ctx, c, c.base.New().Post(operator.LiftPath).QueryStruct(query))
+}
+
 // State returns the state dump of the process at the address.
 func (c *Client) State(ctx context.Context) (json.RawMessage, error) {
 	return call[json.RawMessage](ctx, c, c.base.New().Get("/debug/state"))
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -42,6 +42,10 @@
 // Prefix is the path below which the API lives.
 const Prefix = "/apis/nutmeglane/v1"
 
+// LiftPath, at the operators' address of a router, lets a request that was found to end
+// servers be sent to them again. "request" in its query is the fingerprint.
+const LiftPath = "/admin/lift"
+
 // DrainPath, at the operators' address of every process, begins its graceful
 // shutdown.
 const DrainPath = "/admin/drain"
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -9,8 +9,6 @@
 package poison
 
 import (
-	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -63,6 +61,8 @@
 type end struct {
 	core.ServerEnd
 	at core.Time
+	// lost are the requests that were there, with their ages in ms.
+	lost map[core.Fingerprint]uint32
 }
 
 // record is what is known of one request.
@@ -75,6 +75,15 @@
 	own bool
 }
 
+// age is for how long the request had been at the servers that ended, in all, in ms.
+func (r *record) age(f core.Fingerprint) int {
+	sum := 0
+	for _, e := range r.ends {
+		sum += int(e.lost[f])
+	}
+	return sum
+}
+
 // New returns a ledger that knows nothing.
 func New() *Ledger {
 	return &Ledger{ends: map[string][]*end{}, requests: map[core.Fingerprint]*record{}, cleared: map[core.Fingerprint]clearance{}}
@@ -84,8 +93,8 @@
 // It returns those of the requests that are poison from now on and were not before.
 func (l *Ledger) Add(now core.Time, noticed core.ServerEnd) []core.Fingerprint {
 	poison := l.add(now, noticed)
-	for _, f := range noticed.Requests {
-		if r := l.requests[f]; r != nil {
+	for _, lost := range noticed.Requests {
+		if r := l.requests[lost.Fingerprint]; r != nil {
 			r.own = true
 		}
 	}
@@ -108,14 +117,15 @@
 func (l *Ledger) add(now core.Time, told core.ServerEnd) []core.Fingerprint {
 	known := l.find(told.Life)
 	if known == nil {
-		known = &end{ServerEnd: told, at: now.Add(-told.Ago)}
+		known = &end{ServerEnd: told, at: now.Add(-told.Ago), lost: map[core.Fingerprint]uint32{}}
 		known.Requests = nil
 		l.ends[told.Life.Instance] = append(l.ends[told.Life.Instance], known)
 	}
 	var poison []core.Fingerprint
-	for _, f := range told.Requests {
+	for _, lost := range told.Requests {
+		f := lost.Fingerprint
 		before := l.Poison(f)
-		l.ranAt(now, f, known)
+		l.ranAt(now, lost, known)
 		if !before && l.Poison(f) {
 			poison = append(poison, f)
 		}
@@ -136,8 +146,14 @@
 	return nil
 }
 
-func (l *Ledger) ranAt(now core.Time, f core.Fingerprint, e *end) {
-	if slices.Contains(e.Requests, f) || slices.Contains(l.cleared[f].lives, e.Life) {
+// ranAt enters a request at an end. Of two tries there the younger one counts.
+func (l *Ledger) ranAt(now core.Time, lost core.LostRequest, e *end) {
+	f := lost.Fingerprint
+	if slices.Contains(l.cleared[f].lives, e.Life) {
+		return
+	}
+	if age, ok := e.lost[f]; ok {
+		e.lost[f] = min(age, lost.Age)
 		return
 	}
 	r := l.requests[f]
@@ -145,7 +161,7 @@
 		r = &record{}
 		l.requests[f] = r
 	}
-	e.Requests = append(e.Requests, f)
+	e.lost[f] = lost.Age
 	r.ends, r.seen = append(r.ends, e), now
 }
 
@@ -165,9 +181,8 @@
 
 // Poison tells whether a request is to be kept from servers.
 //
-// It guards against shutting out requests that are well and were beside a poison
-// one. Ends are explained by a request that ran there too and has more of them, at
-// least Threshold: of its neighbours each shares a part.
+// It guards against shutting out requests that are well and were beside a poison one:
+// an end that another request explains does not count.
 func (l *Ledger) Poison(f core.Fingerprint) bool {
 	r := l.requests[f]
 	if r == nil || len(r.ends) < Threshold {
@@ -176,7 +191,7 @@
 	counted, sole := 0, false
 	addresses := map[string]bool{}
 	for _, e := range r.ends {
-		if l.explained(e, len(r.ends)) {
+		if l.explained(e, f, r) {
 			continue
 		}
 		counted++
@@ -186,134 +201,20 @@
 	return counted >= leastUnexplained && (sole || len(addresses) >= leastAddresses)
 }
 
-// explained tells whether a request beside one with so many ends has more.
-func (l *Ledger) explained(e *end, ends int) bool {
-	return slices.ContainsFunc(e.Requests, func(f core.Fingerprint) bool { return l.Ends(f) > max(ends, Threshold-1) })
-}
-
-// Seen notes that a request has arrived again.
-func (l *Ledger) Seen(now core.Time, f core.Fingerprint) {
-	if r := l.requests[f]; r != nil {
-		r.seen = now
-	}
-}
-
-// Clear takes back what is held against a request that is known to be well. It reports
-// whether anything was.
-func (l *Ledger) Clear(now core.Time, f core.Fingerprint) bool {
-	r := l.requests[f]
-	if r == nil {
-		return false
-	}
-	lives := l.cleared[f].lives
-	for _, e := range r.ends {
-		lives = append(lives, e.Life)
-	}
-	l.cleared[f] = clearance{now, lives}
-	l.drop(f)
-	return true
-}
-
-// drop forgets a request.
-func (l *Ledger) drop(f core.Fingerprint) {
-	r := l.requests[f]
-	delete(l.requests, f)
-	for _, e := range r.ends {
-		e.Requests = slices.DeleteFunc(e.Requests, func(other core.Fingerprint) bool { return other == f })
-		l.dropEmpty(e)
-	}
-}
-
-func (l *Ledger) dropEmpty(e *end) {
-	if len(e.Requests) > 0 {
-		return
-	}
-	instance := e.Life.Instance
-	l.ends[instance] = slices.DeleteFunc(l.ends[instance], func(other *end) bool { return other == e })
-	if len(l.ends[instance]) == 0 {
-		delete(l.ends, instance)
-	}
-}
-
-// Forget drops what has not been seen for Keep.
-func (l *Ledger) Forget(now core.Time) {
-	for _, f := range slices.Sorted(maps.Keys(l.requests)) {
-		if now.Sub(l.requests[f].seen) >= Keep {
-			l.drop(f)
-		}
-	}
-	maps.DeleteFunc(l.cleared, func(_ core.Fingerprint, c clearance) bool { return now.Sub(c.at) >= Keep })
-}
-
-// bound drops the least telling requests beyond maxRequests.
-func (l *Ledger) bound() {
-	if len(l.requests) <= maxRequests {
-		return
-	}
-	// More than needed, so that not every end sorts them all.
-	excess := len(l.requests) - maxRequests*7/8
-	byWorth := slices.SortedFunc(maps.Keys(l.requests), func(a, b core.Fingerprint) int {
-		x, y := l.requests[a], l.requests[b]
-		return cmp.Or(cmp.Compare(len(x.ends), len(y.ends)), cmp.Compare(x.seen, y.seen), cmp.Compare(a, b))
-	})
-	for _, f := range byWorth[:excess] {
-		l.drop(f)
-	}
-}
-
-// Evidence returns the ends of servers on which a request ran, with no other request.
-func (l *Ledger) Evidence(now core.Time, f core.Fingerprint) []core.ServerEnd {
-	r := l.requests[f]
-	if r == nil {
-		return nil
-	}
-	var ends []core.ServerEnd
-	for _, e := range r.ends {
-		told := e.ServerEnd
-		told.Ago, told.Requests = now.Sub(e.at), []core.Fingerprint{f}
-		ends = append(ends, told)
-	}
-	return ends
-}
-
-// All returns all that is known, for a process that knows nothing yet.
-func (l *Ledger) All(now core.Time) []core.ServerEnd {
-	var all []core.ServerEnd
-	for _, instance := range slices.Sorted(maps.Keys(l.ends)) {
-		for _, e := range l.ends[instance] {
-			told := e.ServerEnd
-			told.Ago, told.Requests = now.Sub(e.at), slices.Clone(e.Requests)
-			all = append(all, told)
-		}
-	}
-	return all
-}
-
-// Entry is the dump of one request.
-type Entry struct {
-	Request string
-	Poison  bool
-	// Ends is the number of servers that ended under it, Servers their instances.
-	Ends    int
-	Servers []string
-	// FirstEnd and Seen are how long ago the first ended and it was last seen.
-	FirstEnd, Seen time.Duration
-}
-
-// Dump lists the requests under which two servers or more ended.
-func (l *Ledger) Dump(now core.Time) []Entry {
-	var entries []Entry
-	for _, f := range slices.Sorted(maps.Keys(l.requests)) {
-		r := l.requests[f]
-		if len(r.ends) < 2 {
-			continue
-		}
-		entry := Entry{Request: f.String(), Poison: l.Poison(f), Ends: len(r.ends), Seen: now.Sub(r.seen)}
-		for _, e := range r.ends {
-			entry.Servers = append(entry.Servers, e.Life.Instance)
-			entry.FirstEnd = max(entry.FirstEnd, now.Sub(e.at))
+// explained tells whether another request at an end explains it better than this one:
+// more servers ended under it, at least Threshold. Of as many, the one explains it that
+// had been there for the shorter time: what crashes a server as it begins to run is
+// young each time, what is well is as old as streams are on the average.
+func (l *Ledger) explained(e *end, f core.Fingerprint, r *record) bool {
+	for other := range e.lost {
+		o := l.requests[other]
+		switch {
+		case other == f || len(o.ends) < Threshold || len(o.ends) < len(r.ends):
+		case len(o.ends) > len(r.ends):
+			return true
+		case o.age(other) < r.age(f):
+			return true
 		}
-		entries = append(entries, entry)
 	}
-	return entries
+	return false
 }
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -15,9 +15,11 @@
 
 // died is the end of a server at an address of its own, under requests.
 func died(server string, requests ...core.Fingerprint) core.ServerEnd {
-	return core.ServerEnd{
-		Life: core.ServerLife{Instance: server}, Service: "s", Address: "at-" + server, Requests: requests,
+	e := core.ServerEnd{Life: core.ServerLife{Instance: server}, Service: "s", Address: "at-" + server}
+	for _, f := range requests {
+		e.Requests = append(e.Requests, core.LostRequest{Fingerprint: f, Age: 100})
 	}
+	return e
 }
 
 func tell(l *Ledger, ends ...core.ServerEnd) {
@@ -61,6 +63,20 @@
 	checkPoison(t, l, 2, false)
 }
 
+// The same stream has the bad luck to be at just the three servers that the poison
+// request ends. It had been there for longer: what ends servers as it begins to run is
+// young each time.
+func TestOlderNeighbourIsWell(t *testing.T) {
+	l := New()
+	for _, server := range []string{"a", "b", "c"} {
+		e := died(server, 1)
+		e.Requests = append(e.Requests, core.LostRequest{Fingerprint: 2, Age: 400})
+		l.Add(start, e)
+	}
+	checkPoison(t, l, 1, true)
+	checkPoison(t, l, 2, false)
+}
+
 // Two poison requests come at once and meet at a server. Neither hides the other.
 func TestTwoPoisonRequests(t *testing.T) {
 	l := New()
@@ -91,7 +107,7 @@
 		for server := range 12 {
 			e := died(fmt.Sprintf("s%d-%d", server, round))
 			for i := range 64 {
-				e.Requests = append(e.Requests, core.Fingerprint(1+(server+5*round)%12*64+i))
+				e.Requests = append(e.Requests, core.LostRequest{Fingerprint: core.Fingerprint(1 + (server+5*round)%12*64 + i)})
 			}
 			if told := l.Add(start, e); len(told) > 0 {
 				t.Fatalf("poison: %v", told)
@@ -152,7 +168,7 @@
 	for i := range 1000 {
 		e := died(fmt.Sprint("s", i))
 		for j := range 64 {
-			e.Requests = append(e.Requests, core.Fingerprint(100+64*i+j))
+			e.Requests = append(e.Requests, core.LostRequest{Fingerprint: core.Fingerprint(100 + 64*i + j)})
 		}
 		l.Add(start.Add(time.Duration(i)), e)
 	}
--- a/internal/router/effect.go
+++ b/internal/router/effect.go
@@ -106,18 +106,14 @@
 }
 
 // Publish keeps news of poison requests in the platform's store under a name, in place
-// of what was there. Retract removes it.
-type (
-	Publish struct {
-		Name string
-		News core.PoisonNews
-	}
-	Retract struct{ Name string }
-)
+// of what was there.
+type Publish struct {
+	Name string
+	News core.PoisonNews
+}
 
 func (TellRouters) effect() {}
 func (Publish) effect()     {}
-func (Retract) effect()     {}
 func (Send) effect()        {}
 func (Forward) effect()     {}
 func (Finish) effect()      {}
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -58,7 +58,7 @@
 		removed[instance] = true
 	}
 	r.changeBackends(written, removed)
-	r.poisonHeard(core.PoisonNews{Ends: news.Ends})
+	r.poisonHeard(news.Poison)
 }
 
 // NewsOf returns those of the entries that say other than what is known, without
--- a/internal/router/poison.go
+++ b/internal/router/poison.go
@@ -28,16 +28,13 @@
 const poisonRelays = 2
 
 // tellOthers tells the other routers. Without a loader that could pass it on, the store
-// does.
-func (r *Router) tellOthers(news core.PoisonNews) {
+// does, under a name that no other news has.
+func (r *Router) tellOthers(name string, news core.PoisonNews) {
 	if to := r.Relays(poisonRelays); len(to) > 0 {
 		r.emit(TellRouters{Via: to, News: news})
 		return
 	}
-	for _, end := range news.Ends {
-		name := "end-" + end.Life.Instance + "-" + string(r.opts.Host)
-		r.emit(Publish{Name: name, News: core.PoisonNews{Ends: []core.ServerEnd{end}}})
-	}
+	r.emit(Publish{Name: name, News: news})
 }
 
 func (r *Router) poisonHeard(news core.PoisonNews) {
@@ -84,7 +81,7 @@
 	if req.forwarded {
 		c = code.AnswerCut
 	}
-	r.finish(req, c, 0, fmt.Sprintf("%d backend servers ended under this request", r.ledger.Ends(f)))
+	r.finish(req, c, 0, fmt.Sprintf("%d backend servers ended under request %s", r.ledger.Ends(f), f))
 }
 
 // evidenceAttrs tell which servers ended under a request, and since when.
@@ -125,14 +122,17 @@
 // lift is an operator's order.
 func (r *Router) lift(f core.Fingerprint) { r.clear(f, "an operator lifted it") }
 
+// clear takes back what is held against a request, here and at the other routers. What
+// the store has against it is replaced.
 func (r *Router) clear(f core.Fingerprint, why string) {
 	r.log(Belief, "request is well", append(r.evidenceAttrs(f), slog.String("why", why))...)
+	news := core.PoisonNews{Cleared: []core.Fingerprint{f}}
 	if r.ledger.Poison(f) {
-		r.emit(Retract{Name: f.String()})
+		r.emit(Publish{Name: f.String(), News: news})
 	}
 	r.ledger.Clear(r.now, f)
 	delete(r.published, f)
-	r.tellOthers(core.PoisonNews{Cleared: []core.Fingerprint{f}})
+	r.tellOthers(f.String(), news)
 }
 
 func (r *Router) forgetPoison() {
--- a/internal/router/serverend.go
+++ b/internal/router/serverend.go
@@ -29,8 +29,8 @@
 
 // lostRequest is a request whose connection was closed while it ran.
 type lostRequest struct {
-	fingerprint core.Fingerprint
-	at          core.Time
+	core.LostRequest
+	at core.Time
 }
 
 // noteConnection takes what a failed attempt shows of its server.
@@ -51,15 +51,19 @@
 // It guards against planned ends: a server that announced that it leaves, or whose
 // entry was withdrawn, may cut what still runs there when it exits.
 func (r *Router) lostAt(b *backend, req *request) {
+	if req.fingerprint == 0 {
+		return // not told
+	}
+	lost := core.LostRequest{Fingerprint: req.fingerprint, Age: uint32(r.now.Sub(req.attempt.at).Milliseconds())}
 	switch life := req.attempt.life; {
 	case b.Draining:
 	case life.Compare(b.Incarnation) < 0:
-		r.takeEnd(r.endOf(b, life, r.now, req.fingerprint))
+		r.takeEnd(r.endOf(b, life, r.now, lost))
 	case b.endedAt != 0 && r.now.Sub(b.endedAt) < lostWindow:
-		r.takeEnd(r.endOf(b, life, b.endedAt, req.fingerprint))
+		r.takeEnd(r.endOf(b, life, b.endedAt, lost))
 	case b.unlistedAt == 0:
 		b.endedAt = 0 // what still runs there shows that it had not ended
-		b.lost = append(b.lost, lostRequest{req.fingerprint, r.now})
+		b.lost = append(b.lost, lostRequest{lost, r.now})
 	}
 }
 
@@ -70,10 +74,10 @@
 		return
 	}
 	b.endedAt = r.now
-	var lost []core.Fingerprint
+	var lost []core.LostRequest
 	for _, l := range b.lost {
 		if r.now.Sub(l.at) < lostWindow {
-			lost = append(lost, l.fingerprint)
+			lost = append(lost, l.LostRequest)
 		}
 	}
 	b.lost = nil
@@ -84,32 +88,25 @@
 	}
 }
 
-func (r *Router) endOf(b *backend, life fleet.Incarnation, at core.Time, requests ...core.Fingerprint) core.ServerEnd {
+func (r *Router) endOf(b *backend, life fleet.Incarnation, at core.Time, requests ...core.LostRequest) core.ServerEnd {
 	return core.ServerEnd{
 		Life: lifeOf(life), Service: b.Service, Address: b.Address, Sole: r.soleAddress(b),
 		Ago: r.now.Sub(at), Requests: requests,
 	}
 }
 
-// takeEnd enters an end, tells it, and logs under how many servers' ends its requests
-// ran.
+// takeEnd enters an end, tells the other routers, and logs under how many servers' ends
+// its requests ran.
 func (r *Router) takeEnd(end core.ServerEnd) {
-	end.Requests = slices.DeleteFunc(end.Requests, func(f core.Fingerprint) bool { return f == 0 })
-	if len(end.Requests) == 0 {
-		return
-	}
-	poison := r.ledger.Add(r.now, end)
-	r.tellOthers(core.PoisonNews{Ends: []core.ServerEnd{end}})
-	defer r.keepFromServers(poison)
-	most, suspect := 0, core.Fingerprint(0)
-	for _, f := range end.Requests {
-		if n := r.ledger.Ends(f); n > most {
-			most, suspect = n, f
-		}
-	}
+	found := r.ledger.Add(r.now, end)
+	r.tellOthers("end-"+end.Life.Instance+"-"+string(r.opts.Host), core.PoisonNews{Ends: []core.ServerEnd{end}})
+	most := slices.MaxFunc(end.Requests, func(a, b core.LostRequest) int {
+		return r.ledger.Ends(a.Fingerprint) - r.ledger.Ends(b.Fingerprint)
+	}).Fingerprint
 	r.log(Belief, "requests ran on a server that ended", slog.String("instance", end.Life.Instance), slog.Int64("born", end.Life.Born),
 		slog.String("address", end.Address), slog.String("ended_ago", end.Ago.String()), slog.Int("requests", len(end.Requests)),
-		slog.String("most_often", suspect.String()), slog.Int("ends", most))
+		slog.String("most_often", most.String()), slog.Int("ends", r.ledger.Ends(most)))
+	r.keepFromServers(found)
 }
 
 func lifeOf(i fleet.Incarnation) core.ServerLife {
--- a/internal/router/world_test.go
+++ b/internal/router/world_test.go
@@ -22,6 +22,9 @@
 	demands  map[core.HostID]core.Demand
 	abandons map[Key]int
 	logs     []Log
+	// told and published are what was told of poison requests.
+	told      []TellRouters
+	published []Publish
 }
 
 const (
@@ -96,6 +99,10 @@
 			w.demands[e.Loader] = e.Demand
 		case Abandon:
 			w.abandons[e.Key] = e.Attempt
+		case TellRouters:
+			w.told = append(w.told, e)
+		case Publish:
+			w.published = append(w.published, e)
 		case Log:
 			w.logs = append(w.logs, e)
 		}
--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"nutmeglane.example/nutmeglane/internal/code"
 )
 
 const (
@@ -168,6 +170,8 @@
 	}
 	sealed := response.Header.Get("Nutmeglane-Server-Seal")
 	switch {
+	case body != "" && strings.Contains(body, code.PoisonRequest.String()) && !strings.HasPrefix(id, "poison"):
+		r.breaks("%s is well and was kept from servers: %s", id, body)
 	case status == http.StatusOK && sealed != "seal-"+id:
 		r.breaks("%s got a success with the seal %q", id, sealed)
 	case status == http.StatusOK && stream:
--- a/internal/soak/poison_test.go
+++ b/internal/soak/poison_test.go
@@ -2,15 +2,20 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
+
+	"nutmeglane.example/nutmeglane/internal/code"
+	"nutmeglane.example/nutmeglane/internal/operator/client"
 )
 
 const (
@@ -79,10 +84,37 @@
 	w.reportPoison(t)
 }
 
+// An operator has mended the servers, or knows better. Lifted at one router, the request
+// is sent again, whichever router it comes to: a further server ends.
+func TestLiftedRequestIsSentAgain(t *testing.T) {
+	w := newWorld(t, poisonSeed+2)
+	defer w.close()
+	p := newPoisoner(w)
+	stop := w.callBeside(1)
+	defer stop()
+	w.awaitServed(t)
+	p.until(t, func(*referee) bool { return p.refused >= routerCount })
+	ends := w.referee.poisonEnds()
+	api := client.New(fmt.Sprintf("http://%s:%d", w.host(1, 0), operatorsPort), "", nil)
+	if _, err := api.Lift(t.Context(), "no fingerprint"); err == nil {
+		t.Error("lifted what is no fingerprint")
+	}
+	_, err := api.Lift(t.Context(), p.fingerprint)
+	w.check(err)
+	p.until(t, func(r *referee) bool { return r.poisonEnds() > ends })
+	stop()
+	w.quiesce()
+	w.report(t, poisonSeed+2, &faults{world: w})
+}
+
 // poisoner sends the same request again and again.
 type poisoner struct {
 	*caller
 	sent int
+	// refused is how many tries were refused as poison, fingerprint what the last of
+	// these refusals called the request.
+	refused     int
+	fingerprint string
 }
 
 func newPoisoner(w *world) *poisoner {
@@ -143,9 +175,21 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
+	p.noteRefusal(body)
 	p.judge(id, "plainstream", true, response, string(body), err)
 }
 
+func (p *poisoner) noteRefusal(body []byte) {
+	var refusal struct {
+		Code   code.Code `json:"code"`
+		Reason string    `json:"reason"`
+	}
+	if json.Unmarshal(body, &refusal) == nil && refusal.Code == code.PoisonRequest {
+		p.refused++
+		p.fingerprint = refusal.Reason[strings.LastIndexByte(refusal.Reason, ' ')+1:]
+	}
+}
+
 // callBeside lets callers call until the function that it returns is called.
 func (w *world) callBeside(n int) (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
