An end that one router noticed counts for what others lost there

Cause: on reading: a plain service has no loader that finds its server gone; a router that sends it nothing else learnt of the end from the registry only, up to 5 s later. Change: news of an end confirm it for the router that hears them.

--- a/internal/router/poison.go
+++ b/internal/router/poison.go
@@ -9,6 +9,7 @@
 
 	"nutmeglane.example/nutmeglane/internal/code"
 	"nutmeglane.example/nutmeglane/internal/core"
+	"nutmeglane.example/nutmeglane/internal/fleet"
 	"nutmeglane.example/nutmeglane/internal/poison"
 )
 
@@ -37,8 +38,17 @@
 	r.emit(Publish{Name: name, News: news})
 }
 
+// poisonHeard takes news in. A server that another router knows to have ended has ended
+// for this one too: servers without a loader show it here some seconds later only.
 func (r *Router) poisonHeard(news core.PoisonNews) {
-	r.keepFromServers(r.ledger.Hear(r.now, news))
+	found := r.ledger.Hear(r.now, news)
+	for _, end := range news.Ends {
+		b := r.backends[end.Life.Instance]
+		if b != nil && (fleet.Incarnation{Instance: end.Life.Instance, Born: end.Life.Born}).Compare(b.Incarnation) == 0 {
+			r.serverEnded(b, "another router found it gone")
+		}
+	}
+	r.keepFromServers(found)
 }
 
 // keepFromServers ends what this router has of requests that were just found to crash
--- a/internal/router/poison_test.go
+++ b/internal/router/poison_test.go
@@ -186,6 +186,24 @@
 	w.wantRefused(w.callAs(poisonWork, "once", nil))
 }
 
+// A plain service's server ends. One router finds its port closed, another has lost the
+// poison request there and sends nothing else to it. It learns from the first that the
+// server is gone, long before the registry drops it.
+func TestEndThatAnotherRouterNoticed(t *testing.T) {
+	w := newWorld(t)
+	w.servers(plainService, 3)
+	key := w.callAs(poisonWork, "once", nil)
+	w.closed(key)
+	end := core.ServerEnd{
+		Life: core.ServerLife{Instance: w.lastSend(key).Instance}, Service: plainService,
+		Requests: []core.LostRequest{{Fingerprint: 9}},
+	}
+	w.step(PoisonHeard{News: core.PoisonNews{Ends: []core.ServerEnd{end}}})
+	if n := w.router.ledger.Ends(poisonWork); n != 1 {
+		t.Errorf("%d servers ended under it, want 1", n)
+	}
+}
+
 // Two engines end under a stream that is well. It is served at the third: that is told,
 // and nothing is held against it at any router.
 func TestServedRequestIsCleared(t *testing.T) {
