--- a/internal/soak/referee_test.go
+++ b/internal/soak/referee_test.go
@@ -82,6 +82,13 @@
 	r.served[kind]++
 }
 
+// requests is the number of requests that callers sent.
+func (r *referee) requests() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.asked)
+}
+
 // counts returns how many requests of each kind were served so far.
 func (r *referee) counts() map[string]int {
 	r.mu.Lock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -173,7 +173,8 @@
 		}
 	}
 	served := w.referee.counts()
-	t.Logf("seed %d: %d faults, served %v, servers ended by a poison request: %d", seed, len(f.told), served, w.referee.poisonEnds())
+	t.Logf("seed %d: %d faults, %d requests, served %v, servers ended by a poison request: %d",
+		seed, len(f.told), w.referee.requests(), served, w.referee.poisonEnds())
 	if len(broken) == 0 && !*keepLogs {
 		if err := os.RemoveAll(w.dir); err != nil {
 			t.Error(err)
