--- a/internal/router/news_test.go
+++ b/internal/router/news_test.go
@@ -55,6 +55,29 @@
 	w.lastSend(w.call("once", nil))
 }
 
+// The store turns this router away for eight seconds and serves the others, which read
+// and tell it. One of them reads that a server's entry was withdrawn. This router took
+// the store for away, and such entries for lapsed; as it heard news, its own next read
+// was put off, and it went on sending there for five seconds, when three are allowed.
+// The store answers others all the while: the entry is gone.
+func TestStoreThatTurnsOneRouterAwayIsNotAway(t *testing.T) {
+	w := newWorld(t)
+	w.servers(plainService, 2)
+	w.step(StoreState{Reachable: false})
+	for revision := range int64(8) {
+		w.run(500 * time.Millisecond)
+		w.step(NewsHeard{News: core.RegistryNews{From: revision, To: revision + 1}})
+	}
+	w.step(StoreState{Reachable: false})
+	w.run(500 * time.Millisecond)
+	w.step(NewsHeard{News: core.RegistryNews{From: 8, To: 9, Removed: []string{"s1"}}})
+	for range 4 {
+		if send := w.lastSend(w.call("once", nil)); send.Instance != "s0" {
+			t.Fatalf("sent to %s, whose entry is gone", send.Instance)
+		}
+	}
+}
+
 // An engine at which nothing happens tells its counts alone, for as long as nothing
 // does. Its loader must not be taken for silent, nor what it holds for old; and a load
 // whose end it predicted is as much nearer as time has passed since it said so.
