A store that turns one router away is not away

Cause: a router whose own reads failed took the store for away until its next own read, which news of other routers put off by seconds; removals that it heard meanwhile counted as lapsed, and the servers were kept. Change: news of another router show that the store answers; after less than 2 s of silence nothing has lapsed, after more it has just come back.

--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -16,6 +16,11 @@
 	// relistWithin is how long after the store's return servers that lapsed
 	// meanwhile may take to register again: the platform promises two seconds.
 	relistWithin = 2200 * time.Millisecond
+	// lapseGap is how long the store must have answered nobody for entries to lapse by
+	// that: they do after three heartbeats (1.2 s each) without a write, the first of
+	// which may be due at once. Routers hear of each other's reads each second or more
+	// often.
+	lapseGap = 2 * time.Second
 	// forgetAfter is how long an unlisted server is kept for the requests that
 	// still run there: above the longest route timeout in use.
 	forgetAfter = 30 * time.Second
@@ -45,6 +50,7 @@
 // changedByNews takes in what another router read. It does not tell the models that
 // engines have: what is known of them stays.
 func (r *Router) changedByNews(news core.RegistryNews) {
+	r.storeAnswersOthers()
 	written := map[string]fleet.Backend{}
 	for _, entry := range news.Written {
 		b := fleet.Listed(entry)
@@ -193,7 +199,29 @@
 	}
 }
 
+// storeAnswersOthers takes in that another router has read the store.
+//
+// It guards against a store that turns this router away alone: taken for an outage, it
+// kept servers whose entries were withdrawn for seconds, in which they still got
+// requests. If news came all the while, nothing lapsed; after a gap the store has just
+// come back for all.
+func (r *Router) storeAnswersOthers() {
+	gap := r.now.Sub(r.storeHeard)
+	r.storeHeard = r.now
+	switch {
+	case r.storeDown == 0:
+	case gap < lapseGap:
+		r.log(Belief, "platform store answers other routers", slog.String("away", r.now.Sub(r.storeDown).String()))
+		r.storeDown = 0
+	default:
+		r.setStore(true)
+	}
+}
+
 func (r *Router) setStore(reachable bool) {
+	if reachable {
+		r.storeHeard = r.now
+	}
 	switch {
 	case !reachable && r.storeDown == 0:
 		r.storeDown = r.now
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -50,6 +50,8 @@
 	storeDown core.Time
 	// storeBack is when it last came back, 0 if it never was away.
 	storeBack core.Time
+	// storeHeard is when it last answered this router or, by its news, another.
+	storeHeard core.Time
 
 	loaders map[core.HostID]*loader
 	// loaderList are they in the order of their names; nil after a change of the
