A request that proves itself poison ends once

Cause: on reading the diff: what a closed connection shows may end the very request whose failure is being handled, which then was ended, counted and logged once more, or dispatched. Change: handling stops there; the tests' world fails on a second end.

--- a/internal/router/poison_test.go
+++ b/internal/router/poison_test.go
@@ -159,6 +159,23 @@
 	}
 }
 
+// The third engine's port is known to be closed before the poison request's own
+// connection breaks there. What that shows ends the request; its failure must not end it
+// once more, nor send it again.
+func TestRequestThatProvesItselfPoisonEndsOnce(t *testing.T) {
+	for _, route := range []string{"quick", "patient"} {
+		w := engines(t, 4)
+		w.step(PoisonHeard{News: core.PoisonNews{Ends: poisonEnds()[:2]}})
+		key := w.callAs(poisonWork, route, prompt("m1"))
+		engine := w.lastSend(key).Instance
+		w.loaderFindsGone(engine)
+		w.closed(key)
+		if len(w.sends[key]) != 1 || w.finishes[key].Code != code.PoisonRequest {
+			t.Errorf("%s: sent %d times, ended with %v", route, len(w.sends[key]), w.finishes[key].Code)
+		}
+	}
+}
+
 // Requests that are kept from servers are no demand: no model is loaded, no copy made.
 func TestPoisonIsNoDemand(t *testing.T) {
 	w := engines(t, 2)
--- a/internal/router/restart.go
+++ b/internal/router/restart.go
@@ -79,12 +79,15 @@
 	if req == nil || req.backend != b || req.attempt.answered || req.attempt.at > alive {
 		return
 	}
-	r.lostAt(b, req)
 	r.emit(Abandon{Key: key, Attempt: req.number})
 	r.release(req)
 	req.arrivals++
 	req.mayHaveRun = true
 	r.log(OneRequest, "attempt failed", req.attrs("instance", b.Instance, "attempt", req.number,
 		"failure", Broken.String(), "cause", "the server started again")...)
+	r.lostAt(b, req)
+	if r.requests[key] != req {
+		return // what was lost has ended it
+	}
 	r.repeat(req, "the server started again")
 }
--- a/internal/router/world_test.go
+++ b/internal/router/world_test.go
@@ -94,6 +94,9 @@
 		case Send:
 			w.sends[e.Key] = append(w.sends[e.Key], e)
 		case Finish:
+			if before, ok := w.finishes[e.Key]; ok {
+				w.t.Errorf("request %d ended twice: with %v, then %v", e.Key, before.Code, e.Code)
+			}
 			w.finishes[e.Key] = e
 		case Tell:
 			w.demands[e.Loader] = e.Demand
