--- a/internal/soak/poison_test.go
+++ b/internal/soak/poison_test.go
@@ -59,8 +59,7 @@
 	p.tries(poisonTries)
 	w.awaitServed(t)
 	stop()
-	w.quiesce()
-	w.reportPoison(t)
+	w.reportPoison(t, poisonSeed)
 }
 
 // The same, and the third engine ends while the store does not answer: the routers tell
@@ -80,8 +79,7 @@
 	w.awaitServed(t)
 	p.tries(poisonTries)
 	stop()
-	w.quiesce()
-	w.reportPoison(t)
+	w.reportPoison(t, poisonSeed+1)
 }
 
 // An operator has mended the servers, or knows better. Lifted at one router, the request
@@ -223,14 +221,16 @@
 	}
 }
 
-func (w *world) reportPoison(t *testing.T) {
+// reportPoison judges a world whose callers have stopped.
+func (w *world) reportPoison(t *testing.T, seed uint64) {
 	t.Helper()
+	w.quiesce()
 	ends, late := w.referee.poisonEnds(), w.referee.lateRuns()
 	t.Logf("%d servers ended, the request reached them %d times later than %v after the third", ends, late, contact)
 	if late > lateRetries {
 		w.referee.breaks("the request reached servers %d times later than %v after the third had ended, %d ended in all", late, contact, ends)
 	}
-	w.report(t, poisonSeed, &faults{world: w})
+	w.report(t, seed, &faults{world: w})
 }
 
 // poisoned notes that a server begins to run the poison request, and will end.
