--- a/internal/soak/poison_test.go
+++ b/internal/soak/poison_test.go
@@ -82,10 +82,29 @@
 	w.reportPoison(t, poisonSeed+1)
 }
 
+// One router is frozen while three engines end under tries at the others. Once it runs
+// again it knows what they told meanwhile.
+func TestFrozenRouterLearnsOfPoison(t *testing.T) {
+	w := newWorld(t, poisonSeed+2)
+	defer w.close()
+	p := newPoisoner(w)
+	stop := w.callBeside(1)
+	w.awaitServed(t)
+	stop()
+	frozen := w.routers[0]
+	frozen.signal(syscall.SIGSTOP)
+	p.leaveOut = 1
+	p.untilThird(t)
+	frozen.signal(syscall.SIGCONT)
+	p.leaveOut = 0
+	p.tries(poisonTries)
+	w.reportPoison(t, poisonSeed+2)
+}
+
 // An operator has mended the servers, or knows better. Lifted at one router, the request
 // is sent again, whichever router it comes to: a further server ends.
 func TestLiftedRequestIsSentAgain(t *testing.T) {
-	w := newWorld(t, poisonSeed+2)
+	w := newWorld(t, poisonSeed+3)
 	defer w.close()
 	p := newPoisoner(w)
 	stop := w.callBeside(1)
@@ -102,13 +121,15 @@
 	p.until(t, func(r *referee) bool { return r.poisonEnds() > ends })
 	stop()
 	w.quiesce()
-	w.report(t, poisonSeed+2, &faults{world: w})
+	w.report(t, poisonSeed+3, &faults{world: w})
 }
 
 // poisoner sends the same request again and again.
 type poisoner struct {
 	*caller
 	sent int
+	// leaveOut is how many routers, the first ones, get no tries.
+	leaveOut int
 	// refused is how many tries were refused as poison, fingerprint what the last of
 	// these refusals called the request.
 	refused     int
@@ -161,7 +182,7 @@
 
 func (p *poisoner) try() {
 	p.sent++
-	p.router = p.sent % routerCount
+	p.router = p.leaveOut + p.sent%(routerCount-p.leaveOut)
 	p.client.Transport = from(p.sent % addresses)
 	id := fmt.Sprintf("poison-%d", p.sent)
 	a := asked{method: http.MethodPost, path: "/plainstream/poison", body: poisonBody, model: modelNames[0]}
