A stream that is sent on is not taken for the poison request beside it

Change: a poison request must have ended servers in two tries of its caller; of as many ends the one that came anew more often explains the others. A request whose own failure proves it poison ends by that failure.

--- a/internal/core/poison.go
+++ b/internal/core/poison.go
@@ -56,6 +56,8 @@
 	Fingerprint Fingerprint
 	// Age is for how long it had been there, in ms.
 	Age uint32
+	// Arrival tells the caller's tries apart: of one, our own repeats have the same.
+	Arrival uint32
 }
 
 // PoisonNews is what a router tells the others of servers that ended under requests.
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -9,6 +9,7 @@
 package poison
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -25,6 +26,12 @@
 	// may be shared: two poison requests that come at once meet at a server, and the
 	// one with fewer ends would be let through again for it.
 	leastUnexplained = 2
+	// leastArrivals is how many tries of its caller's they must have ended under.
+	//
+	// It guards against shutting out a stream that we send on ourselves: with all that
+	// waits for a model it moves to the next engine that has it, and so does a poison
+	// request, which ends one after the other within a second.
+	leastArrivals = 2
 	// leastAddresses is at how many addresses these servers must have been, where the
 	// service has that many.
 	//
@@ -61,10 +68,13 @@
 type end struct {
 	core.ServerEnd
 	at core.Time
-	// lost are the requests that were there, with their ages in ms.
-	lost map[core.Fingerprint]uint32
+	// lost are the requests that were there.
+	lost map[core.Fingerprint]lostThere
 }
 
+// lostThere is what is told of a request at an end; see core.LostRequest.
+type lostThere struct{ age, arrival uint32 }
+
 // record is what is known of one request.
 type record struct {
 	// ends are those of servers on which it ran, in the order in which they were told.
@@ -79,11 +89,20 @@
 func (r *record) age(f core.Fingerprint) int {
 	sum := 0
 	for _, e := range r.ends {
-		sum += int(e.lost[f])
+		sum += int(e.lost[f].age)
 	}
 	return sum
 }
 
+// arrivals is the number of its caller's tries under which servers ended.
+func (r *record) arrivals(f core.Fingerprint) int {
+	seen := map[uint32]bool{}
+	for _, e := range r.ends {
+		seen[e.lost[f].arrival] = true
+	}
+	return len(seen)
+}
+
 // New returns a ledger that knows nothing.
 func New() *Ledger {
 	return &Ledger{ends: map[string][]*end{}, requests: map[core.Fingerprint]*record{}, cleared: map[core.Fingerprint]clearance{}}
@@ -117,7 +136,7 @@
 func (l *Ledger) add(now core.Time, told core.ServerEnd) []core.Fingerprint {
 	known := l.find(told.Life)
 	if known == nil {
-		known = &end{ServerEnd: told, at: now.Add(-told.Ago), lost: map[core.Fingerprint]uint32{}}
+		known = &end{ServerEnd: told, at: now.Add(-told.Ago), lost: map[core.Fingerprint]lostThere{}}
 		known.Requests = nil
 		l.ends[told.Life.Instance] = append(l.ends[told.Life.Instance], known)
 	}
@@ -152,8 +171,11 @@
 	if slices.Contains(l.cleared[f].lives, e.Life) {
 		return
 	}
-	if age, ok := e.lost[f]; ok {
-		e.lost[f] = min(age, lost.Age)
+	there := lostThere{lost.Age, lost.Arrival}
+	if before, ok := e.lost[f]; ok {
+		if there.before(before) {
+			e.lost[f] = there
+		}
 		return
 	}
 	r := l.requests[f]
@@ -161,10 +183,15 @@
 		r = &record{}
 		l.requests[f] = r
 	}
-	e.lost[f] = lost.Age
+	e.lost[f] = there
 	r.ends, r.seen = append(r.ends, e), now
 }
 
+// before orders tries at one server, so that all routers keep the same one.
+func (t lostThere) before(other lostThere) bool {
+	return cmp.Or(cmp.Compare(t.age, other.age), cmp.Compare(t.arrival, other.arrival)) < 0
+}
+
 // Own tells whether this process noticed one of the ends under a request.
 func (l *Ledger) Own(f core.Fingerprint) bool {
 	r := l.requests[f]
@@ -185,7 +212,7 @@
 // an end that another request explains does not count.
 func (l *Ledger) Poison(f core.Fingerprint) bool {
 	r := l.requests[f]
-	if r == nil || len(r.ends) < Threshold {
+	if r == nil || len(r.ends) < Threshold || r.arrivals(f) < leastArrivals {
 		return false
 	}
 	counted, sole := 0, false
@@ -203,16 +230,21 @@
 
 // explained tells whether another request at an end explains it better than this one:
 // more servers ended under it, at least Threshold. Of as many, the one explains it that
-// had been there for the shorter time: what crashes a server as it begins to run is
-// young each time, what is well is as old as streams are on the average.
+// came anew more often, since what is well is mostly sent on by us; then the one that
+// had been there for the shorter time, since what crashes a server as it begins to run
+// is young each time.
 func (l *Ledger) explained(e *end, f core.Fingerprint, r *record) bool {
 	for other := range e.lost {
 		o := l.requests[other]
-		switch {
-		case other == f || len(o.ends) < Threshold || len(o.ends) < len(r.ends):
-		case len(o.ends) > len(r.ends):
-			return true
-		case o.age(other) < r.age(f):
+		if other == f || len(o.ends) < Threshold {
+			continue
+		}
+		better := cmp.Or(
+			cmp.Compare(len(o.ends), len(r.ends)),
+			cmp.Compare(o.arrivals(other), r.arrivals(f)),
+			cmp.Compare(r.age(f), o.age(other)),
+		)
+		if better > 0 {
 			return true
 		}
 	}
--- a/internal/poison/tell.go
+++ b/internal/poison/tell.go
@@ -39,7 +39,7 @@
 	told := e.ServerEnd
 	told.Ago, told.Requests = now.Sub(e.at), nil
 	for _, f := range requests {
-		told.Requests = append(told.Requests, core.LostRequest{Fingerprint: f, Age: e.lost[f]})
+		told.Requests = append(told.Requests, core.LostRequest{Fingerprint: f, Age: e.lost[f].age, Arrival: e.lost[f].arrival})
 	}
 	return told
 }
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -35,9 +35,6 @@
 	r.log(OneRequest, "attempt failed", req.attrs("instance", b.Instance, "attempt", e.Attempt,
 		"failure", e.Failure.String(), "cause", e.Cause, "fingerprint", req.fingerprint.String())...)
 	r.noteConnection(b, req, e)
-	if r.requests[e.Key] != req {
-		return // what the connection showed has ended it
-	}
 	if e.Failure == NotSent || e.Failure == ConnsUsed {
 		req.sends--
 		r.dispatch(req)
--- a/internal/router/poison.go
+++ b/internal/router/poison.go
@@ -61,13 +61,19 @@
 			r.publish(f)
 		}
 		for _, key := range slices.Sorted(maps.Keys(r.requests)) {
-			if req := r.requests[key]; req.fingerprint == f && (req.backend == nil || !req.attempt.answered) {
+			if req := r.requests[key]; req.fingerprint == f && req.recallable() {
 				r.recall(req)
 			}
 		}
 	}
 }
 
+// recallable requests wait, or no server has begun to answer them. One whose attempt
+// has just failed is neither: what becomes of it is being decided.
+func (req *request) recallable() bool {
+	return req.waiting != nil || req.backend != nil && !req.attempt.answered
+}
+
 // recall ends a request that waits, or that a server has not begun to answer.
 func (r *Router) recall(req *request) {
 	if req.backend != nil {
--- a/internal/router/restart.go
+++ b/internal/router/restart.go
@@ -86,8 +86,5 @@
 	r.log(OneRequest, "attempt failed", req.attrs("instance", b.Instance, "attempt", req.number,
 		"failure", Broken.String(), "cause", "the server started again")...)
 	r.lostAt(b, req)
-	if r.requests[key] != req {
-		return // what was lost has ended it
-	}
 	r.repeat(req, "the server started again")
 }
--- a/internal/router/serverend.go
+++ b/internal/router/serverend.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"nutmeglane.example/nutmeglane/internal/core"
 	"nutmeglane.example/nutmeglane/internal/fleet"
 )
@@ -54,7 +56,10 @@
 	if req.fingerprint == 0 {
 		return // not told
 	}
-	lost := core.LostRequest{Fingerprint: req.fingerprint, Age: uint32(r.now.Sub(req.attempt.at).Milliseconds())}
+	lost := core.LostRequest{
+		Fingerprint: req.fingerprint, Age: uint32(r.now.Sub(req.attempt.at).Milliseconds()),
+		Arrival: uint32(xxhash.Sum64String(req.id)),
+	}
 	switch life := req.attempt.life; {
 	case b.Draining:
 	case life.Compare(b.Incarnation) < 0:
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -64,6 +64,21 @@
 	118: "a stream broke off and was to go on at a server that answered 500: that answer ended the stream as complete",
 }
 
+// poisonRegressions are those of TestPoisonAmongFaults.
+var poisonRegressions = map[uint64]string{
+	315: "a stream that was sent on with the poison request to three engines was taken for it",
+}
+
+// Seeds that failed once stay mended.
+func TestPoisonRegressions(t *testing.T) {
+	for _, seed := range sortedKeys(poisonRegressions) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Log(poisonRegressions[seed])
+			play(t, seed, (*poisoner).run)
+		})
+	}
+}
+
 // Seeds that failed once stay mended.
 func TestRegressions(t *testing.T) {
 	for _, seed := range sortedKeys(regressions) {
