--- a/internal/core/poison.go
+++ b/internal/core/poison.go
@@ -12,7 +12,7 @@
 // requests ran on them.
 
 // Fingerprint is the same for requests that ask for the same work: a caller that
-// sends one again gives it a new id, but its address, the path and the body stay.
+// sends one again gives it a new id, but its credentials, the path and the body stay.
 type Fingerprint uint64
 
 // String is the fingerprint as logs and operators write it: 16 hexadecimal digits.
