--- a/internal/fleet/backend.go
+++ b/internal/fleet/backend.go
@@ -134,7 +134,31 @@
 	Absent bool
 	// Load is set where the server tells it.
 	Load *Load
+	// Limit is what the server tells of the requests that it takes.
+	Limit ToldLimit
 }
 
+// ToldLimit is what an answer tells of the requests a second that its server takes from
+// all routers together.
+type ToldLimit struct {
+	State LimitState
+	// PerSecond is the limit, of LimitNamed.
+	PerSecond float64
+	// Text is what could not be read, of LimitMalformed, cut for logs.
+	Text string
+}
+
+// LimitState tells what an answer says of a limit.
+type LimitState uint8
+
+const (
+	// LimitNone: there is none.
+	LimitNone LimitState = iota
+	// LimitNamed: there is one.
+	LimitNamed
+	// LimitMalformed: what stands there can't be read, and says nothing.
+	LimitMalformed
+)
+
 // Load is a backend server's own count of its requests.
 type Load struct{ Running, Waiting, Slots int }
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -67,6 +67,7 @@
 	if e.Answer.Load != nil {
 		b.load, b.loadAt, b.loadOwn = e.Answer.Load, r.now, len(b.sent)
 	}
+	r.noteLimit(req, e.Answer)
 	switch {
 	case e.Answer.NotRun:
 		r.rejected(req, e)
--- a/internal/router/dump.go
+++ b/internal/router/dump.go
@@ -34,6 +34,10 @@
 	Latency, Ahead time.Duration
 	Pace           float64
 	Failing        float64
+	// LimitPerSecond are the requests that it takes from all routers together, nil if it
+	// names no limit; LimitKnownFor is for how long that has been known here.
+	LimitPerSecond *float64
+	LimitKnownFor  time.Duration
 	Holdings       *core.Holdings
 }
 
@@ -48,10 +52,12 @@
 	state := State{Version: r.ConfigVersion(), Ready: r.Ready(), Requests: len(r.requests), Accounts: r.gate.Dump(r.now), Suspects: r.ledger.Dump(r.now)}
 	for _, instance := range slices.Sorted(maps.Keys(r.backends)) {
 		b := r.backends[instance]
+		perSecond, knownFor := r.limitState(b)
 		state.Backends = append(state.Backends, BackendState{
 			Instance: instance, Service: b.Service, Address: b.Address, Zone: b.Zone,
 			Listed: b.unlistedAt == 0, Draining: r.draining(b), LeftOut: r.now < b.ejectedUntil,
 			Requests: len(b.sent), Latency: b.latency, Ahead: b.queue.Ahead(r.now), Pace: b.pace, Failing: b.failing, Holdings: r.holdings(b),
+			LimitPerSecond: perSecond, LimitKnownFor: knownFor,
 		})
 	}
 	for _, key := range slices.SortedFunc(maps.Keys(r.waits), compareWaitKeys) {
@@ -64,3 +70,11 @@
 	}
 	return state
 }
+
+// limitState is a server's limit and for how long it has been known; nil without one.
+func (r *Router) limitState(b *backend) (perSecond *float64, knownFor time.Duration) {
+	if !b.limited() {
+		return nil, 0
+	}
+	return &b.limit.word.PerSecond, r.now.Sub(b.limit.since)
+}
--- a/internal/router/loaders.go
+++ b/internal/router/loaders.go
@@ -80,6 +80,7 @@
 // forget takes a backend server out of all lists.
 func (r *Router) forget(b *backend) {
 	r.unindex(b)
+	r.dropLimit(b)
 	if b.loader != nil {
 		b.loader.engines = without(b.loader.engines, b)
 	}
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -9,6 +9,8 @@
 	metricServerEnds   core.Counter = "router_server_ends_total"
 	metricPoison       core.Counter = "router_poison_requests_total"
 	metricAccountUnits core.Counter = "router_account_units_total"
+	metricServerLimits core.Counter = "router_server_limits_total"
+	metricLimitedSends core.Counter = "router_limited_sends_total"
 	metricFirstByte    core.Counter = "router_first_byte_seconds"
 )
 
@@ -18,6 +20,8 @@
 	{Name: metricServerEnds, Help: "Backend servers that ended by themselves, as this router noticed, by service.", Labels: []string{"service"}},
 	{Name: metricPoison, Help: "Requests that were found to end the servers that run them."},
 	{Name: metricAccountUnits, Help: "Units of client accounts' quotas (tokens or requests) that were admitted, refused, or returned as not run, by account.", Labels: []string{"account", "outcome"}},
+	{Name: metricServerLimits, Help: "Changes of the limits that backend servers name, and limits that can't be read, by service.", Labels: []string{"service", "change"}},
+	{Name: metricLimitedSends, Help: "Requests sent to backend servers while they named a limit, by service.", Labels: []string{"service"}},
 	{Name: metricColdStart, Help: "Time from a request's arrival to its first event, of requests that waited for a load, by where the nearest copy lay.", Labels: []string{"tier"}},
 	{Name: metricFirstByte, Help: "Time from sending a request to its first byte or event, by service.", Labels: []string{"service"}},
 }
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -230,6 +230,7 @@
 		send.StallAfter = max(stallLeast, stallPauses*req.route.PauseObjective)
 	}
 	r.emit(send)
+	r.countLimited(b)
 	if req.number > 1 {
 		r.log(OneRequest, "request sent again", req.attrs("instance", b.Instance,
 			"attempt", req.number, "predicted", c.cost.String())...)
--- a/internal/router/restart.go
+++ b/internal/router/restart.go
@@ -49,6 +49,7 @@
 	b.Born, b.Models, b.Draining, b.SlowFor = life.Born, nil, false, 0
 	b.queue, b.cache, b.pace = work.Queue{}, work.NewCache(r.kvTokens(b.Service)), 1
 	b.latency, b.load = 0, nil
+	r.dropLimit(b)
 	b.failing, b.failures, b.ejectedUntil = 0, 0, 0
 	b.foundAt, b.aliveAt = r.now, r.now
 	r.reindex(b)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -68,6 +68,9 @@
 	requests         map[Key]*request
 	waits            map[waitKey]*wait
 
+	// limited are the servers that name a limit, in the order of their instances.
+	limited []*backend
+
 	lag lag
 
 	callers callers
@@ -295,6 +298,7 @@
 	r.checkHeld()
 	r.tellUses()
 	r.checkRequests()
+	r.tellLimited()
 	if r.now >= r.nextPlan {
 		r.nextPlan = r.now.Add(planInterval)
 		r.forgetPoison()
