--- a/internal/soak/backend_test.go
+++ b/internal/soak/backend_test.go
@@ -63,9 +63,11 @@
 	// left is set once the entry is withdrawn, while the server still serves.
 	left    bool
 	misdeed misdeed
-	server  *http.Server
-	life    int
-	tasks   sync.WaitGroup
+	// limit is what it names in its answers as the requests a second that it takes.
+	limit  string
+	server *http.Server
+	life   int
+	tasks  sync.WaitGroup
 }
 
 // start begins a new instance.
@@ -77,7 +79,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.life++
-	b.instance, b.draining, b.left = fmt.Sprintf("%s-%d", b.name, b.life), false, false
+	b.instance, b.draining, b.left, b.limit = fmt.Sprintf("%s-%d", b.name, b.life), false, false, ""
 	if b.engine != nil {
 		b.engine.restart()
 	}
@@ -226,6 +228,10 @@
 	if b.engine != nil && b.engine.serve(w, r) {
 		return
 	}
+	if limit := b.limitText(); limit != "" {
+		w.Header().Set("Server-Limit", limit)
+	}
+	b.referee.arrived(instance, id)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return // the request did not arrive whole
--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -96,7 +96,7 @@
 	id := fmt.Sprintf("%s-%d", c.name, c.calls)
 	key, account := c.world.drawAccount()
 	a := c.describe(kind, id)
-	a.account = account
+	a.account, a.router = account, c.router
 	wait := callerDeadline
 	leaves := rand.Float64() < impatient
 	if leaves {
@@ -174,6 +174,7 @@
 		r.breaks("%s got the answer of %q: %d", id, got, status)
 	}
 	sealed := response.Header.Get("Nutmeglane-Server-Seal")
+	r.limits.passedOn(a.router, response.Header.Get("Nutmeglane-Instance-Id"), response.Header.Get("Server-Limit"))
 	switch {
 	case body != "" && strings.Contains(body, code.PoisonRequest.String()) && !strings.HasPrefix(id, "poison"):
 		r.breaks("%s is well and was kept from servers: %s", id, body)
--- a/internal/soak/poison_test.go
+++ b/internal/soak/poison_test.go
@@ -185,7 +185,7 @@
 	p.router = p.leaveOut + p.sent%(routerCount-p.leaveOut)
 	p.client.Transport = from(p.sent % addresses)
 	id := fmt.Sprintf("poison-%d", p.sent)
-	a := asked{method: http.MethodPost, path: "/plainstream/poison", body: poisonBody, model: modelNames[0], account: steadyAccount}
+	a := asked{method: http.MethodPost, path: "/plainstream/poison", body: poisonBody, model: modelNames[0], account: steadyAccount, router: p.router}
 	ctx, cancel := context.WithTimeout(context.Background(), callerDeadline)
 	defer cancel()
 	request, err := p.request(ctx, id, steadyKey, a)
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -4,6 +4,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -26,6 +27,8 @@
 	down bool
 	// crashes are ends that no signal of the soak explains.
 	crashes int
+	// disturbed is when it was started and got signals.
+	disturbed []time.Time
 }
 
 func (p *process) start() error {
@@ -44,6 +47,7 @@
 	}
 	ended := make(chan struct{})
 	p.cmd, p.ended, p.down = cmd, ended, false
+	p.disturbed = append(p.disturbed, time.Now())
 	go func() {
 		_ = cmd.Wait() // its status is told by the log
 		_ = log.Close()
@@ -61,6 +65,7 @@
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.disturbed = append(p.disturbed, time.Now())
 	if !p.down {
 		_ = p.cmd.Process.Signal(s) // a process that has just ended needs none
 	}
@@ -75,6 +80,7 @@
 		return false
 	}
 	p.down = true
+	p.disturbed = append(p.disturbed, time.Now())
 	cmd, ended := p.cmd, p.ended
 	_ = cmd.Process.Signal(s)
 	p.mu.Unlock()
@@ -88,6 +94,14 @@
 	return true
 }
 
+// disturbedWithin tells whether the process was started or got a signal within a time
+// before.
+func (p *process) disturbedWithin(at time.Time, span time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.disturbed, func(d time.Time) bool { return !d.After(at) && at.Sub(d) < span })
+}
+
 func (p *process) ownEnds() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/soak/referee_test.go
+++ b/internal/soak/referee_test.go
@@ -17,6 +17,8 @@
 	// account is the one that the server is to be told, "" for a key that nobody holds,
 	// whose request must not run. shown are the credentials that a server saw.
 	account, shown string
+	// router is the one that was asked.
+	router int
 	// repeatable requests may run more than once.
 	repeatable bool
 }
@@ -36,10 +38,12 @@
 	// sent is when requests of the busy account were sent, uses are their runs.
 	sent map[string]time.Time
 	uses []use
+	// limits judges what reaches servers that name a limit.
+	limits *limits
 }
 
 func newReferee() *referee {
-	return &referee{asked: map[string]asked{}, runs: map[string]int{}, promised: map[string]string{}, served: map[string]int{}, sent: map[string]time.Time{}}
+	return &referee{asked: map[string]asked{}, runs: map[string]int{}, promised: map[string]string{}, served: map[string]int{}, sent: map[string]time.Time{}, limits: newLimits()}
 }
 
 func (r *referee) breaks(format string, args ...any) {
@@ -62,7 +66,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	want, known := r.asked[id]
-	got.repeatable = want.repeatable
+	got.repeatable, got.router = want.repeatable, want.router
 	switch {
 	case !known:
 		r.broken = append(r.broken, fmt.Sprintf("%s ran %q, which nobody asked", server, id))
@@ -77,6 +81,14 @@
 	}
 }
 
+// arrived notes that a request reached a server, through the router that was asked.
+func (r *referee) arrived(server, id string) {
+	r.mu.Lock()
+	want := r.asked[id]
+	r.mu.Unlock()
+	r.limits.arrived(server, want.router)
+}
+
 func (r *referee) hasRun(id string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -212,6 +212,7 @@
 			broken = append(broken, fmt.Sprintf("%s ended by itself %d times", p.log, n))
 		}
 	}
+	broken = append(broken, w.referee.limits.broken(w.excused)...)
 	served := w.referee.counts()
 	t.Logf("seed %d: %d faults, %d requests, served %v, servers ended by a poison request: %d, worst window of the busy account: %d of %d",
 		seed, len(f.told), w.referee.requests(), served, w.referee.poisonEnds(), w.referee.busiest(), int(busyMost))
