--- a/internal/quota/book.go
+++ b/internal/quota/book.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"nutmeglane.example/nutmeglane/internal/core"
+	"nutmeglane.example/nutmeglane/internal/window"
 )
 
 // leastAsked is what must be asked of an account a second for routers to be told of it.
@@ -32,7 +33,7 @@
 	// level is the bucket's at a time, began when the account was first counted.
 	level     float64
 	at, began core.Time
-	used      window
+	used      window.Window
 	// asked is what all routers ask, by what each does.
 	asked demand
 	by    map[core.HostID]*asker
@@ -97,7 +98,7 @@
 		b.advance(t, now)
 		untold := by.asked.rate(by.asked.at) * untoldSpan.Seconds()
 		t.level -= untold
-		t.used.add(now, untold)
+		t.used.Add(now, untold)
 	}
 }
 
@@ -118,7 +119,7 @@
 	if t == nil {
 		t = &tally{
 			limit: *use.Limit, level: use.Limit.Depth, at: now, began: now,
-			used: newWindow(use.Limit.Window, bookSlots), by: map[core.HostID]*asker{},
+			used: window.New(use.Limit.Window, bookSlots), by: map[core.HostID]*asker{},
 		}
 		b.tallies[use.Account] = t
 		delete(b.unknown, use.Account)
@@ -145,7 +146,7 @@
 		by = &asker{}
 		t.by[from] = by
 		if now.Sub(t.began) <= unseenSpan {
-			t.used.addParts(now, use.Recent)
+			t.used.AddParts(now, use.Recent)
 		}
 	case len(use.Recent) > 0:
 		untold = within(use.Recent, silent, t.limit.Window)
@@ -155,7 +156,7 @@
 	by.presumed -= known
 	used := use.Used + untold - known
 	t.level -= used
-	t.used.add(now, used)
+	t.used.Add(now, used)
 	t.asked.add(now, use.Asked)
 	by.asked.add(now, use.Asked)
 	by.told = true
@@ -174,7 +175,7 @@
 
 // left is what the account may use now.
 func (t *tally) left(now core.Time) float64 {
-	return min(t.level, t.limit.Most-t.used.total(now))
+	return min(t.level, t.limit.Most-t.used.Total(now))
 }
 
 // advance fills a bucket up to now, and counts what routers may have used that were lost
@@ -196,7 +197,7 @@
 		presumed := aloneShare * lonely(by.share.value, len(b.members)) * t.limit.Most * windows
 		by.presumed += presumed
 		t.level -= presumed
-		t.used.add(now, presumed)
+		t.used.Add(now, presumed)
 	}
 }
 
--- a/internal/quota/decide.go
+++ b/internal/quota/decide.go
@@ -142,7 +142,7 @@
 		of = lonely(a.share.value, g.routers)
 	}
 	most := aloneShare * of * a.most
-	used := a.recent.total(now) + bornAlone*aloneShare*g.unseen(now, a, 0)
+	used := a.recent.Total(now) + bornAlone*aloneShare*g.unseen(now, a, 0)
 	d.Rule, d.Level = RuleAlone, most-used
 	part := share{rate: most / g.bounds.Window.Seconds(), depth: aloneDepth * most}
 	a.fill(now, part)
@@ -155,7 +155,7 @@
 	case room:
 		d.RetryAfter = part.wait(a, cost)
 	default:
-		d.RetryAfter = max(leastReturn, a.recent.roomIn(now, most-cost))
+		d.RetryAfter = max(leastReturn, a.recent.RoomIn(now, most-cost))
 	}
 }
 
--- a/internal/quota/dump.go
+++ b/internal/quota/dump.go
@@ -29,7 +29,7 @@
 		v, known := g.view(now, a)
 		states = append(states, State{
 			Account: name, Most: a.most, Left: v.left, Age: v.age, Known: known,
-			Asked: a.asked.rate(now), Share: a.share.value, Recent: a.recent.total(now),
+			Asked: a.asked.rate(now), Share: a.share.value, Recent: a.recent.Total(now),
 		})
 	}
 	return states
--- a/internal/quota/gate.go
+++ b/internal/quota/gate.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"nutmeglane.example/nutmeglane/internal/core"
+	"nutmeglane.example/nutmeglane/internal/window"
 )
 
 // Way is how a router decides. Routers use OnSuspicion; the others are what it is
@@ -85,7 +86,7 @@
 	credit   float64
 	creditAt core.Time
 	// recent is what this router admitted within a window.
-	recent window
+	recent window.Window
 	// untold was admitted and asked for since the last report.
 	untold, untoldAsked float64
 	// everAsked is set once anything was asked of it here.
@@ -140,7 +141,7 @@
 		size := newSize(g.bounds, limit)
 		a := g.accounts[name]
 		if a == nil {
-			a = &account{size: size, creditAt: now, levels: map[core.HostID]level{}, recent: newWindow(g.bounds.Window, gateSlots)}
+			a = &account{size: size, creditAt: now, levels: map[core.HostID]level{}, recent: window.New(g.bounds.Window, gateSlots)}
 			a.credit = (1 - bornAlone) * aloneShare * a.most / float64(g.routers)
 			g.accounts[name] = a
 		}
@@ -170,7 +171,7 @@
 		g.due = true
 		return d
 	}
-	a.recent.add(now, cost)
+	a.recent.Add(now, cost)
 	a.untold += cost
 	g.due = g.due || a.untold > untoldShare*a.depth/float64(g.routers)
 	return d
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -182,39 +182,19 @@
 		tell(now, "s")
 		now = now.Add(500 * time.Millisecond)
 	}
-	before := b.tallies["a"].used.total(now)
+	before := b.tallies["a"].used.Total(now)
 	for range 16 {
 		tell(now, "r")
 		now = now.Add(500 * time.Millisecond)
 	}
 	// r took 160 in the last window, and half of what routers without a loader take is
 	// presumed of s.
-	presumed := b.tallies["a"].used.total(now) - 160
+	presumed := b.tallies["a"].used.Total(now) - 160
 	if want := aloneShare * 800 / 2; presumed < 0.8*want || presumed > 1.2*want {
 		t.Errorf("presumed %.0f, want %.0f; the total was %.0f", presumed, want, before)
 	}
 }
 
-func TestWindowCountsWhatIsWithin(t *testing.T) {
-	w := newWindow(8*time.Second, bookSlots)
-	w.add(start, 100)
-	if got := w.total(start.Add(7900 * time.Millisecond)); got != 100 {
-		t.Errorf("within the window %.0f", got)
-	}
-	if got := w.total(start.Add(8300 * time.Millisecond)); got != 0 {
-		t.Errorf("after the window %.0f", got)
-	}
-	w.add(start.Add(9*time.Second), 100)
-	if got := w.roomIn(start.Add(10*time.Second), 50); got < 6500*time.Millisecond || got > 8*time.Second {
-		t.Errorf("room in %v", got)
-	}
-	other := newWindow(8*time.Second, gateSlots)
-	other.addParts(start.Add(10*time.Second), w.parts(start.Add(10*time.Second)))
-	if got := other.total(start.Add(10 * time.Second)); got < 99 || got > 101 {
-		t.Errorf("told %.0f of 100", got)
-	}
-}
-
 func BenchmarkAdmit(b *testing.B) {
 	p := newPair()
 	for i := 0; b.Loop(); i++ {
--- a/internal/quota/words.go
+++ b/internal/quota/words.go
@@ -56,7 +56,7 @@
 // recentParts is what this router admitted within the last window and has told, by parts,
 // with what an earlier life may have.
 func (g *Gate) recentParts(now core.Time, a *account) []float64 {
-	parts := a.recent.parts(now)
+	parts := a.recent.Parts(now, recentParts)
 	parts[len(parts)-1] -= a.untold
 	part := g.bounds.Window / time.Duration(len(parts))
 	for i := range parts {
