--- a/internal/code/code.go
+++ b/internal/code/code.go
@@ -38,6 +38,7 @@
 	Starved         Code = 2013 // the process is behind with its work
 	KeyUnsure       Code = 2014 // unknown API key, which may be a new one
 	OverQuota       Code = 2015 // the client account is over its rate
+	AtLimit         Code = 2016 // the servers' limits leave no room
 
 	// 3xxx: the request may have run.
 	OutcomeUnknown Code = 3001 // the connection or process was lost
--- a/internal/daemon/loader.go
+++ b/internal/daemon/loader.go
@@ -114,6 +114,8 @@
 		p.links.Do(core.Send{To: e.Router, Message: core.SpecWanted{}})
 	case loader.TellLevels:
 		p.links.SendAll(e.Routers, e.Levels)
+	case loader.TellLimit:
+		p.links.SendAll(e.Routers, e.Told)
 	case loader.PassOn:
 		p.links.SendAll(e.Routers, e.News)
 	case loader.Wake:
@@ -146,6 +148,8 @@
 			p.step(loader.RouterPassedConfig{Router: e.From, Config: m})
 		case core.QuotaUses:
 			p.step(loader.RouterUsed{Router: e.From, Uses: m})
+		case core.LimitAsk:
+			p.step(loader.RouterAskedLimit{Router: e.From, Ask: m})
 		case core.PoisonNews:
 			p.step(loader.RouterTold{Router: e.From, News: m})
 		}
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -231,6 +231,8 @@
 			p.takeConfig(m)
 		case core.QuotaLevels:
 			p.gateway.Step(router.LoaderLeveled{Loader: e.From, Levels: m})
+		case core.LimitTold:
+			p.gateway.Step(router.LoaderLimited{Loader: e.From, Told: m})
 		case core.RegistryNews:
 			p.reader.hear(m)
 		case core.PoisonNews:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -100,6 +100,8 @@
 		for _, to := range e.Loaders {
 			g.opts.Links.Do(core.Send{To: to, Message: e.Uses})
 		}
+	case router.AskLimit:
+		g.opts.Links.Do(core.Send{To: e.Loader, Message: e.Ask})
 	case router.Publish:
 		if g.opts.Publish != nil {
 			g.opts.Publish(e)
--- /dev/null
+++ b/internal/limit/keeper.go
@@ -0,0 +1,162 @@
+package limit
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"nutmeglane.example/nutmeglane/internal/core"
+)
+
+const (
+	// spareShare is the part of a bucket's depth that is kept for requests which no other
+	// server can serve.
+	spareShare = 0.5
+	// longestRoom bounds when a router is told to ask again: by then the window has passed.
+	longestRoom = Window
+	// forgetAfter is how long a server of which nobody says anything is kept.
+	forgetAfter = time.Minute
+)
+
+// Keeper counts, in a loader, what all routers send to the servers whose limits it keeps.
+// The zero value is not usable; see NewKeeper.
+type Keeper struct{ servers map[string]*kept }
+
+// kept is a server whose limit is kept.
+type kept struct {
+	life   core.ServerLife
+	word   Word
+	bucket bucket
+	// promised is when the last router that was refused may ask again.
+	promised core.Time
+	// heardAt is when a router last said something of it.
+	heardAt core.Time
+}
+
+// NewKeeper returns a keeper that knows of no server.
+func NewKeeper() *Keeper { return &Keeper{servers: map[string]*kept{}} }
+
+// Ask takes in a router's word. It returns the answer if something was asked, and what all
+// other routers are to know if the limit is new.
+func (k *Keeper) Ask(now core.Time, ask core.LimitAsk) (answer, news *core.LimitTold) {
+	s, ours := k.server(now, ask.Server)
+	if !ours {
+		return refusedAsk(ask), nil
+	}
+	s.heardAt = now
+	before := s.word.Named
+	changed := s.hear(now, ask.Word)
+	s.bucket.sent.AddParts(now, ask.Uncounted)
+	if changed && (before || s.word.Named) {
+		news = s.told(now)
+	}
+	if ask.Ask != 0 {
+		answer = s.answer(now, ask)
+	}
+	return answer, news
+}
+
+// server returns a server's present life, and false for a word on an earlier one.
+func (k *Keeper) server(now core.Time, life core.ServerLife) (*kept, bool) {
+	s := k.servers[life.Instance]
+	if s != nil && life.Born != 0 && life.Born < s.life.Born {
+		return nil, false
+	}
+	// A limit is over with the life that named it.
+	if s == nil || life.Born > s.life.Born {
+		s = &kept{life: life, bucket: newBucket(now)}
+		k.servers[life.Instance] = s
+	}
+	return s, true
+}
+
+// refusedAsk answers a question on a life of a server that is over.
+func refusedAsk(ask core.LimitAsk) *core.LimitTold {
+	if ask.Ask == 0 {
+		return nil
+	}
+	return &core.LimitTold{Server: ask.Server, Ask: ask.Ask, Spare: ask.Spare, Room: longestRoom}
+}
+
+func (s *kept) hear(now core.Time, told core.LimitWord) (changed bool) {
+	s.word, changed = s.word.Follow(wordOf(now, told))
+	if changed && s.word.Named {
+		s.bucket.setRate(now, max(LeastPerSecond, s.word.PerSecond))
+	}
+	return changed
+}
+
+func (s *kept) answer(now core.Time, ask core.LimitAsk) *core.LimitTold {
+	told := s.told(now)
+	told.Ask, told.Spare = ask.Ask, ask.Spare
+	leaves := 0.0
+	if ask.Spare {
+		leaves = spareShare * (s.bucket.depth() - 1)
+	}
+	if !s.word.Named || s.bucket.take(now, leaves) {
+		told.Granted = true
+		return told
+	}
+	told.Room = s.bucket.roomIn(now, leaves)
+	if !ask.Spare {
+		told.Room = s.promise(now, told.Room)
+	}
+	return told
+}
+
+// promise is when a refused router is to ask again: each one permit later than the one
+// before.
+//
+// It guards against routers that come back in step: 28 that were all told the time of the
+// next permit would ask together, and all but one of their callers wait in vain each time.
+func (s *kept) promise(now core.Time, room time.Duration) time.Duration {
+	pause := time.Duration(float64(time.Second) / s.bucket.rate)
+	s.promised = max(now.Add(room), s.promised.Add(pause))
+	if s.promised.Sub(now) > longestRoom {
+		s.promised = now.Add(room)
+	}
+	return s.promised.Sub(now)
+}
+
+// told is what routers are told of a server's limit.
+func (s *kept) told(now core.Time) *core.LimitTold {
+	return &core.LimitTold{Server: s.life, Word: s.word.told(now)}
+}
+
+// All returns what a router that has just connected is to know: the limits that hold.
+func (k *Keeper) All(now core.Time) []core.LimitTold {
+	var all []core.LimitTold
+	for _, instance := range slices.Sorted(maps.Keys(k.servers)) {
+		if s := k.servers[instance]; s.word.Named {
+			all = append(all, *s.told(now))
+		}
+	}
+	return all
+}
+
+// Forget drops servers of which nobody has said anything for long. A router that knows of
+// a limit there tells it anew with its next question.
+func (k *Keeper) Forget(now core.Time) {
+	maps.DeleteFunc(k.servers, func(_ string, s *kept) bool { return now.Sub(s.heardAt) > forgetAfter })
+}
+
+// wordOf is a message's word in this process's time.
+func wordOf(now core.Time, told core.LimitWord) Word {
+	if told.HeardAgo == 0 && told.SentAgo == 0 && !told.Named {
+		return Word{} // nothing was heard yet
+	}
+	return Word{
+		Named: told.Named, PerSecond: told.PerSecond,
+		Sent: now.Add(-told.SentAgo), Heard: now.Add(-told.HeardAgo),
+	}
+}
+
+// told is the word as messages have it.
+func (w Word) told(now core.Time) core.LimitWord {
+	if !w.known() {
+		return core.LimitWord{}
+	}
+	return core.LimitWord{
+		Named: w.Named, PerSecond: w.PerSecond, SentAgo: now.Sub(w.Sent), HeardAgo: max(1, now.Sub(w.Heard)),
+	}
+}
--- a/internal/loader/event.go
+++ b/internal/loader/event.go
@@ -58,6 +58,12 @@
 	Uses   core.QuotaUses
 }
 
+// RouterAskedLimit is a router's word on a server's limit, or its question for a permit.
+type RouterAskedLimit struct {
+	Router core.HostID
+	Ask    core.LimitAsk
+}
+
 // RouterWantsConfig is a router's question for a configuration above a version.
 type RouterWantsConfig struct {
 	Router core.HostID
@@ -73,6 +79,7 @@
 func (RouterWantsConfig) event()  {}
 func (RouterPassedConfig) event() {}
 func (RouterUsed) event()         {}
+func (RouterAskedLimit) event()   {}
 func (RouterTold) event()         {}
 func (RouterRead) event()         {}
 func (Tick) event()               {}
@@ -109,6 +116,12 @@
 	Levels  core.QuotaLevels
 }
 
+// TellLimit sends routers what they are to know of a server's limit.
+type TellLimit struct {
+	Routers []core.HostID
+	Told    core.LimitTold
+}
+
 // AskSpec asks a router for the engine's configuration that it named.
 type AskSpec struct{ Router core.HostID }
 
@@ -138,6 +151,7 @@
 func (Tell) effect()       {}
 func (TellCounts) effect() {}
 func (TellLevels) effect() {}
+func (TellLimit) effect()  {}
 func (AskSpec) effect()    {}
 func (PassOn) effect()     {}
 func (Wake) effect()       {}
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -8,6 +8,7 @@
 
 	"nutmeglane.example/nutmeglane/internal/core"
 	"nutmeglane.example/nutmeglane/internal/fleet"
+	"nutmeglane.example/nutmeglane/internal/limit"
 	"nutmeglane.example/nutmeglane/internal/poison"
 	"nutmeglane.example/nutmeglane/internal/quota"
 )
@@ -89,7 +90,9 @@
 	// ledger is what routers told of poison requests, for those that start later.
 	ledger *poison.Ledger
 	// book counts what routers use of client accounts.
-	book    *quota.Book
+	book *quota.Book
+	// limits counts what routers send to servers that name a limit.
+	limits  *limit.Keeper
 	configs configs
 	usage   usage
 	merged  merged
@@ -127,7 +130,7 @@
 
 // New returns a loader that knows nothing yet.
 func New(opts Options) *Loader {
-	return &Loader{opts: opts, routers: map[core.HostID]*router{}, loadedAt: map[string]core.Time{}, retiring: map[string]core.Time{}, ledger: poison.New(), book: quota.NewBook(), configs: configs{waiting: map[core.HostID]int64{}}}
+	return &Loader{opts: opts, routers: map[core.HostID]*router{}, loadedAt: map[string]core.Time{}, retiring: map[string]core.Time{}, ledger: poison.New(), book: quota.NewBook(), limits: limit.NewKeeper(), configs: configs{waiting: map[core.HostID]int64{}}}
 }
 
 // Step handles an event. The effects are valid until the next step.
@@ -146,6 +149,7 @@
 		l.names = slices.Sorted(maps.Keys(l.routers))
 		l.log("router connected", slog.String("router", string(e.Router)))
 		l.tellPoison(e.Router)
+		l.tellLimits(e.Router)
 	case RouterDown:
 		delete(l.routers, e.Router)
 		delete(l.configs.waiting, e.Router)
@@ -169,6 +173,9 @@
 		l.book.Report(now, e.Router, e.Uses)
 		l.tellLevels()
 		return l.out
+	case RouterAskedLimit:
+		l.limitAsked(e)
+		return l.out
 	case RouterSaid:
 		if before := l.routerSaid(e); !l.actsOn(before, e.Demand) {
 			return l.out
--- a/internal/loader/world_test.go
+++ b/internal/loader/world_test.go
@@ -20,6 +20,8 @@
 	told   map[core.HostID]core.Holdings
 	// passed is what routers were sent of other routers' words.
 	passed map[core.HostID][]core.Message
+	// limits is what routers were told of servers' limits.
+	limits map[core.HostID][]core.LimitTold
 	// specAsks are the routers that were asked for the engine's configuration.
 	specAsks []core.HostID
 	// orders are all that were sent, in order.
@@ -66,7 +68,7 @@
 
 func newWorld(t testing.TB, loaded ...string) *world {
 	w := &world{
-		t: t, now: core.Time(time.Hour), loader: New(Options{Host: "10.1.0.1"}), told: map[core.HostID]core.Holdings{}, passed: map[core.HostID][]core.Message{},
+		t: t, now: core.Time(time.Hour), loader: New(Options{Host: "10.1.0.1"}), told: map[core.HostID]core.Holdings{}, passed: map[core.HostID][]core.Message{}, limits: map[core.HostID][]core.LimitTold{},
 		engine: &fakeEngine{spec: testSpec(), instance: "i-1"},
 	}
 	for i := range 8 {
@@ -105,6 +107,10 @@
 			}
 		case AskSpec:
 			w.specAsks = append(w.specAsks, e.Router)
+		case TellLimit:
+			for _, name := range e.Routers {
+				w.limits[name] = append(w.limits[name], e.Told)
+			}
 		case PassOn:
 			for _, router := range e.Routers {
 				w.passed[router] = append(w.passed[router], e.News)
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -92,7 +92,7 @@
 // server's.
 func (r *Router) mayRepeat(req *request) bool {
 	return req.route.Repeatable() && !req.forwarded && req.sends < req.route.MaxAttempts &&
-		r.anyCandidate(req)
+		r.canServe(req)
 }
 
 func (r *Router) forward(req *request) {
@@ -128,7 +128,7 @@
 // servedElsewhere tells whether another server could serve the request now.
 func (r *Router) servedElsewhere(req *request) bool {
 	if req.prompt == nil || r.engine(req.service) == nil {
-		return r.anyCandidate(req)
+		return r.canServe(req)
 	}
 	return r.loadedElsewhere(req)
 }
--- a/internal/router/backend.go
+++ b/internal/router/backend.go
@@ -81,8 +81,8 @@
 	lost    []lostRequest
 	endedAt core.Time
 
-	// limit is what is known of the requests that it takes, nil until it named a limit.
-	limit *serverLimit
+	// limit is what is known of the requests that it takes.
+	limit serverLimit
 
 	indexed indexed
 	// aliveAt is when a word of its present life came last.
--- a/internal/router/choose.go
+++ b/internal/router/choose.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"slices"
 	"time"
 
 	"nutmeglane.example/nutmeglane/internal/core"
@@ -21,6 +22,8 @@
 	backend *backend
 	// forecast is of a generation.
 	forecast forecast
+	// spare is set if another server could serve the request as well.
+	spare bool
 	// cost is the latency, weighed by what speaks against the server.
 	cost time.Duration
 }
@@ -84,6 +87,7 @@
 			best = c
 		}
 	}
+	best.spare = slices.ContainsFunc(candidates, func(b *backend) bool { return b != best.backend && r.hasSpareRoom(b) })
 	return &best
 }
 
--- a/internal/router/dump.go
+++ b/internal/router/dump.go
@@ -73,8 +73,9 @@
 
 // limitState is a server's limit and for how long it has been known; nil without one.
 func (r *Router) limitState(b *backend) (perSecond *float64, knownFor time.Duration) {
-	if !b.limited() {
+	limit, named := b.limit.gate.Limit()
+	if !named {
 		return nil, 0
 	}
-	return &b.limit.word.PerSecond, r.now.Sub(b.limit.since)
+	return &limit, r.now.Sub(b.limit.gate.KnownSince())
 }
--- a/internal/router/effect.go
+++ b/internal/router/effect.go
@@ -122,6 +122,13 @@
 	Uses    core.QuotaUses
 }
 
+// AskLimit tells the loader that counts what is known of a server's limit, and asks it for a
+// permit. LoaderLimited follows if it was asked.
+type AskLimit struct {
+	Loader core.HostID
+	Ask    core.LimitAsk
+}
+
 // Publish keeps news of poison requests in the platform's store under a name, in place
 // of what was there.
 type Publish struct {
@@ -136,6 +143,7 @@
 func (LookIntoStore) effect() {}
 func (AskConfig) effect()     {}
 func (TellUses) effect()      {}
+func (AskLimit) effect()      {}
 func (TellRouters) effect()   {}
 func (Publish) effect()       {}
 func (Send) effect()          {}
--- a/internal/router/ending.go
+++ b/internal/router/ending.go
@@ -8,6 +8,7 @@
 
 	"nutmeglane.example/nutmeglane/internal/code"
 	"nutmeglane.example/nutmeglane/internal/core"
+	"nutmeglane.example/nutmeglane/internal/limit"
 )
 
 // This file ends requests: with a refusal, a failure, at the caller's leaving,
@@ -85,6 +86,8 @@
 		switch {
 		case r.now >= r.stopAt:
 			r.cutAtStop(req)
+		case req.asking != nil && r.now.Sub(req.askedAt) >= limit.Patience:
+			r.permitLate(req)
 		case req.backend == nil && r.now >= req.firstBy:
 			r.giveUp(req, code.DeadlineUnmet, "its model was not loaded in time")
 		case req.backend != nil && r.now >= req.limit.Add(answerSlack):
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -76,6 +76,13 @@
 	Levels core.QuotaLevels
 }
 
+// LoaderLimited is the word of the loader that counts what is sent to a server with a
+// limit.
+type LoaderLimited struct {
+	Loader core.HostID
+	Told   core.LimitTold
+}
+
 // Arrived is a new request. Its body has been read.
 type Arrived struct {
 	Key     Key
@@ -193,6 +200,7 @@
 func (LoaderCounted) event()    {}
 func (LoaderWantsSpec) event()  {}
 func (LoaderLeveled) event()    {}
+func (LoaderLimited) event()    {}
 func (Arrived) event()          {}
 func (AttemptFailed) event()    {}
 func (Stalled) event()          {}
--- a/internal/router/home.go
+++ b/internal/router/home.go
@@ -62,8 +62,18 @@
 	return r.readyIn(b, w.key) + r.price(w.requests[0], b).cost
 }
 
-// readyIn predicts when an engine would have loaded what is waited for.
+// readyIn predicts when an engine would have loaded what is waited for, and have room for
+// all who wait.
 func (r *Router) readyIn(b *backend, key waitKey) time.Duration {
+	waiting := 1
+	if w := r.waits[key]; w != nil {
+		waiting = len(w.requests)
+	}
+	return max(r.loadedIn(b, key), r.roomFor(b, waiting))
+}
+
+// loadedIn predicts when an engine would have loaded it, whatever its limit.
+func (r *Router) loadedIn(b *backend, key waitKey) time.Duration {
 	held := r.holdings(b)
 	if held == nil {
 		return holdingsFresh
--- a/internal/router/loaders.go
+++ b/internal/router/loaders.go
@@ -155,6 +155,7 @@
 	}
 	l.up, l.dialing, l.specNamed, l.specWanted, l.dirty, l.heardAt = true, false, 0, false, true, r.now
 	r.log(Belief, "loader connected", slog.String("loader", string(name)))
+	r.tellLimits(l)
 }
 
 func (r *Router) loaderDown(name core.HostID) {
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -98,7 +98,7 @@
 func (r *Router) writeBackend(entry fleet.Backend) {
 	b := r.backends[entry.Instance]
 	if b == nil {
-		b = &backend{sent: map[Key]*attempt{}, cache: work.NewCache(r.kvTokens(entry.Service)), pace: 1, foundAt: r.now}
+		b = &backend{sent: map[Key]*attempt{}, cache: work.NewCache(r.kvTokens(entry.Service)), pace: 1, foundAt: r.now, limit: r.newServerLimit(entry.Instance)}
 		r.backends[entry.Instance] = b
 		r.byService = nil
 		b.Backend = entry
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -10,6 +10,7 @@
 	metricPoison       core.Counter = "router_poison_requests_total"
 	metricAccountUnits core.Counter = "router_account_units_total"
 	metricServerLimits core.Counter = "router_server_limits_total"
+	metricLimitPermits core.Counter = "router_limit_permits_total"
 	metricLimitedSends core.Counter = "router_limited_sends_total"
 	metricFirstByte    core.Counter = "router_first_byte_seconds"
 )
@@ -21,6 +22,7 @@
 	{Name: metricPoison, Help: "Requests that were found to end the servers that run them."},
 	{Name: metricAccountUnits, Help: "Units of client accounts' quotas (tokens or requests) that were admitted, refused, or returned as not run, by account.", Labels: []string{"account", "outcome"}},
 	{Name: metricServerLimits, Help: "Changes of the limits that backend servers name, and limits that can't be read, by service.", Labels: []string{"service", "change"}},
+	{Name: metricLimitPermits, Help: "Requests that needed a permit of a server with a limit, by service and outcome.", Labels: []string{"service", "outcome"}},
 	{Name: metricLimitedSends, Help: "Requests sent to backend servers while they named a limit, by service.", Labels: []string{"service"}},
 	{Name: metricColdStart, Help: "Time from a request's arrival to its first event, of requests that waited for a load, by where the nearest copy lay.", Labels: []string{"tier"}},
 	{Name: metricFirstByte, Help: "Time from sending a request to its first byte or event, by service.", Labels: []string{"service"}},
--- /dev/null
+++ b/internal/router/permit.go
@@ -0,0 +1,195 @@
+package router
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"nutmeglane.example/nutmeglane/internal/code"
+	"nutmeglane.example/nutmeglane/internal/core"
+	"nutmeglane.example/nutmeglane/internal/limit"
+)
+
+// This file keeps to the limits that backend servers name.
+//
+// It answers this pattern: a server in need says that it takes 4.7 requests a second from
+// all routers together, and each of four routers goes on by its own prediction. The server
+// has less to do than the others and looks better than they do, so that it gets 17.5 a
+// second, a third more than before it asked for less.
+//
+// Each request to such a server needs a permit of the loader that counts (see package
+// limit), whatever it is: a first attempt, a repeat, a resumed stream, one that has waited
+// for its model. A request for which there is no room goes to another server that can
+// serve it, waits for its model there or here, or is refused with the time at which there
+// will be room. A limited engine counts as full where models are placed, so that what it
+// held and no longer serves is loaded elsewhere.
+
+// permitted tells whether a request may be sent to a server now. If not, it was asked for
+// or sent on its way elsewhere.
+func (r *Router) permitted(req *request, b *backend, spare bool) bool {
+	gate := b.limit.gate
+	switch keeper := r.keeperOf(b); {
+	case req.granted == b:
+		req.granted = nil
+		return true
+	case !b.limited():
+		gate.Sent(r.now)
+		return true
+	case keeper != nil && gate.Asks(r.now):
+		r.askPermit(req, b, keeper, spare)
+		return false
+	case gate.TakeAlone(r.now, r.routers()):
+		gate.Sent(r.now)
+		r.countPermit(b, "own part")
+		return true
+	default:
+		r.countPermit(b, "refused by own part")
+		r.noRoom(req, b, "this router's own part")
+		return false
+	}
+}
+
+func (r *Router) askPermit(req *request, b *backend, keeper *loader, spare bool) {
+	r.leaveWait(req)
+	req.asking, req.askedAt = b, r.now
+	ask := r.limitWord(b)
+	ask.Ask, ask.Spare = uint64(req.key), spare
+	r.emit(AskLimit{Loader: keeper.name, Ask: ask})
+}
+
+// permitAnswered goes on with a request whose permit was granted or refused. One that has
+// ended meanwhile leaves its permit unused.
+func (r *Router) permitAnswered(b *backend, told core.LimitTold) {
+	req := r.requests[Key(told.Ask)]
+	if req == nil || req.asking != b {
+		r.countPermit(b, "unused")
+		return
+	}
+	req.asking = nil
+	switch {
+	case !told.Granted:
+		b.limit.gate.Refused(r.now, told.Room, told.Spare)
+		r.countPermit(b, "refused")
+		r.noRoom(req, b, "the loader that counts")
+	case !r.serves(b, req):
+		r.countPermit(b, "unused")
+		r.dispatch(req)
+	default:
+		r.countPermit(b, "granted")
+		req.granted = b
+		choice := r.price(req, b)
+		r.send(req, &choice)
+	}
+}
+
+// permitLate goes on with a request whose question was not answered: by this router's own
+// part, or elsewhere.
+func (r *Router) permitLate(req *request) {
+	b := req.asking
+	req.asking = nil
+	b.limit.gate.Unanswered(r.now)
+	r.countPermit(b, "unanswered")
+	r.log(OneRequest, "loader did not answer for a server's limit", req.attrs("instance", b.Instance)...)
+	r.dispatch(req)
+}
+
+// noRoom finds another way for a request for which a server has no room.
+func (r *Router) noRoom(req *request, b *backend, by string) {
+	perSecond, _ := b.limit.gate.Limit()
+	r.log(OneRequest, "backend server has no room for the request", req.attrs("instance", b.Instance, "per_second", perSecond,
+		"known_for", r.now.Sub(b.limit.gate.KnownSince()).String(), "refused_by", by,
+		"room_in", b.limit.gate.RoomIn(r.now, true).String())...)
+	r.dispatch(req)
+}
+
+// serves tells that a server takes requests and has what this one is for.
+func (r *Router) serves(b *backend, req *request) bool {
+	if b.unlistedAt != 0 || r.draining(b) {
+		return false
+	}
+	if req.prompt == nil || r.engine(b.Service) == nil {
+		return true
+	}
+	hasModel, hasAdapter := r.loaded(b, req.prompt.Model, req.prompt.Adapter)
+	return hasModel && hasAdapter
+}
+
+// hasRoom tells that a server may take a request that no other server can serve.
+func (r *Router) hasRoom(b *backend) bool {
+	return len(r.limited) == 0 || b.limit.gate.RoomIn(r.now, false) == 0
+}
+
+// withRoom leaves out of several servers those that have room only for what no other
+// server can serve.
+func (r *Router) withRoom(servers []*backend) []*backend {
+	if len(r.limited) == 0 || len(servers) < 2 {
+		return servers
+	}
+	full := func(b *backend) bool { return !r.hasSpareRoom(b) }
+	if spare := slices.DeleteFunc(slices.Clone(servers), full); len(spare) > 0 {
+		return spare
+	}
+	return servers
+}
+
+// hasSpareRoom tells that a server may take a request that another server could serve.
+func (r *Router) hasSpareRoom(b *backend) bool {
+	return len(r.limited) == 0 || b.limit.gate.RoomIn(r.now, true) == 0
+}
+
+// canServe tells that a server takes the request now.
+func (r *Router) canServe(req *request) bool {
+	return slices.ContainsFunc(r.serversOf(req.service), func(b *backend) bool { return r.takes(b, req) && r.hasRoom(b) })
+}
+
+// refuseAtLimit refuses a request for which no server of a plain service has room, with
+// the time at which the first has.
+func (r *Router) refuseAtLimit(req *request) {
+	var first *backend
+	room := time.Duration(0)
+	for _, b := range r.serversOf(req.service) {
+		in := b.limit.gate.RoomIn(r.now, false)
+		if r.takes(b, req) && (first == nil || in < room) {
+			first, room = b, in
+		}
+	}
+	if first == nil || req.mayHaveRun {
+		r.giveUp(req, code.AtLimit, "no server has room within its limit")
+		return
+	}
+	perSecond, _ := first.limit.gate.Limit()
+	r.finish(req, code.AtLimit, r.returnIn(room), fmt.Sprintf("no server has room within its limit; the first is %s, which has named %g a second for %v",
+		first.Instance, perSecond, r.now.Sub(first.limit.gate.KnownSince())))
+}
+
+// roomFor is how long the last of so many requests waits for its permit at a server.
+func (r *Router) roomFor(b *backend, waiting int) time.Duration {
+	perSecond, named := b.limit.gate.Limit()
+	if !named {
+		return 0
+	}
+	queue := float64(max(0, waiting-1)) / max(limit.LeastPerSecond, perSecond)
+	return b.limit.gate.RoomIn(r.now, false) + time.Duration(queue*float64(time.Second))
+}
+
+// short tells that an engine takes fewer requests than its models are called for there, by
+// its limit.
+func (r *Router) short(b *backend) bool {
+	perSecond, named := b.limit.gate.Limit()
+	if !named {
+		return false
+	}
+	held := r.holdings(b)
+	if held == nil {
+		return true
+	}
+	called := 0.0
+	for _, m := range held.Models {
+		called += m.Rate / float64(max(1, len(r.holders(b.Service, m.Name))))
+	}
+	return perSecond < called
+}
+
+func (r *Router) countPermit(b *backend, outcome string) {
+	r.emit(Count{core.Count{Name: metricLimitPermits, Labels: []string{b.Service, outcome}, Add: 1}})
+}
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -86,6 +86,10 @@
 	// run.
 	mayHaveRun bool
 	waiting    *wait
+	// asking is the server for which a permit was asked, at askedAt; granted is the one
+	// for which it was granted.
+	asking, granted *backend
+	askedAt         core.Time
 	// waited is how long it waited for its model, first the time until its
 	// first answer or event; both count from its arrival.
 	waited, first time.Duration
@@ -163,12 +167,12 @@
 		r.dispatchPrompt(req)
 		return
 	}
-	r.send(req, r.choose(req, r.candidates(req)))
-}
-
-// candidates are the servers that may get a request.
-func (r *Router) candidates(req *request) []*backend {
-	return r.candidatesOf(req, r.serversOf(req.service))
+	candidates := r.withRoom(r.candidatesOf(req, r.serversOf(req.service)))
+	if len(candidates) == 0 {
+		r.refuseAtLimit(req)
+		return
+	}
+	r.send(req, r.choose(req, candidates))
 }
 
 // anyCandidate tells whether any server may get a request.
@@ -181,13 +185,13 @@
 	return b.unlistedAt == 0 && !r.draining(b) && !slices.Contains(req.tried, b.Instance)
 }
 
-// candidatesOf are those of the servers that may get a request. If all were left
-// out for failures, they are better than none.
+// candidatesOf are those of the servers that may get a request and have room for it. If
+// all were left out for failures, they are better than none.
 func (r *Router) candidatesOf(req *request, servers []*backend) []*backend {
 	var usable, ejected []*backend
 	for _, b := range servers {
 		switch {
-		case !r.takes(b, req):
+		case !r.takes(b, req) || !r.hasRoom(b):
 		case r.usable(b):
 			usable = append(usable, b)
 		default:
@@ -206,6 +210,9 @@
 		r.refusePoison(req)
 		return
 	}
+	if !r.permitted(req, b, c.spare) {
+		return
+	}
 	if req.arrivals > 0 && !r.takeRepeat(req.service) {
 		r.giveUp(req, code.NoBackend, "the budget of repeats is used up")
 		return
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -186,6 +186,8 @@
 		r.loaderWantsSpec(e.Loader)
 	case LoaderLeveled:
 		r.loaderLeveled(e)
+	case LoaderLimited:
+		r.limitTold(e)
 	case Arrived:
 		r.judge(e.Key, e.Request, now)
 	case AttemptFailed:
--- a/internal/router/serverlimit_test.go
+++ b/internal/router/serverlimit_test.go
@@ -6,7 +6,10 @@
 	"testing"
 	"time"
 
+	"nutmeglane.example/nutmeglane/internal/code"
+	"nutmeglane.example/nutmeglane/internal/core"
 	"nutmeglane.example/nutmeglane/internal/fleet"
+	"nutmeglane.example/nutmeglane/internal/limit"
 )
 
 // answerLimited lets the answer of a request's server come, with what it tells of its
@@ -60,3 +63,210 @@
 		t.Errorf("the dump tells a limit of %v, known for %v", state.LimitPerSecond, state.LimitKnownFor)
 	}
 }
+
+// limitedWorld has an engine with a loader and so many servers of a plain service, s0 of
+// which has named a limit. The loader counts for it.
+func limitedWorld(t *testing.T, plain int, perSecond float64) *world {
+	w := newWorld(t)
+	list := map[string]fleet.Backend{"engine": {
+		Incarnation: fleet.Incarnation{Instance: "engine"}, Service: engineService, Zone: "a", Slots: 64, Address: "10.9.0.1:8000",
+	}}
+	for i := range plain {
+		list["s"+string(rune('0'+i))] = w.server(plainService, i)
+	}
+	w.step(BackendsRead{Backends: list})
+	w.step(LoaderUp{Loader: "10.9.0.1"})
+	w.limitS0(perSecond)
+	return w
+}
+
+// limitS0 lets the loader tell that s0 has named a limit.
+func (w *world) limitS0(perSecond float64) {
+	w.t.Helper()
+	w.step(LoaderLimited{Loader: "10.9.0.1", Told: core.LimitTold{
+		Server: core.ServerLife{Instance: "s0"}, Word: core.LimitWord{Named: true, PerSecond: perSecond, SentAgo: 2, HeardAgo: 1},
+	}})
+}
+
+// lastAsk is the last question for a permit.
+func (w *world) lastAsk() core.LimitAsk {
+	w.t.Helper()
+	if len(w.limitAsks) == 0 || w.limitAsks[len(w.limitAsks)-1].Ask.Ask == 0 {
+		w.t.Fatalf("nothing was asked: %+v", w.limitAsks)
+	}
+	return w.limitAsks[len(w.limitAsks)-1].Ask
+}
+
+// answerAsk answers the last question for a permit.
+func (w *world) answerAsk(granted bool, room time.Duration) {
+	w.t.Helper()
+	ask := w.lastAsk()
+	w.step(LoaderLimited{Loader: "10.9.0.1", Told: core.LimitTold{
+		Server: ask.Server, Word: ask.Word, Ask: ask.Ask, Spare: ask.Spare, Granted: granted, Room: room,
+	}})
+}
+
+// A server takes 2 requests a second from all routers together. Each one that is sent
+// there needs the loader's permit; it is sent once that is granted.
+func TestRequestToALimitedServerNeedsAPermit(t *testing.T) {
+	w := limitedWorld(t, 1, 2)
+	key := w.call("once", nil)
+	if len(w.sends[key]) > 0 {
+		t.Fatal("sent without a permit")
+	}
+	w.answerAsk(true, 0)
+	if send := w.lastSend(key); send.Instance != "s0" {
+		t.Errorf("sent to %s", send.Instance)
+	}
+}
+
+// A permit is refused. Another server takes the request; where there is none, its caller is
+// told at once when there will be room, and what comes until then is refused unasked.
+func TestRequestWithoutAPermitGoesElsewhereOrIsRefused(t *testing.T) {
+	w := limitedWorld(t, 2, 2)
+	w.router.backends["s1"].failing = 0.9 // so that s0 is chosen first
+	key := w.call("once", nil)
+	w.answerAsk(false, time.Second)
+	if send := w.lastSend(key); send.Instance != "s1" {
+		t.Errorf("sent to %s, want s1", send.Instance)
+	}
+
+	w = limitedWorld(t, 1, 2)
+	key = w.call("once", nil)
+	w.answerAsk(false, time.Second)
+	for i, key := range []Key{key, w.call("once", nil)} {
+		f := w.finishes[key]
+		if f.Code != code.AtLimit || f.RetryAfter < time.Second || f.RetryAfter > 1300*time.Millisecond {
+			t.Errorf("request %d ended with %v, to come back in %v", i, f.Code, f.RetryAfter)
+		}
+	}
+	if n := len(w.limitAsks); n != 2 { // the word on connecting news, and one question
+		t.Errorf("%d words to the loader, want 2", n)
+	}
+	w.run(time.Second)
+	w.call("once", nil)
+	if n := len(w.limitAsks); n != 3 {
+		t.Errorf("%d words to the loader once there should be room, want 3", n)
+	}
+}
+
+// Servers that name no limit are asked for by nobody, and every request goes out at once.
+func TestServersWithoutALimitNeedNoPermit(t *testing.T) {
+	w := limitedWorld(t, 3, 0)
+	w.limitAsks = nil
+	w.router.backends["s0"].ejectedUntil = w.now.Add(time.Hour)
+	for range 20 {
+		w.lastSend(w.call("once", nil))
+	}
+	if len(w.limitAsks) > 0 {
+		t.Errorf("asked %+v", w.limitAsks)
+	}
+}
+
+// A request failed at one server and is to be repeated at one with a limit: that takes a
+// permit as a first attempt does.
+func TestRepeatAtALimitedServerNeedsAPermit(t *testing.T) {
+	w := limitedWorld(t, 2, 2)
+	w.router.backends["s0"].failing = 0.9 // so that s1 is chosen first
+	key := w.call("again", nil)
+	send := w.lastSend(key)
+	w.limitAsks = nil
+	w.step(AttemptFailed{Key: key, Attempt: send.Attempt, Failure: NoAnswer})
+	if len(w.sends[key]) != 1 {
+		t.Fatal("repeated without a permit")
+	}
+	w.answerAsk(true, 0)
+	if send := w.lastSend(key); send.Instance != "s0" || send.Attempt != 2 {
+		t.Errorf("attempt %d at %s", send.Attempt, send.Instance)
+	}
+}
+
+// The loader that counts is frozen: its connection is open and it says nothing. Callers do
+// not wait for it longer than for a moment, and the router goes by its part of the limit.
+func TestFrozenLoaderHoldsUpNobody(t *testing.T) {
+	w := limitedWorld(t, 1, 50)
+	key := w.call("once", nil)
+	w.run(limit.Patience + 2*tickInterval)
+	if f, ended := w.finishes[key]; len(w.sends[key]) == 0 && !ended {
+		t.Fatal("the request still waits for the loader")
+	} else if ended && f.Code != code.AtLimit {
+		t.Errorf("ended with %v", f.Code)
+	}
+	sent := 0
+	for range 20 {
+		w.run(tickInterval)
+		if len(w.sends[w.call("once", nil)]) > 0 {
+			sent++
+		}
+	}
+	if sent < 10 {
+		t.Errorf("%d of 20 requests a second were sent, of a server that takes 50", sent)
+	}
+}
+
+// The only engine that has a model takes no more for some time. Those who wait for the
+// model go to the engine that has it soonest: another one that loads it, or this one.
+func TestModelOfALimitedEngineIsLoadedElsewhere(t *testing.T) {
+	for _, test := range []struct {
+		room time.Duration
+		want string
+	}{{4 * time.Second, "s1"}, {100 * time.Millisecond, "s0"}} {
+		w := newWorld(t)
+		w.servers(engineService, 2)
+		w.holds(0, core.Holdings{Instance: "s0", Models: loadedModels("m1")})
+		w.holds(1, core.Holdings{Instance: "s1", FreeMB: 80_000, OnDisk: []string{"m1"}})
+		w.step(LoaderLimited{Loader: loaderName(0), Told: core.LimitTold{
+			Server: core.ServerLife{Instance: "s0"}, Word: core.LimitWord{Named: true, PerSecond: 2, SentAgo: 2, HeardAgo: 1},
+		}})
+		key := w.call("patient", prompt("m1"))
+		ask := w.lastAsk()
+		if ask.Spare {
+			t.Error("asked as if another engine could serve it")
+		}
+		w.step(LoaderLimited{Loader: loaderName(0), Told: core.LimitTold{Server: ask.Server, Word: ask.Word, Ask: ask.Ask, Room: test.room}})
+		state := w.router.Dump().Waits
+		if len(state) != 1 || state[0].Home != test.want {
+			t.Fatalf("room in %v: waits %+v, want one at %s; ended: %+v", test.room, state, test.want, w.finishes[key])
+		}
+	}
+}
+
+// A server starts again under its instance. It has named no limit in this life, and an
+// answer of the one before must not bring it back.
+func TestLimitEndsWithTheLifeThatNamedIt(t *testing.T) {
+	w := newWorld(t)
+	entry := w.server(plainService, 0)
+	entry.Born = 1000
+	w.step(BackendsRead{Backends: map[string]fleet.Backend{"s0": entry}})
+	w.answerLimited(w.call("once", nil), limitedTo(3))
+	old := w.call("once", nil)
+	if !w.router.backends["s0"].limited() {
+		t.Fatal("the limit was not taken in")
+	}
+	entry.Born = 2000
+	w.step(BackendsChanged{Written: map[string]fleet.Backend{"s0": entry}})
+	if w.router.backends["s0"].limited() {
+		t.Error("the limit outlived the life that named it")
+	}
+	if sends := w.sends[old]; len(sends) > 0 {
+		w.step(Answered{Key: old, Attempt: sends[0].Attempt, Answer: fleet.Answer{Status: 200, Limit: limitedTo(3)}})
+	}
+	if w.router.backends["s0"].limited() {
+		t.Error("an answer of the earlier life brought its limit back")
+	}
+}
+
+// A server's address has gone to another service. What that one says of its limit, in the
+// answer that it is not the server that was meant, does not bind the one before.
+func TestAnotherServersLimitBindsNobodyElse(t *testing.T) {
+	w := newWorld(t)
+	w.servers(plainService, 2)
+	key := w.call("once", nil)
+	send := w.lastSend(key)
+	w.step(Answered{Key: key, Attempt: send.Attempt, Answer: fleet.Answer{Status: 421, NotRun: true, Absent: true, Limit: limitedTo(1)}})
+	for _, b := range w.router.backends {
+		if b.limited() {
+			t.Errorf("%s has a limit", b.Instance)
+		}
+	}
+}
--- a/internal/router/spread.go
+++ b/internal/router/spread.go
@@ -45,11 +45,12 @@
 	spreadLife = 3 * time.Second
 )
 
-// copiesOf returns the engines that have a model loaded and take requests.
+// copiesOf returns the engines that have a model loaded and take requests, as many as come
+// for it.
 func (r *Router) copiesOf(service, model string) []*backend {
 	var copies []*backend
 	for _, b := range r.holders(service, model) {
-		if b.unlistedAt != 0 || r.draining(b) {
+		if b.unlistedAt != 0 || r.draining(b) || r.short(b) {
 			continue
 		}
 		if has, _ := r.loaded(b, model, ""); has {
@@ -189,8 +190,12 @@
 	return rate
 }
 
-// heat is the part of an engine's time that the requests there take.
+// heat is the part of an engine's time that the requests there take; all of it where it
+// takes no more, by its limit.
 func (r *Router) heat(b *backend) float64 {
+	if r.short(b) {
+		return 1
+	}
 	factor := r.service(b.Service).speed.queueFactor(r.outstanding(b))
 	return 1 - 1/factor
 }
--- a/internal/router/wait.go
+++ b/internal/router/wait.go
@@ -66,7 +66,7 @@
 		}
 		base = base || hasModel
 	}
-	return both, base
+	return r.withRoom(both), base
 }
 
 func (r *Router) join(req *request, key waitKey) {
@@ -180,7 +180,7 @@
 
 func (r *Router) isLoaded(key waitKey) bool {
 	for _, b := range r.holders(key.service, key.model) {
-		if !r.usable(b) {
+		if !r.usable(b) || !r.hasRoom(b) {
 			continue
 		}
 		if hasModel, hasAdapter := r.loaded(b, key.model, key.adapter); hasModel && hasAdapter {
--- a/internal/router/world_test.go
+++ b/internal/router/world_test.go
@@ -27,6 +27,8 @@
 	published []Publish
 	// looks counts the looks into the store that were asked for.
 	looks int
+	// limitAsks are the words and questions on servers' limits.
+	limitAsks []AskLimit
 	// asked are the questions for a configuration.
 	asked []AskConfig
 }
@@ -110,6 +112,8 @@
 			w.told = append(w.told, e)
 		case Publish:
 			w.published = append(w.published, e)
+		case AskLimit:
+			w.limitAsks = append(w.limitAsks, e)
 		case AskConfig:
 			w.asked = append(w.asked, e)
 		case LookIntoStore:
