--- a/internal/limit/fleet_test.go
+++ b/internal/limit/fleet_test.go
@@ -368,12 +368,16 @@
 }
 
 // The ways compared, with -v as a table. The one that is kept must hold back the least,
-// while a loader counts, of those that hold the limit.
+// while a loader counts, of those that hold the limit. Even parts, which it goes by without
+// a loader, must hold it too.
 func TestWays(t *testing.T) {
 	for _, s := range scripts() {
 		even, byDemand, permits := s.play(newEven(s), 1), s.play(newByDemand(s), 1), s.play(newPermits(s), 1)
 		t.Logf("| %s | %.2f, %.2f | %.2f, %.2f | %.2f, %.2f |", s.name,
 			even.all, even.used, byDemand.all, byDemand.used, permits.all, permits.used)
+		if even.told > 1 {
+			t.Errorf("%s: by even parts the server got %.2f of what is allowed", s.name, even.told)
+		}
 		if s.keeperGone == 0 && permits.used < min(1, even.used)-0.05 {
 			t.Errorf("%s: permits use %.2f, even parts %.2f", s.name, permits.used, even.used)
 		}
