--- a/internal/core/steward/layout_test.go
+++ b/internal/core/steward/layout_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"testing"
 	"time"
 
 	"nutmeglane.example/nutmeglane/internal/core"
@@ -19,8 +20,8 @@
 	return granted
 }
 
-// orderAdapters has the engine load adapters on each slot that allows them, and
-// unload those that were loaded over another count.
+// orderAdapters has the engine load adapters on each slot that allows them and whose base
+// it has loaded, and unload those that were loaded over another count.
 func (a *agent) orderAdapters(now core.Time) {
 	for _, id := range sortedIDs(a.engine.adapters) {
 		s, held := a.slots[id]
@@ -40,7 +41,7 @@
 	}
 	for _, s := range sortedSlots(a.slots) {
 		_, loaded := a.engine.adapters[s.ID]
-		if !loaded && s.State == core.SlotOwned && s.AdapterMax != 0 && a.holds(now, s.ID) {
+		if a.engine.loaded[s.ID] && !loaded && s.State == core.SlotOwned && s.AdapterMax != 0 && a.holds(now, s.ID) {
 			a.engine.adapters[s.ID] = s.AdapterMax
 		}
 	}
@@ -96,3 +97,29 @@
 		counts[s.ID.Model] = max(counts[s.ID.Model], s.AdapterMax)
 	}
 }
+
+// A history that TestFaults drew once: an idle agent, which loads nothing until it is
+// called, is killed, its engine is asked to evict what it may hold, and the limit is lowered.
+// The stand-in of an engine had loaded adapters without their base, which no engine does;
+// the eviction passed them over, as nothing was loaded, and adapters over two counts seemed
+// to stand beside each other.
+func TestIdleAgentLeavesNoAdaptersBehind(t *testing.T) {
+	w := newWorld(testTimings(), 1)
+	for i := range 4 {
+		w.addAgent(core.HostID(fmt.Sprintf("a%d", i)), core.Zone(fmt.Sprintf("z%d", i%2)))
+	}
+	w.sendList()
+	w.configure(map[string]int{"m": 2, "n": 3})
+	w.disturb("idle", w.agents["a1"], 0)
+	w.run(6 * time.Second)
+	if adapters := w.agents["a1"].engine.adapters; len(adapters) > 0 {
+		t.Errorf("an engine without a model has adapters of %v", sortedIDs(adapters))
+	}
+	w.disturb("kill", w.agents["a1"], 0)
+	w.run(w.timings.Tenure + 10*time.Second)
+	w.configure(map[string]int{"m": 1, "n": 3})
+	w.run(10 * time.Second)
+	if w.wrong != "" {
+		t.Error(w.wrong)
+	}
+}
