--- a/internal/quota/book.go
+++ b/internal/quota/book.go
@@ -162,13 +162,15 @@
 	by.told = true
 }
 
-// within is what was used in the last parts of a window that lie within a time: so many
-// whole ones.
+// within is what was used in the last parts of a window that lie within a time: of one that
+// lies so only partly, as much. With whole parts alone a loader that was out of reach for
+// 1.9 s knew of one second's use, and gave the rest of it out again.
 func within(parts []float64, span, window time.Duration) float64 {
-	n := min(len(parts), int(span*time.Duration(len(parts))/window))
+	left := float64(span) * float64(len(parts)) / float64(window)
 	sum := 0.0
-	for _, used := range parts[len(parts)-n:] {
-		sum += used
+	for _, used := range slices.Backward(parts) {
+		sum += used * max(0, min(1, left))
+		left--
 	}
 	return sum
 }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -195,6 +195,20 @@
 	}
 }
 
+// A loader was out of reach for 1.9 s, while an account used 100 a second. What routers
+// tell it then must be all of that: by whole seconds it would know of 100 only, and grant
+// the other 90 once more.
+func TestUseWithinATimeCountsPartsOfSeconds(t *testing.T) {
+	parts := []float64{100, 100, 100, 100, 100, 100, 100, 100}
+	for span, want := range map[time.Duration]float64{
+		0: 0, 500 * time.Millisecond: 50, 1900 * time.Millisecond: 190, 8 * time.Second: 800, 20 * time.Second: 800,
+	} {
+		if got := within(parts, span, 8*time.Second); got < want-1 || got > want+1 {
+			t.Errorf("within %v: %.0f, want %.0f", span, got, want)
+		}
+	}
+}
+
 func BenchmarkAdmit(b *testing.B) {
 	p := newPair()
 	for i := 0; b.Loop(); i++ {
