--- a/internal/limit/fleet_test.go
+++ b/internal/limit/fleet_test.go
@@ -202,7 +202,7 @@
 		return
 	}
 	for i, g := range p.gates {
-		if p.reaches(now, i) && g.HearTold(now.Add(2*wayDelay), news.Word) {
+		if p.reaches(now, i) && g.Hear(now.Add(2*wayDelay), WordOf(now.Add(2*wayDelay), news.Word)) {
 			p.ask(now.Add(3*wayDelay), i, 0, false)
 		}
 	}
--- a/internal/limit/gate.go
+++ b/internal/limit/gate.go
@@ -68,11 +68,6 @@
 	return changed
 }
 
-// HearTold takes in a loader's word on the limit.
-func (g *Gate) HearTold(now core.Time, told core.LimitWord) (changed bool) {
-	return g.Hear(now, wordOf(now, told))
-}
-
 // Told is what is known of the limit, as messages have it.
 func (g *Gate) Told(now core.Time) core.LimitWord { return g.word.told(now) }
 
--- a/internal/limit/keeper.go
+++ b/internal/limit/keeper.go
@@ -77,7 +77,7 @@
 }
 
 func (s *kept) hear(now core.Time, told core.LimitWord) (changed bool) {
-	s.word, changed = s.word.Follow(wordOf(now, told))
+	s.word, changed = s.word.Follow(WordOf(now, told))
 	if changed && s.word.Named {
 		s.bucket.setRate(now, max(LeastPerSecond, s.word.PerSecond))
 	}
@@ -124,10 +124,10 @@
 	maps.DeleteFunc(k.servers, func(_ string, s *kept) bool { return now.Sub(s.heardAt) > forgetAfter })
 }
 
-// wordOf is a message's word in this process's time.
-func wordOf(now core.Time, told core.LimitWord) Word {
-	if told.HeardAgo == 0 && told.SentAgo == 0 && !told.Named {
-		return Word{} // nothing was heard yet
+// WordOf is a message's word in this process's time.
+func WordOf(now core.Time, told core.LimitWord) Word {
+	if told.HeardAgo == 0 {
+		return Word{} // nothing was heard yet; see Word.told
 	}
 	return Word{
 		Named: told.Named, PerSecond: told.PerSecond,
@@ -135,7 +135,7 @@
 	}
 }
 
-// told is the word as messages have it.
+// told is the word as messages have it. Of one that was heard, HeardAgo is never 0.
 func (w Word) told(now core.Time) core.LimitWord {
 	if !w.known() {
 		return core.LimitWord{}
--- a/internal/router/serverlimit.go
+++ b/internal/router/serverlimit.go
@@ -48,16 +48,10 @@
 		r.limitMalformed(b, answer.Limit.Text)
 		return
 	}
-	before, _ := b.limit.gate.Limit()
-	wasLimited := b.limited()
-	changed := b.limit.gate.Hear(r.now, limit.Word{
+	r.hearLimit(b, "its answer", limit.Word{
 		Named: answer.Limit.State == fleet.LimitNamed, PerSecond: answer.Limit.PerSecond,
 		Sent: req.attempt.at, Heard: r.now,
 	})
-	if changed {
-		r.limitChanged(b, wasLimited, before, "its answer")
-		r.tellKeeper(b)
-	}
 }
 
 // limitTold takes in what the loader that counts tells of a server's limit.
@@ -68,20 +62,20 @@
 	}
 	life := fleet.Incarnation{Instance: e.Told.Server.Instance, Born: e.Told.Server.Born}
 	if life.Compare(b.Incarnation) == 0 {
-		before, _ := b.limit.gate.Limit()
-		wasLimited := b.limited()
-		if b.limit.gate.HearTold(r.now, e.Told.Word) {
-			r.limitChanged(b, wasLimited, before, "loader "+string(e.Loader))
-			r.tellKeeper(b)
-		}
+		r.hearLimit(b, "loader "+string(e.Loader), limit.WordOf(r.now, e.Told.Word))
 	}
 	if e.Told.Ask != 0 {
 		r.permitAnswered(b, e.Told)
 	}
 }
 
-// limitChanged logs a change of a server's limit and keeps the list of limited servers.
-func (r *Router) limitChanged(b *backend, wasLimited bool, before float64, source string) {
+// hearLimit takes in a word on a server's limit. A change is logged and told to the loader
+// that counts.
+func (r *Router) hearLimit(b *backend, source string, word limit.Word) {
+	before, wasLimited := b.limit.gate.Limit()
+	if !b.limit.gate.Hear(r.now, word) {
+		return
+	}
 	now, limited := b.limit.gate.Limit()
 	if limited {
 		r.limited = with(r.limited, b)
@@ -95,6 +89,7 @@
 	r.emit(Count{core.Count{Name: metricServerLimits, Labels: []string{b.Service, change}, Add: 1}})
 	r.log(Belief, "backend server's limit", b.attrs("born", b.Born, "change", change, "per_second", now, "before", before,
 		"known_for", r.now.Sub(b.limit.gate.KnownSince()).String(), "source", source, "under_way", len(b.sent))...)
+	r.tellKeeper(b)
 }
 
 // limitChange names what became of a limit, for logs and metrics.
