--- a/internal/limit/gate.go
+++ b/internal/limit/gate.go
@@ -117,6 +117,10 @@
 	g.room = now.Add(room)
 }
 
+// LoaderBack takes in that the loader that counts is connected again: it may have room
+// before this router's next turn.
+func (g *Gate) LoaderBack(now core.Time) { g.room, g.spareRoom, g.silentUntil = now, now, now }
+
 // Unanswered takes in that the loader did not answer a question.
 func (g *Gate) Unanswered(now core.Time) { g.silentUntil = now.Add(silentFor) }
 
@@ -133,14 +137,25 @@
 	period := time.Duration(float64(time.Second) / perSecond)
 	turn := now - core.Time(time.Duration(now)+period-time.Duration(g.phase*float64(period)))%core.Time(period)
 	next := turn.Add(period)
-	if turn <= g.turnTaken || now.Sub(turn) > turnLasts {
-		g.room = next
+	most := perSecond*Window.Seconds() + 1
+	switch {
+	case turn <= g.turnTaken || now.Sub(turn) > turnLasts:
+		g.noTurnUntil(now, next)
 		return false
-	}
-	if most := perSecond*Window.Seconds() + 1; g.uncounted.Total(now)+1 > most {
-		g.room = now.Add(g.uncounted.RoomIn(now, max(0, most-1)))
+	case g.uncounted.Total(now)+1 > most:
+		g.noTurnUntil(now, now.Add(g.uncounted.RoomIn(now, max(0, most-1))))
 		return false
+	default:
+		g.turnTaken = turn
+		return true
+	}
+}
+
+// noTurnUntil notes that there is no room before a time, but for what the loader may grant
+// once it is asked again.
+func (g *Gate) noTurnUntil(now, at core.Time) {
+	g.room = at
+	if g.silentUntil > now {
+		g.room = min(at, g.silentUntil)
 	}
-	g.turnTaken = turn
-	return true
 }
--- /dev/null
+++ b/internal/limit/gate_test.go
@@ -0,0 +1,41 @@
+package limit
+
+import (
+	"testing"
+
+	"nutmeglane.example/nutmeglane/internal/core"
+)
+
+// limitedGate is a gate of a server that takes 2 requests a second, and decides alone.
+func limitedGate(now core.Time) *Gate {
+	g := NewGate(0.5)
+	g.Hear(now, named(2, now-10, now))
+	return g
+}
+
+// The loader that counts was frozen for a moment. One of 100 routers has gone by turns
+// meanwhile, each 50 s, and found none. Once it may ask the loader again it must, and not
+// refuse its callers until its next turn.
+func TestRouterAsksAgainOnceTheLoaderMayAnswer(t *testing.T) {
+	g := limitedGate(start)
+	g.Unanswered(start)
+	if g.TakeAlone(start, 100) {
+		t.Fatal("it has a turn now; the test needs one that has none")
+	}
+	if room := g.RoomIn(start, false); room > silentFor {
+		t.Errorf("no room for %v while the loader may answer in %v", room, silentFor)
+	}
+}
+
+// The same, and the loader was gone and is connected again.
+func TestRouterAsksAgainOnceTheLoaderIsBack(t *testing.T) {
+	g := limitedGate(start)
+	g.TakeAlone(start, 100)
+	if room := g.RoomIn(start, false); room < silentFor {
+		t.Fatalf("room in %v; the test needs a turn that is far", room)
+	}
+	g.LoaderBack(start)
+	if room := g.RoomIn(start, false); room > 0 {
+		t.Errorf("no room for %v with the loader connected", room)
+	}
+}
--- a/internal/limit/keeper.go
+++ b/internal/limit/keeper.go
@@ -118,6 +118,29 @@
 	return all
 }
 
+// State is the dump of a server whose limit is kept.
+type State struct {
+	Server core.ServerLife
+	// PerSecond is the limit, nil if it is over.
+	PerSecond *float64
+	// Tokens are the requests that may be granted at once, Sent those within the window.
+	Tokens, Sent float64
+}
+
+// Dump returns the state of all servers that are kept, by instance.
+func (k *Keeper) Dump(now core.Time) []State {
+	var states []State
+	for _, instance := range slices.Sorted(maps.Keys(k.servers)) {
+		s := k.servers[instance]
+		state := State{Server: s.life, Tokens: s.bucket.tokens, Sent: s.bucket.sent.Total(now)}
+		if s.word.Named {
+			state.PerSecond = &s.word.PerSecond
+		}
+		states = append(states, state)
+	}
+	return states
+}
+
 // Forget drops servers of which nobody has said anything for long. A router that knows of
 // a limit there tells it anew with its next question.
 func (k *Keeper) Forget(now core.Time) {
--- a/internal/router/serverlimit.go
+++ b/internal/router/serverlimit.go
@@ -158,6 +158,7 @@
 func (r *Router) tellLimits(l *loader) {
 	for _, b := range r.limited {
 		if r.keeperOf(b) == l {
+			b.limit.gate.LoaderBack(r.now)
 			r.tellKeeper(b)
 		}
 	}
--- a/internal/router/serverlimit_test.go
+++ b/internal/router/serverlimit_test.go
@@ -301,3 +301,18 @@
 		}
 	}
 }
+
+// The loader that counts was gone, and this router's next turn is seconds away. Once the
+// loader is connected again its callers must be asked for, and not be refused until then.
+func TestLoaderThatIsBackIsAsked(t *testing.T) {
+	w := limitedWorld(t, 1, 0.1)
+	w.step(LoaderDown{Loader: "10.9.0.1"})
+	if f := w.finishes[w.call("once", nil)]; f.Code != code.AtLimit || f.RetryAfter < time.Second {
+		t.Fatalf("ended with %v, to come back in %v; the test needs a turn that is far", f.Code, f.RetryAfter)
+	}
+	w.step(LoaderUp{Loader: "10.9.0.1"})
+	key := w.call("once", nil)
+	if ask := w.lastAsk(); Key(ask.Ask) != key {
+		t.Errorf("asked for request %d, want %d", ask.Ask, key)
+	}
+}
