--- a/internal/soak/engine_test.go
+++ b/internal/soak/engine_test.go
@@ -57,6 +57,11 @@
 func (e *engine) held() []heldModel {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	return e.heldLocked()
+}
+
+// heldLocked is held for those who hold e.mu.
+func (e *engine) heldLocked() []heldModel {
 	models := []heldModel{}
 	for _, name := range e.loaded {
 		models = append(models, heldModel{Name: name, Version: 1, Adapters: []string{}})
@@ -83,8 +88,10 @@
 	return false
 }
 
+// report tells the engine's state as of one moment. Told of two, with the end of a load in
+// between, it has neither the model nor the order under way, and the loader orders the model
+// once more.
 func (e *engine) report(w http.ResponseWriter) {
-	models := e.held()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	type atHand struct {
@@ -97,7 +104,7 @@
 		Seq     int64       `json:"seq"`
 		Running int         `json:"running"`
 		AtHand  atHand      `json:"atHand"`
-	}{models, e.busy, e.seq, e.running, atHand{[]string{}, e.onDisk}})
+	}{e.heldLocked(), e.busy, e.seq, e.running, atHand{[]string{}, e.onDisk}})
 }
 
 func (e *engine) order(w http.ResponseWriter, r *http.Request) {
