--- /dev/null
+++ b/internal/core/limit_test.go
@@ -0,0 +1,27 @@
+package core
+
+import (
+	"testing"
+	"time"
+)
+
+// Each request to a server with a limit costs a question and an answer: they have to stay
+// below a request's own header.
+func TestLimitMessagesAreSmall(t *testing.T) {
+	server := ServerLife{Instance: "i-4f6d9f84b0", Born: 1764745965123}
+	word := LimitWord{Named: true, PerSecond: 4.7, SentAgo: 20 * time.Millisecond, HeardAgo: 10 * time.Millisecond}
+	const most = 100
+	for _, m := range []Message{
+		LimitAsk{Server: server, Word: word, Ask: 123456, Spare: true},
+		LimitTold{Server: server, Word: word, Ask: 123456, Room: 380 * time.Millisecond},
+	} {
+		data, err := EncodeMessage(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("%T: %d bytes", m, len(data))
+		if len(data) > most {
+			t.Errorf("%T has %d bytes, want at most %d", m, len(data), most)
+		}
+	}
+}
