--- a/internal/soak/limit_test.go
+++ b/internal/soak/limit_test.go
@@ -239,6 +239,17 @@
 	}
 }
 
+// series is when the series of limits began that holds at a time.
+func (s *limitedServer) series(at time.Time) time.Time {
+	var first time.Time
+	for _, n := range s.named {
+		if !n.at.After(at) {
+			first = n.first
+		}
+	}
+	return first
+}
+
 // recovered tells that a server has got more, since its limit is over, than the limit
 // would have allowed within a window.
 func (l *limits) recovered(instance string) bool {
@@ -277,11 +288,17 @@
 	return broken
 }
 
-// within counts what reached a server within the window that ends at a time, of routers
-// that know of its limit. What they sent before it was named counts as well.
+// within counts what reached a server since it named its limit, within the window that ends
+// at a time, of routers that know of it by then. What they sent in the half second before
+// they had to know counts as well; what they sent before it was named does not, as it may
+// be more than a window allows by itself.
 func (l *limits) within(instance string, s *limitedServer, end time.Time, excused func(router int, at time.Time) bool) int {
 	n := 0
+	first := s.series(end)
 	for _, a := range s.arrivals {
+		if a.at.Before(first) {
+			continue
+		}
 		told, knows := l.told[toldLimit{a.router, instance}]
 		inWindow := a.at.After(end.Add(-limitWindow)) && !a.at.After(end)
 		if inWindow && knows && !told.After(end.Add(-toldBefore)) && !excused(a.router, a.at) {
