--- a/internal/limit/gate.go
+++ b/internal/limit/gate.go
@@ -17,6 +17,8 @@
 	// turnLasts is how long a turn lasts at most. What all take within a window is what
 	// the turns of a window and this make.
 	turnLasts = 500 * time.Millisecond
+	// leastPeriod bounds the time between two turns: that of a huge limit rounds to 0.
+	leastPeriod = time.Microsecond
 	// gateSlots is how finely a router counts what it sends to a server.
 	gateSlots = 8
 )
@@ -134,7 +136,7 @@
 // half that servers bear beyond their limits.
 func (g *Gate) TakeAlone(now core.Time, routers int) bool {
 	perSecond := max(LeastPerSecond, g.word.PerSecond) / float64(max(1, routers))
-	period := time.Duration(float64(time.Second) / perSecond)
+	period := max(leastPeriod, time.Duration(float64(time.Second)/perSecond))
 	turn := now - core.Time(time.Duration(now)+period-time.Duration(g.phase*float64(period)))%core.Time(period)
 	next := turn.Add(period)
 	most := perSecond*Window.Seconds() + 1
--- a/internal/limit/gate_test.go
+++ b/internal/limit/gate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"nutmeglane.example/nutmeglane/internal/core"
 )
@@ -39,3 +40,15 @@
 		t.Errorf("no room for %v with the loader connected", room)
 	}
 }
+
+// A server names a limit of twelve digits, and no loader counts. The time between two turns
+// rounds to nothing, by which a router divided and ended.
+func TestHugeLimitAlone(t *testing.T) {
+	g := NewGate(0.5)
+	g.Hear(start, named(999_999_999_999, start-10, start))
+	for i := range 3 {
+		if now := start.Add(1000 * time.Duration(i+1)); !g.TakeAlone(now, 1) {
+			t.Errorf("request %d was refused", i)
+		}
+	}
+}
