--- a/internal/limit/gate.go
+++ b/internal/limit/gate.go
@@ -19,6 +19,9 @@
 	turnLasts = 500 * time.Millisecond
 	// leastPeriod bounds the time between two turns: that of a huge limit rounds to 0.
 	leastPeriod = time.Microsecond
+	// confirmAfter is how long a limit stands that no answer has confirmed before a request
+	// that another server could serve goes there to see.
+	confirmAfter = 10 * time.Second
 	// gateSlots is how finely a router counts what it sends to a server.
 	gateSlots = 8
 )
@@ -34,6 +37,8 @@
 	// room is from when the loader may grant a request, spareRoom one that another server
 	// could serve.
 	room, spareRoom core.Time
+	// askedAt is when a request was last to go there.
+	askedAt core.Time
 	// refused are callers who were refused and come back.
 	refused line
 	// silentUntil is until when this router decides by itself.
@@ -106,6 +111,17 @@
 	return g.refused.after(now, g.RoomIn(now, false), pauseOf(g.word.PerSecond))
 }
 
+// Asked notes that a request is to go to the server, once it is permitted.
+func (g *Gate) Asked(now core.Time) { g.askedAt = now }
+
+// Unconfirmed tells that the limit is to be looked into, and may be.
+//
+// It guards against a limit that is over and holds for good: where other servers are as
+// good, nothing is sent there and nobody hears of its end.
+func (g *Gate) Unconfirmed(now core.Time) bool {
+	return g.word.Named && now.Sub(max(g.word.Heard, g.askedAt)) >= confirmAfter && g.RoomIn(now, true) == 0
+}
+
 // Asks tells whether requests need the loader's grant: it is there and has not been
 // silent lately.
 func (g *Gate) Asks(now core.Time) bool { return now >= g.silentUntil }
--- a/internal/router/choose.go
+++ b/internal/router/choose.go
@@ -87,7 +87,8 @@
 			best = c
 		}
 	}
-	best.spare = slices.ContainsFunc(candidates, func(b *backend) bool { return b != best.backend && r.hasSpareRoom(b) })
+	other := func(b *backend) bool { return b != best.backend && r.hasSpareRoom(b) }
+	best.spare = best.backend.limit.gate.Unconfirmed(r.now) || slices.ContainsFunc(candidates, other)
 	return &best
 }
 
--- a/internal/router/permit.go
+++ b/internal/router/permit.go
@@ -28,6 +28,7 @@
 // or sent on its way elsewhere.
 func (r *Router) permitted(req *request, b *backend, spare bool) bool {
 	gate := b.limit.gate
+	gate.Asked(r.now)
 	switch keeper := r.keeperOf(b); {
 	case req.granted == b:
 		req.granted = nil
@@ -120,11 +121,14 @@
 }
 
 // withRoom leaves out of several servers those that have room only for what no other
-// server can serve.
+// server can serve. One whose limit is to be looked into is left alone.
 func (r *Router) withRoom(servers []*backend) []*backend {
 	if len(r.limited) == 0 || len(servers) < 2 {
 		return servers
 	}
+	if i := slices.IndexFunc(servers, func(b *backend) bool { return b.limit.gate.Unconfirmed(r.now) }); i >= 0 {
+		return servers[i : i+1]
+	}
 	full := func(b *backend) bool { return !r.hasSpareRoom(b) }
 	if spare := slices.DeleteFunc(slices.Clone(servers), full); len(spare) > 0 {
 		return spare
--- a/internal/router/serverlimit_test.go
+++ b/internal/router/serverlimit_test.go
@@ -316,3 +316,34 @@
 		t.Errorf("asked for request %d, want %d", ask.Ask, key)
 	}
 }
+
+// A server's limit is over, but another server is as good and gets all requests: nobody
+// hears of the end, and the server counts as one in need for good. One request in ten
+// seconds goes there all the same.
+func TestLimitThatNobodyHearsOfIsLookedInto(t *testing.T) {
+	w := limitedWorld(t, 2, 2)
+	w.router.backends["s0"].latency, w.router.backends["s1"].latency = 20*time.Millisecond, 10*time.Millisecond
+	asked := 0
+	for range 15 {
+		w.limitAsks = nil
+		w.step(LoaderSaid{Loader: "10.9.0.1", Holdings: core.Holdings{Instance: "engine", Routers: 1, Coordinator: "10.0.0.1"}})
+		key := w.call("once", nil)
+		if len(w.sends[key]) == 0 {
+			asked++
+			if !w.lastAsk().Spare {
+				t.Error("asked as if no other server could serve it")
+			}
+			w.answerAsk(true, 0)
+		}
+		send := w.lastSend(key)
+		w.step(Answered{Key: key, Attempt: send.Attempt, Answer: fleet.Answer{Status: 200}})
+		w.step(Done{Key: key, Attempt: send.Attempt})
+		w.run(time.Second)
+	}
+	if asked != 1 {
+		t.Errorf("%d of 15 requests in 15 s went to the server, want 1", asked)
+	}
+	if w.router.backends["s0"].limited() {
+		t.Error("the end of the limit was not noticed")
+	}
+}
