A stopping router refuses what it can no longer answer whole

Cause: a request that waits was sent as long as the process lived, whether there was time for its answer or not.

From the stop signal on a request goes to a server only if twice its predicted time (reading and generating, as learnt from answers; the route's objective where nothing is known) is left; what waits for its model, its account's room or a server's permit, and what comes late, is refused at once as not run, with the short time in which another host takes it, and the refusal closes the connection, so that the next try reaches one. Found on the way: a request that the end of another had ended was looked at once more in the same tick (nil), guarded.

Ruled out: refusing all that waits when the stop begins; most of it can be answered within the 7 s (TestStopLetsEndWhatCan).

Test: four cases of TestStopRefuses... failed on the code before, as did none of the others; they pass now.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -131,7 +131,7 @@
 	if c.started {
 		panic(http.ErrAbortHandler)
 	}
-	if d.Code == code.Starved {
+	if d.Code == code.Starved || c.gateway.stopping.Load() {
 		// The caller's next try is to reach another host.
 		c.writer.Header().Set("Connection", "close")
 	}
--- a/internal/router/ending.go
+++ b/internal/router/ending.go
@@ -85,9 +85,14 @@
 func (r *Router) checkRequests() {
 	for _, key := range slices.Sorted(maps.Keys(r.requests)) {
 		req := r.requests[key]
+		if req == nil {
+			continue // the end of an earlier one has ended it
+		}
 		switch {
 		case r.now >= r.stopAt:
 			r.cutAtStop(req)
+		case req.backend == nil && !r.endsInTime(req, 0):
+			r.refuseAtStop(req)
 		case req.asking != nil && r.now.Sub(req.askedAt) >= limit.Patience:
 			r.permitLate(req)
 		case req.asksQuota && r.now >= req.firstBy:
@@ -111,17 +116,6 @@
 	r.giveUp(req, code.TimedOut, "the time is over")
 }
 
-// cutAtStop answers a request that is left when the process ends. Without an
-// answer its caller would see the connection close, and would not know that a
-// request which only waited can be sent again.
-func (r *Router) cutAtStop(req *request) {
-	if req.backend != nil {
-		req.mayHaveRun = true
-		r.emit(Abandon{Key: req.key, Attempt: req.number})
-	}
-	r.giveUp(req, code.Draining, "the process stops")
-}
-
 // overdue tells that an idempotent request should be tried elsewhere.
 func (r *Router) overdue(req *request) bool {
 	if req.attempt.answered || !r.mayRepeat(req) {
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -167,6 +167,10 @@
 		r.giveUp(req, code.NoBackend, "all attempts were used")
 		return
 	}
+	if !r.endsInTime(req, 0) {
+		r.refuseAtStop(req)
+		return
+	}
 	if !r.anyCandidate(req) {
 		r.giveUp(req, code.NoBackend, "no backend server of the service takes requests")
 		return
@@ -218,6 +222,10 @@
 		r.refusePoison(req)
 		return
 	}
+	if !r.endsInTime(req, c.forecast.ahead) {
+		r.refuseAtStop(req)
+		return
+	}
 	if !r.permitted(req, b, c.spare) {
 		return
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -174,9 +174,7 @@
 	case StoreState:
 		r.ownRead(e.Reachable)
 	case Stopping:
-		r.stopAt = e.Until
-		r.gate.Leave()
-		r.pumpAll()
+		r.stop(e.Until)
 	case LoaderUp:
 		r.loaderUp(e.Loader)
 	case LoaderDown:
--- a/internal/router/speed.go
+++ b/internal/router/speed.go
@@ -104,7 +104,12 @@
 
 // answerTime is the time of an answer without load.
 func (m *modelSpeed) answerTime() time.Duration {
-	return m.first + time.Duration(m.events*float64(m.pause))
+	return m.first + m.generating()
+}
+
+// generating is the time from the first event to the last without load.
+func (m *modelSpeed) generating() time.Duration {
+	return time.Duration(m.events * float64(m.pause))
 }
 
 // undisturbed is the time of an answer of a model without load. For one that
@@ -112,12 +117,24 @@
 // moves to a new model would else count as no load for as long as its first
 // answers take. 0 if nothing is known.
 func (s *speed) undisturbed(model string) time.Duration {
+	return s.estimate(model, (*modelSpeed).answerTime)
+}
+
+// generating is the time from the first event of an answer to its last without load,
+// estimated in the same way.
+func (s *speed) generating(model string) time.Duration {
+	return s.estimate(model, (*modelSpeed).generating)
+}
+
+// estimate is a time of a model's answers, the mean of all models' for one that has not
+// answered yet, 0 if none has.
+func (s *speed) estimate(model string, of func(*modelSpeed) time.Duration) time.Duration {
 	if m := s.models[model]; m != nil {
-		return m.answerTime()
+		return of(m)
 	}
 	sum := time.Duration(0)
 	for _, m := range s.models {
-		sum += m.answerTime()
+		sum += of(m)
 	}
 	return sum / time.Duration(max(1, len(s.models)))
 }
--- a/internal/router/stop_test.go
+++ b/internal/router/stop_test.go
@@ -44,3 +44,94 @@
 		t.Error("the server was left at work")
 	}
 }
+
+// teachPace lets an engine answer until the router knows that an answer takes about a
+// second.
+func (w *world) teachPace(routeName, model string) {
+	w.t.Helper()
+	for range 5 {
+		key := w.call(routeName, prompt(model))
+		attempt := w.lastSend(key).Attempt
+		w.now = w.now.Add(100 * time.Millisecond)
+		w.step(FirstEvent{Key: key, Attempt: attempt})
+		w.now = w.now.Add(900 * time.Millisecond)
+		w.step(Done{Key: key, Attempt: attempt, Events: 10, Pause: 100 * time.Millisecond})
+		w.holds(0, core.Holdings{FreeMB: 50_000, Models: loadedModels(model)})
+	}
+}
+
+// wantRefusedAtStop checks that a request was refused as not run, with a time at which
+// another host takes it.
+func (w *world) wantRefusedAtStop(key Key) {
+	w.t.Helper()
+	finish, ended := w.finishes[key]
+	if !ended || finish.Code != code.Draining || finish.RetryAfter <= 0 || finish.RetryAfter > 2*quickReturn {
+		w.t.Errorf("ended %t, %+v; want a refusal with a short time to come back", ended, finish)
+	}
+	if len(w.sends[key]) > 0 {
+		w.t.Errorf("it was sent: %+v", w.sends[key])
+	}
+}
+
+// Guards against a stream that is sent to its engine a moment before its router ends, and
+// cut there.
+func TestStopRefusesWhatWaitsForItsModel(t *testing.T) {
+	w := newWorld(t)
+	w.servers(engineService, 1)
+	w.holds(0, core.Holdings{FreeMB: 50_000, Models: loadedModels("m0")})
+	w.teachPace("patient", "m0")
+	w.holds(0, core.Holdings{FreeMB: 20_000, Models: append(loadedModels("m0"),
+		core.HeldModel{Name: "m1", State: core.HoldLoading, ReadyIn: time.Second})})
+	key := w.call("patient", prompt("m1"))
+	w.step(Stopping{Until: w.now.Add(2 * time.Second)})
+	w.wantRefusedAtStop(key)
+}
+
+// Guards against the opposite: a request that can be answered whole before the stop is
+// refused.
+func TestStopLetsEndWhatCan(t *testing.T) {
+	w := newWorld(t)
+	w.servers(engineService, 1)
+	w.holds(0, core.Holdings{FreeMB: 50_000, Models: loadedModels("m0")})
+	w.teachPace("patient", "m0")
+	w.holds(0, core.Holdings{FreeMB: 20_000, Models: append(loadedModels("m0"),
+		core.HeldModel{Name: "m1", State: core.HoldLoading, ReadyIn: time.Second})})
+	waits := w.call("patient", prompt("m1"))
+	w.step(Stopping{Until: w.now.Add(7 * time.Second)})
+	comes := w.call("patient", prompt("m0"))
+	w.holds(0, core.Holdings{FreeMB: 20_000, Models: loadedModels("m0", "m1")})
+	for _, key := range []Key{waits, comes} {
+		if len(w.sends[key]) != 1 {
+			t.Errorf("request %d was not sent: %+v", key, w.finishes[key])
+		}
+	}
+}
+
+// Guards against sending on a request that comes, or whose engine was slow to take it,
+// when its router is about to end.
+func TestStopRefusesWhatComesLate(t *testing.T) {
+	w := newWorld(t)
+	w.servers(engineService, 1)
+	w.holds(0, core.Holdings{FreeMB: 50_000, Models: loadedModels("m0")})
+	w.teachPace("patient", "m0")
+	w.step(Stopping{Until: w.now.Add(1500 * time.Millisecond)})
+	w.wantRefusedAtStop(w.call("patient", prompt("m0")))
+}
+
+// Guards against a request that waits for its account's room until its router ends: let in
+// then, it is cut.
+func TestStopRefusesWhatWaitsForItsAccount(t *testing.T) {
+	w := newQuotaWorld(t)
+	key := w.callWith("again", validKey)
+	w.step(Stopping{Until: w.now.Add(100 * time.Millisecond)})
+	w.wantRefusedAtStop(key)
+}
+
+// Guards against the same of a request that waits for a server's permit.
+func TestStopRefusesWhatWaitsForAPermit(t *testing.T) {
+	w := limitedWorld(t, 1, 2)
+	key := w.call("once", nil)
+	w.lastAsk()
+	w.step(Stopping{Until: w.now.Add(100 * time.Millisecond)})
+	w.wantRefusedAtStop(key)
+}
--- a/internal/router/wait.go
+++ b/internal/router/wait.go
@@ -267,12 +267,11 @@
 // could not go elsewhere.
 func (r *Router) refuseLate(w *wait, eta time.Duration) {
 	for _, req := range slices.Clone(w.requests) {
-		ready := r.now.Add(eta)
-		if ready < min(req.firstBy, r.stopAt) {
+		if !r.endsInTime(req, eta) {
+			r.refuseAtStop(req)
 			continue
 		}
-		if ready < req.firstBy {
-			r.giveUp(req, code.Draining, "the process stops before the model is loaded")
+		if r.now.Add(eta) < req.firstBy {
 			continue
 		}
 		if req.mayHaveRun {
