--- a/internal/fleet/backend.go
+++ b/internal/fleet/backend.go
@@ -160,5 +160,11 @@
 	LimitMalformed
 )
 
-// Load is a backend server's own count of its requests.
-type Load struct{ Running, Waiting, Slots int }
+// Load is what a backend server tells of its load.
+type Load struct {
+	// Running and Waiting are its requests.
+	Running, Waiting, Slots int
+	// HostPace is how long work takes on its host at the moment, as a multiple of the
+	// usual; 0 where it is not told.
+	HostPace float64
+}
