Reads of the registry no longer grow with the number of routers

What it cost: each call to the store is priced and the store bears so many a second. Routers read at a time of their own, spread evenly over half of the longest pause, unless another's news come first. While news are on their way (some 150 ms on thin hosts), the more others are due, the more routers there are.

Nobody knows less than before: the longest time without news stays within the pause and the way.

Change: times are drawn from a density that grows exponentially (timers of feedback suppression in multicast, Nonnenmacher and Biersack), with the number of routers as its parameter: one is early, and about one more follows within the way, at any size. It needs the number of routers to a factor only.

Ruled out: one router that reads for all (lost with it, and a takeover needs a time-out within the same bound); a longer pause (the bounds allow none).

--- a/internal/daemon/storereader.go
+++ b/internal/daemon/storereader.go
@@ -196,6 +196,7 @@
 	s.report(snapshot.Problems)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.countReaders()
 	s.gateway.Step(router.StoreState{Reachable: true})
 	reading := s.reader.ReadWhole(clock.Now(), snapshot.At)
 	if reading == registry.Stale {
@@ -243,6 +244,7 @@
 	s.report(changes.Problems)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.countReaders()
 	s.gateway.Step(router.StoreState{Reachable: true})
 	if changes.At.Era > s.reader.Known().Era {
 		s.log.Warn("store went back; reading the whole again", "known", s.reader.Known().String(), "now", changes.At.String())
@@ -260,6 +262,11 @@
 	return nil
 }
 
+// countReaders tells the reader how many routers read the store. The caller holds s.mu.
+func (s *storeReader) countReaders() {
+	s.gateway.Look(func(r *router.Router) { s.reader.SetReaders(r.Routers()) })
+}
+
 // confirm tells the reducer that what it has was the newest when a read began, unless a
 // newer version was heard of. The caller holds s.mu.
 func (s *storeReader) confirm(begun core.Time) {
@@ -290,6 +297,7 @@
 func (s *storeReader) hear(news core.RegistryNews) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.countReaders()
 	if s.reader.Hear(clock.Now(), news.From, core.StorePosition{Era: news.Era, Revision: news.To}) == registry.Current {
 		s.gateway.Step(router.NewsHeard{News: news})
 	}
--- a/internal/registry/reader.go
+++ b/internal/registry/reader.go
@@ -7,11 +7,13 @@
 // all routers; who hears of it in time need not read.
 //
 // No router is needed for another: each has a time of its own, mixed by chance, after
-// which it reads if it has heard nothing newer. What gets lost costs a call. The
-// package has no I/O and no clock.
+// which it reads if it has heard nothing newer. What gets lost costs a call. So that a
+// large fleet reads no more often than a small one, the times are spread by the number of
+// routers; see share. The package has no I/O and no clock.
 package registry
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -31,6 +33,8 @@
 type Reader struct {
 	rand  *rand.Rand
 	pause time.Duration
+	// readers is the number of routers that read, as far as known.
+	readers int
 	// known is the position up to which the registry is known. Its revision is 0 if that
 	// has to be read as a whole; the era stays then.
 	known core.StorePosition
@@ -50,6 +54,9 @@
 // SetPause replaces the longest pause from the next time on.
 func (r *Reader) SetPause(pause time.Duration) { r.pause = pause }
 
+// SetReaders tells how many routers read the registry and hear of each other's reads.
+func (r *Reader) SetReaders(n int) { r.readers = n }
+
 // Known is the position up to which the registry is known. Its revision is 0 if it has to
 // be read as a whole.
 func (r *Reader) Known() core.StorePosition { return r.known }
@@ -145,6 +152,16 @@
 
 func (r *Reader) fresh(now core.Time) {
 	r.retry = 0
-	share := soonest + (1-soonest)*r.rand.Float64()
-	r.due = now.Add(time.Duration(share * float64(r.pause)))
+	r.due = now.Add(time.Duration((soonest + (1-soonest)*r.share()) * float64(r.pause)))
+}
+
+// share draws a time between 0 and 1 with a density that grows exponentially, the faster the
+// more routers there are: about one is early enough to come first, and about as many come
+// within the time that its news takes, whether there are 30 routers or 800.
+//
+// It guards against reads that grow with the fleet: of 385 times that are spread evenly
+// over a second, 77 lie within the 0.2 s until the first one's news are everywhere.
+func (r *Reader) share() float64 {
+	growth := 1 + math.Log(float64(max(1, r.readers)))
+	return math.Log1p(r.rand.Float64()*math.Expm1(growth)) / growth
 }
--- a/internal/registry/reader_test.go
+++ b/internal/registry/reader_test.go
@@ -17,15 +17,26 @@
 	reads   int
 	// heard tells whether the news of a reader reaches another.
 	heard func(from, to int) bool
+	// delay is how long news are on their way, and coming are those that are.
+	delay  time.Duration
+	coming []news
 	// oldest is the longest time for which a router knew nothing newer.
 	oldest  time.Duration
 	freshAt []core.Time
 }
 
+// news are what one reader told all others.
+type news struct {
+	due      core.Time
+	by       int
+	from, to int64
+}
+
 func newFleet(n int) *fleet {
 	f := &fleet{now: core.Time(time.Hour), heard: func(int, int) bool { return true }, freshAt: make([]core.Time, n)}
 	for i := range n {
 		r := NewReader(pause, uint64(i+1))
+		r.SetReaders(n)
 		r.ReadWhole(f.now, at(f.revision()))
 		f.readers = append(f.readers, r)
 		f.freshAt[i] = f.now
@@ -38,6 +49,10 @@
 
 func (f *fleet) run(d time.Duration) {
 	for end := f.now.Add(d); f.now < end; f.now = f.now.Add(time.Millisecond) {
+		for len(f.coming) > 0 && f.now >= f.coming[0].due {
+			f.deliver(f.coming[0])
+			f.coming = f.coming[1:]
+		}
 		for i, r := range f.readers {
 			f.oldest = max(f.oldest, f.now.Sub(f.freshAt[i]))
 			if f.now >= r.Due() {
@@ -52,13 +67,40 @@
 	from, to := r.Known().Revision, at(f.revision())
 	r.ReadChanges(f.now, from, to)
 	f.freshAt[i] = f.now
+	n := news{due: f.now.Add(f.delay), by: i, from: from, to: to.Revision}
+	if f.delay > 0 {
+		f.coming = append(f.coming, n)
+		return
+	}
+	f.deliver(n)
+}
+
+func (f *fleet) deliver(n news) {
 	for j, other := range f.readers {
-		if j != i && f.heard(i, j) && other.Hear(f.now, from, to) == Current {
+		if j != n.by && f.heard(n.by, j) && other.Hear(f.now, n.from, at(n.to)) == Current {
 			f.freshAt[j] = f.now
 		}
 	}
 }
 
+// Guards against reads that grow with the fleet: while one router's news are on their way,
+// the more others are due, the more routers there are.
+func TestReadsDoNotGrowWithTheFleet(t *testing.T) {
+	const seconds, mostPerSecond = 20, 12
+	for _, routers := range []int{30, 385, 770} {
+		f := newFleet(routers)
+		f.delay = 150 * time.Millisecond
+		f.run(seconds * time.Second)
+		if f.reads > seconds*mostPerSecond {
+			t.Errorf("%d routers read %d times in %d s", routers, f.reads, seconds)
+		}
+		if f.oldest > pause+f.delay {
+			t.Errorf("of %d routers one knew nothing newer for %v", routers, f.oldest)
+		}
+		t.Logf("%d routers: %d reads", routers, f.reads)
+	}
+}
+
 // 68 routers that each read on their own make 50 calls a second at this pause. With
 // news passed on, one or two do at a time, and nobody knows less than before.
 func TestManyRoutersReadOnce(t *testing.T) {
--- a/internal/router/loaders.go
+++ b/internal/router/loaders.go
@@ -231,6 +231,9 @@
 	return up[:min(most, len(up))]
 }
 
+// Routers is the number of routers, this one included, as far as known.
+func (r *Router) Routers() int { return r.routers() }
+
 // routers is the number of routers that share bounds, as far as known.
 func (r *Router) routers() int {
 	if r.routersAt == r.steps && r.knownRouters > 0 {
