Connections between processes are pinged by one end, at a bounded rate

What it cost: each end of each connection pinged it each 5 s. With 600 loaders a router sent and answered 480 frames a second on connections at which nothing happens, a loader beside 385 routers 310, of a processor that is a seventh and a third of a core. It grows with the product of both.

Cause: both ends pinged, and the pause knew nothing of the number of peers.

Change: the end that dialled pings; the other listens, and pings itself only when it has heard nothing for an interval. A process of the platform pings at most 100 times a second; beyond 500 peers the pause grows. Silence on a connection that something is waited for on is found by the words on it, as before.

Ruled out: no pings at all and words alone; steady engines say nothing for long in what follows.

--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -29,9 +29,12 @@
 	// memoryShare of the limit is where the collector works harder; the rest
 	// is for what it does not count.
 	memoryShare = 0.8
-	// peerPing is the time between pings. Holdings and demands come more often
-	// and show earlier that a connection is silent.
+	// peerPing is the time between pings. Where something is waited for, words come more
+	// often and show earlier that a connection is silent.
 	peerPing = 5 * time.Second
+	// peerPingRate bounds the pings per second of a process, each some 20 us: with more
+	// than 500 peers the time between pings grows.
+	peerPingRate = 100
 	// peerDial bounds a dial of a loader.
 	peerDial = time.Second
 	// settingsPoll is the time between two looks at the settings file, which
@@ -109,7 +112,7 @@
 	put := pump(post)
 	return wire.New(wire.Options{
 		Host: core.HostID(p.settings.Address), Incarnation: core.Incarnation(randomUint64()),
-		PingInterval: peerPing, DialTimeout: peerDial,
+		PingInterval: peerPing, PingRate: peerPingRate, DialTimeout: peerDial,
 		Metrics: newWireMetrics(p.metrics.Registry()), Log: p.log,
 	}, put)
 }
--- a/internal/wire/dial.go
+++ b/internal/wire/dial.go
@@ -43,7 +43,7 @@
 }
 
 func (n *Node) handshake(ctx context.Context, peer core.HostID, address string) (*link, error) {
-	var tcp net.Conn
+	var tcp *meteredConn
 	var tlsConfig *tls.Config
 	if n.opts.TLS != nil {
 		tlsConfig = n.opts.TLS()
@@ -79,7 +79,9 @@
 		_ = conn.CloseNow()
 		return nil, err
 	}
-	return newLink(n, peer, incarnation, conn, tcp), nil
+	l := newLink(n, peer, incarnation, conn, tcp)
+	l.dialled = true
+	return l, nil
 }
 
 func (n *Node) url(address string) string {
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"net"
 	"sync"
 	"time"
 
@@ -29,7 +28,9 @@
 	incarnation core.Incarnation
 	conn        *websocket.Conn
 	// tcp lies below conn. Closing it ends all reads and writes at once.
-	tcp net.Conn
+	tcp *meteredConn
+	// dialled is set at the end that dialled.
+	dialled bool
 
 	mu      sync.Mutex
 	queue   queue
@@ -41,9 +42,11 @@
 	aborted   bool
 	cause     error
 	pingTimer *time.Timer
+	// readsSeen are the reads of tcp as of the last look for silence.
+	readsSeen int64
 }
 
-func newLink(n *Node, peer core.HostID, incarnation core.Incarnation, conn *websocket.Conn, tcp net.Conn) *link {
+func newLink(n *Node, peer core.HostID, incarnation core.Incarnation, conn *websocket.Conn, tcp *meteredConn) *link {
 	conn.SetReadLimit(int64(n.opts.MaxMessage + maxBatch))
 	return &link{node: n, peer: peer, incarnation: incarnation, conn: conn, tcp: tcp}
 }
@@ -230,19 +233,49 @@
 func (l *link) schedulePing() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.schedulePingLocked()
+}
+
+func (l *link) schedulePingLocked() {
 	if !l.aborted && !l.closing {
-		l.pingTimer = time.AfterFunc(l.node.opts.PingInterval, l.startPing)
+		pause := l.node.opts.pingPause(int(l.node.open.Load()))
+		l.pingTimer = time.AfterFunc(pause, l.startPing)
 	}
 }
 
+// startPing pings, unless the peer does: the end that accepted the connection hears the
+// other's pings, and pings itself only where they stop. Pinged by both ends, idle
+// connections cost a process beside many peers twice as much.
 func (l *link) startPing() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.aborted && !l.closing {
+	switch {
+	case l.aborted || l.closing:
+	case !l.dialled && l.heardLately():
+		l.schedulePingLocked()
+	default:
 		l.node.tasks.Go(l.ping)
 	}
 }
 
+// heardLately tells whether anything came since the last look. It holds l.mu.
+func (l *link) heardLately() bool {
+	reads := l.tcp.reads.Load()
+	heard := reads != l.readsSeen
+	l.readsSeen = reads
+	return heard
+}
+
+// pingTimeout is how long a pong is waited for. An end that accepted the connection has
+// heard nothing for an interval before it pings.
+func (l *link) pingTimeout() time.Duration {
+	intervals := unansweredIntervals
+	if !l.dialled {
+		intervals--
+	}
+	return time.Duration(intervals) * l.node.opts.PingInterval
+}
+
 // ping sends one ping and waits for its pong.
 //
 // It guards against a connection that went silent: something on the path lost
@@ -252,8 +285,7 @@
 // full queue can't hold a ping up, as it waits for the batch in progress only;
 // a peer that does not even take that batch within the time-out is cut too.
 func (l *link) ping() {
-	timeout := unansweredIntervals * l.node.opts.PingInterval
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	ctx, cancel := context.WithTimeout(context.Background(), l.pingTimeout())
 	defer cancel()
 	if err := l.conn.Ping(ctx); err != nil {
 		l.unanswered()
--- a/internal/wire/meter.go
+++ b/internal/wire/meter.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"net"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 )
@@ -12,11 +13,16 @@
 type meteredConn struct {
 	net.Conn
 	metrics Metrics
+	// reads counts the reads that brought something.
+	reads atomic.Int64
 }
 
 // Read implements net.Conn.
 func (c *meteredConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.reads.Add(1)
+	}
 	c.metrics.BytesIn(n)
 	return n, err
 }
@@ -34,7 +40,7 @@
 type hijacker struct {
 	http.ResponseWriter
 	metrics Metrics
-	conn    net.Conn
+	conn    *meteredConn
 }
 
 // Hijack implements http.Hijacker.
--- a/internal/wire/node.go
+++ b/internal/wire/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,6 +25,8 @@
 	upgrades *rate.Limiter
 	// tasks counts the goroutines that Close waits for.
 	tasks sync.WaitGroup
+	// open is the number of links, for those who don't hold mu.
+	open atomic.Int64
 
 	// mu guards the fields below and is held while events are posted. That
 	// gives them one order: once a connection is no longer in links, nothing
@@ -161,6 +164,7 @@
 		old.abort(errSuperseded)
 	}
 	n.links[l.peer] = l
+	n.open.Add(1)
 	n.opts.Metrics.Connections(1)
 	n.opts.Log.Info("connection up", "peer", l.peer, "incarnation", uint64(l.incarnation))
 	n.post(core.PeerUp{Peer: l.peer, Incarnation: l.incarnation})
@@ -176,6 +180,7 @@
 		return nil
 	}
 	delete(n.links, peer)
+	n.open.Add(-1)
 	n.opts.Metrics.Connections(-1)
 	return l
 }
--- a/internal/wire/options.go
+++ b/internal/wire/options.go
@@ -35,9 +35,14 @@
 	// Host and Incarnation identify this process to its peers.
 	Host        core.HostID
 	Incarnation core.Incarnation
-	// PingInterval is the pause between two pings on a connection. A silent
-	// connection is found within unansweredIntervals+1 intervals.
+	// PingInterval is the pause between two pings on a connection, by the end that
+	// dialled it; the other end pings when it hears nothing. A silent connection is
+	// found within unansweredIntervals+1 intervals.
 	PingInterval time.Duration
+	// PingRate, if not 0, bounds the pings per second on all connections together:
+	// beyond it the pause grows with their number, and the time in which a silent
+	// connection is found with it.
+	PingRate float64
 	// DialTimeout bounds a dial, with the handshake.
 	DialTimeout time.Duration
 	// UpgradeRate (per second) and UpgradeBurst are the token bucket of
@@ -83,6 +88,14 @@
 func (noMetrics) BadMessage()     {}
 func (noMetrics) StuckPeer()      {}
 
+// pingPause is the pause between two pings on each of so many connections.
+func (o Options) pingPause(connections int) time.Duration {
+	if o.PingRate <= 0 {
+		return o.PingInterval
+	}
+	return max(o.PingInterval, time.Duration(float64(connections)/o.PingRate*float64(time.Second)))
+}
+
 func (o Options) withDefaults() Options {
 	defaults.Set(&o.PingInterval, DefaultPingInterval)
 	defaults.Set(&o.DialTimeout, DefaultDialTimeout)
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -134,6 +134,16 @@
 	}
 }
 
+// Guards against pings that take the more of a process's time the more peers it has.
+func TestPingPauseGrowsWithThePeers(t *testing.T) {
+	opts := Options{PingInterval: 5 * time.Second, PingRate: 100}
+	for connections, want := range map[int]time.Duration{0: 5 * time.Second, 500: 5 * time.Second, 1200: 12 * time.Second} {
+		if got := opts.pingPause(connections); got != want {
+			t.Errorf("%d connections: a ping each %v, want %v", connections, got, want)
+		}
+	}
+}
+
 // A registration charge runs after its caller was told "not run": the entry
 // lost its connection, resumed on a new one and got NotStarted, and then the
 // agent read the Start that was still buffered on the old connection.
