A router's start no longer sorts all servers for each one

Cause: replaceInstances sorted and walked all servers.

Change: servers are indexed by address. The order among those at one address is the same, by instance.

Tests: those of replaced and restarted servers hold unchanged. Ruled out: the registration's own sort (one for the whole list).

--- a/internal/router/loaders.go
+++ b/internal/router/loaders.go
@@ -86,6 +86,7 @@
 	}
 	delete(r.backends, b.Instance)
 	r.byService = nil
+	r.setAddress(b, "")
 }
 
 // engineAt returns the listed engine beside a loader, nil if there is none.
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -101,6 +101,7 @@
 		b = &backend{sent: map[Key]*attempt{}, cache: work.NewCache(r.kvTokens(entry.Service)), pace: 1, foundAt: r.now, limit: r.newServerLimit(entry.Instance)}
 		r.backends[entry.Instance] = b
 		r.byService = nil
+		r.setAddress(b, entry.Address)
 		b.Backend = entry
 		r.replaceInstances(b)
 		r.log(Belief, "backend server found", b.attrs("slots", entry.Slots, "draining", entry.Draining)...)
@@ -119,6 +120,7 @@
 	if entry.Born == 0 {
 		entry.Born = b.Born
 	}
+	r.setAddress(b, entry.Address)
 	b.Backend, b.lapsed, b.aliveAt = entry, false, r.now
 	if !b.replaced {
 		b.unlistedAt = 0
@@ -135,15 +137,30 @@
 	return 0
 }
 
+// setAddress keeps the index of backend servers by address; "" takes one out. A fleet has
+// a few at one address at the most, and each new one looks for others at its own.
+func (r *Router) setAddress(b *backend, address string) {
+	if listed := slices.Contains(r.byAddress[b.Address], b); listed && b.Address == address {
+		return
+	}
+	if rest := without(r.byAddress[b.Address], b); len(rest) > 0 {
+		r.byAddress[b.Address] = rest
+	} else {
+		delete(r.byAddress, b.Address)
+	}
+	if address != "" {
+		r.byAddress[address] = with(r.byAddress[address], b)
+	}
+}
+
 // replaceInstances takes other instances at the address of a new one for gone.
 //
 // It guards against a server that crashed and started again: its old entry
 // stays for some heartbeats, and may come once more with a late one. Requests
 // for the old instance would be refused by the new one.
 func (r *Router) replaceInstances(newest *backend) {
-	for _, instance := range slices.Sorted(maps.Keys(r.backends)) {
-		other := r.backends[instance]
-		if other == newest || other.Address != newest.Address || other.replaced {
+	for _, other := range r.byAddress[newest.Address] {
+		if other == newest || other.replaced {
 			continue
 		}
 		other.replaced = true
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -45,6 +45,8 @@
 	backends map[string]*backend
 	// byService groups backends; nil after a change of their set, until used.
 	byService map[string][]*backend
+	// byAddress lists them by address.
+	byAddress map[string][]*backend
 	// registryRead is set once the registry was read.
 	registryRead bool
 	// storeDown is since when the store does not answer, 0 while it does.
@@ -134,7 +136,7 @@
 		rand:     rand.New(rand.NewPCG(opts.Seed, opts.Seed)),
 		routes:   routeTable{},
 		services: map[string]*service{},
-		backends: map[string]*backend{},
+		backends: map[string]*backend{}, byAddress: map[string][]*backend{},
 		loaders:  map[core.HostID]*loader{},
 		requests: map[Key]*request{},
 		waits:    map[waitKey]*wait{},
