Large fleets hear of steady engines by digests, and follow a strong router

What it cost: each loader told each router each second that it is alive, 231,000 messages a second of 600 loaders and 385 routers, each some 20 us at both ends, also in the 24 s before the first caller. Words on counts came each 8 ms for each connected router, 3.1 s there, so that routers chose by words that old.

Ways weighed: (a) all from all, as it was; (b) few routers a zone that hear all and pass on; (c) each router hears a part and asks for the rest. Built is (b) in its least form: the coordinator, which hears all loaders anyway, tells the others four times a second who is silent and whose counts changed. Loaders pass that on, each to a hundred routers. Loaders speak themselves to whom something waits or runs with them, and to all of what is no longer taken, at once as before, and of other changes within a second. (c) was not built: which part a router needs changes with each request.

Not needed for correctness: without digests for 1.25 s a router asks loaders for their own words. Digests begin where words to all would take longer than a heartbeat's pause (126 routers); below, nothing changes. Of routers that have been connected for long the strongest is followed (setting processor), the lowest name among equals: a host with a seventh of a core can't hear 600 engines.

Measured in virtual time (TestDigestsTakeThePlaceOfHeartbeats): 140 routers, 12 loaders, nothing changes: 3 words a second for each loader at the most, 140 before.

Known limit: changes of what engines hold go to all routers within a second, so that a router's messages still grow with the engines that load something.

--- a/internal/core/loading.go
+++ b/internal/core/loading.go
@@ -23,6 +23,10 @@
 	// Permits names the models whose load from the weight store may begin.
 	// Only the coordinating router sends any.
 	Permits []string `cbor:"5,keyasint,omitempty"`
+	// Direct asks for the loader's own words where digests would do: none come.
+	Direct bool `cbor:"8,keyasint,omitempty"`
+	// Processor is the router's share of a processor, in its first word on a connection.
+	Processor float64 `cbor:"9,keyasint,omitempty"`
 }
 
 // SpecID names an engine's configuration.
@@ -148,6 +152,9 @@
 	// Config is the newest version of the configuration that the loader has heard of, 0
 	// if of none.
 	Config int64 `cbor:"18,keyasint,omitempty"`
+	// Digested says that routers which don't wait for anything here hear of steady times
+	// by the coordinator's digests; see LoadDigest.
+	Digested bool `cbor:"19,keyasint,omitempty"`
 }
 
 // Counts is a loader's word to routers when nothing else has changed since its last
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -83,7 +83,7 @@
 	defer store.Close()
 	notes := newNoteKeeper(store, p.log)
 	p.gateway = gateway.New(router.New(router.Options{
-		Host: core.HostID(p.settings.Address), Zone: p.settings.Zone, LoaderPort: p.settings.LoaderPort,
+		Host: core.HostID(p.settings.Address), Zone: p.settings.Zone, LoaderPort: p.settings.LoaderPort, Processor: p.settings.Processor,
 		Bounds: p.settings.Fleet(), Seed: randomUint64(),
 	}), gateway.Options{Links: p.links, Publish: notes.put, LookIntoStore: p.lookIntoStore, Metrics: p.metrics, Log: p.log, Requests: p.requests})
 	p.reader = newStoreReader(store, p.gateway, readPause(p.settings.Bounds), p.log)
@@ -225,6 +225,9 @@
 			p.gateway.Step(router.LoaderSaid{Loader: e.From, Holdings: m})
 		case core.Counts:
 			p.gateway.Step(router.LoaderCounted{Loader: e.From, Counts: m})
+		case core.LoadDigest:
+			p.reader.heardOf(m.Config)
+			p.gateway.Step(router.DigestHeard{Digest: m})
 		case core.SpecWanted:
 			p.gateway.Step(router.LoaderWantsSpec{Loader: e.From})
 		case core.ConfigWanted:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -92,6 +92,8 @@
 		for _, to := range e.Via {
 			g.opts.Links.Do(core.Send{To: to, Message: e.News})
 		}
+	case router.TellDigest:
+		g.opts.Links.Do(core.Send{To: e.Loader, Message: e.Digest})
 	case router.AskConfig:
 		for _, to := range e.Loaders {
 			g.opts.Links.Do(core.Send{To: to, Message: e.Wanted})
--- a/internal/loader/coordinator.go
+++ b/internal/loader/coordinator.go
@@ -18,8 +18,8 @@
 )
 
 // coordinator is the router that the loader follows, "" if none: of those that have
-// been connected for long the one of the lowest name; of a fleet that has just
-// started the lowest of all.
+// been connected for long the strongest, of equal ones that of the lowest name; of a
+// fleet that has just started the same of all.
 //
 // It guards against many coordinators: a loader that had just started followed the
 // first router that reached it, for some ms, and that one shared out copies and loads
@@ -27,25 +27,32 @@
 // routers had the same model read from the store, which then served none in time.
 func (l *Loader) coordinator() core.HostID {
 	if !l.followedKnown {
-		l.followed, l.followedKnown = l.lowest(), true
+		l.followed, l.followedKnown = l.toFollow(), true
 	}
 	return l.followed
 }
 
-func (l *Loader) lowest() core.HostID {
-	first, settled := core.HostID(""), false
+// toFollow picks the coordinator. Strong ones come first: whoever coordinates hears of all
+// engines at once, which in a large fleet takes more than the whole of a small host.
+func (l *Loader) toFollow() core.HostID {
+	var best, known *router
+	settled := false
 	for _, r := range l.connected {
 		age := l.now.Sub(r.upAt)
-		if age >= knownFor {
-			return r.name
-		}
 		settled = settled || age >= settleTime
-		if first == "" {
-			first = r.name
+		if best == nil || r.processor > best.processor {
+			best = r
+		}
+		if age >= knownFor && (known == nil || r.processor > known.processor) {
+			known = r
 		}
 	}
-	if !settled {
+	switch {
+	case known != nil:
+		return known.name
+	case settled:
+		return best.name
+	default:
 		return ""
 	}
-	return first
 }
--- a/internal/loader/event.go
+++ b/internal/loader/event.go
@@ -46,6 +46,12 @@
 	News   core.RegistryNews
 }
 
+// RouterPassedDigest is a digest that a router wants passed on.
+type RouterPassedDigest struct {
+	Router core.HostID
+	Digest core.LoadDigest
+}
+
 // RouterTold is news of poison requests that a router wants passed on.
 type RouterTold struct {
 	Router core.HostID
@@ -80,6 +86,7 @@
 func (RouterPassedConfig) event() {}
 func (RouterAskedQuota) event()   {}
 func (RouterAskedLimit) event()   {}
+func (RouterPassedDigest) event() {}
 func (RouterTold) event()         {}
 func (RouterRead) event()         {}
 func (Tick) event()               {}
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -19,6 +19,9 @@
 	// time in which a long prompt is read. At 250 ms an engine that was free when it
 	// was heard of had two of them before the next word.
 	leastCountsInterval = 100 * time.Millisecond
+	// digestedCountsInterval is that time in a large fleet, where few routers hear of
+	// counts by the loader itself, but one of them hears of all engines.
+	digestedCountsInterval = 250 * time.Millisecond
 	// wordPause is the time that a loader leaves for each connected router between
 	// two words to all of them, which bounds it to 125 messages a second. Each
 	// message costs both processes some 20 us and its bytes: without a bound,
@@ -99,6 +102,8 @@
 	configs configs
 	usage   usage
 	merged  merged
+	// digested is set in a large fleet; see tellRouters.
+	digested bool
 	// useSums are the uses of all routers, by what is used.
 	useSums map[modelKey]*useSum
 	told    told
@@ -154,6 +159,9 @@
 	case RouterPassedConfig:
 		l.configPassed(e.Router, e.Config)
 		return l.out
+	case RouterPassedDigest:
+		l.passDigest(e.Router, e.Digest)
+		return l.out
 	case RouterTold:
 		l.ledger.Hear(now, e.News)
 		l.passOn(e.Router, e.News)
@@ -189,6 +197,9 @@
 	if r == nil {
 		return core.Demand{}
 	}
+	if e.Demand.Processor > 0 {
+		r.processor = e.Demand.Processor
+	}
 	if e.Demand.Spec.Hash != 0 {
 		r.spec, l.specNamed = e.Demand.Spec, true
 	}
@@ -214,6 +225,22 @@
 	}
 }
 
+// passDigest sends a router's digest to the part of the others that it is for.
+func (l *Loader) passDigest(from core.HostID, digest core.LoadDigest) {
+	if digest.Parts <= 0 {
+		return
+	}
+	var part []core.HostID
+	for i, name := range l.names {
+		if i%digest.Parts == digest.Part && name != from {
+			part = append(part, name)
+		}
+	}
+	if len(part) > 0 {
+		l.emit(PassOn{Routers: part, News: digest})
+	}
+}
+
 // tellPoison tells a router that has just connected what others have told of poison
 // requests. It may have started a moment ago, and would let them end three servers
 // more before it knew them.
--- a/internal/loader/routers.go
+++ b/internal/loader/routers.go
@@ -18,6 +18,8 @@
 	heardAt, upAt core.Time
 	// spec names the engine's configuration that it has.
 	spec core.SpecID
+	// processor is its share of a processor, 0 before it has told.
+	processor float64
 	// version and nearVersion are those of the holdings that it was told last, 0
 	// before the first.
 	version, nearVersion int
--- a/internal/loader/tell.go
+++ b/internal/loader/tell.go
@@ -20,8 +20,9 @@
 	// copies among them; 0 before the first. Routers have to know the version
 	// urgent at once.
 	version, nearVersion, urgent int
-	// at is when all routers were told, countsAt when they heard of counts.
-	at, countsAt core.Time
+	// at is when all routers that hear of it were told, countsAt when they heard of
+	// counts, newsAt when all were last told of a change.
+	at, countsAt, newsAt core.Time
 	// whole and light are reused lists of routers.
 	whole, light []core.HostID
 }
@@ -31,22 +32,28 @@
 // once, as all are of a model that takes no more requests; the rest is told to
 // all together after a while. A heartbeat of an engine at which nothing happens has
 // its counts alone, a twentieth of the holdings' size.
+//
+// In a large fleet only those that wait for something here, and the coordinator, hear of
+// what does not change: the others have it from the coordinator's digests.
 func (l *Loader) tellRouters() {
 	if len(l.routers) == 0 {
 		return
 	}
+	l.noteDigested()
 	holdings := l.holdings()
 	l.noteChange(holdings)
 	t := &l.told
-	since := l.now.Sub(t.at)
-	heartbeat := since >= HeartbeatInterval
-	news := heartbeat || since >= l.wordInterval()
+	heartbeat := l.now.Sub(t.at) >= HeartbeatInterval
+	news := heartbeat || l.now.Sub(t.at) >= l.wordInterval()
+	if l.digested {
+		news = l.now.Sub(t.newsAt) >= HeartbeatInterval
+	}
 	full := heartbeat && !steady(holdings, t.holdings)
 	t.whole, t.light = t.whole[:0], t.light[:0]
 	behind := false
 	for _, r := range l.connected {
 		late := r.version < t.version
-		if !full && !(late && (news || l.hearsAtOnce(r))) {
+		if !(full && l.hears(r)) && !(late && (news || l.hearsAtOnce(r))) {
 			behind = behind || late
 			continue
 		}
@@ -58,18 +65,48 @@
 		r.version, r.nearVersion = t.version, t.nearVersion
 	}
 	l.emitHoldings(holdings)
+	told := len(t.whole)+len(t.light) > 0
+	if news && told {
+		t.newsAt = l.now
+	}
 	switch {
-	case full, news && len(t.whole)+len(t.light) > 0 && !behind:
+	case full, news && told && !behind && !l.digested:
 		t.holdings = holdings
 		t.at, t.countsAt = l.now, l.now
 	case heartbeat:
 		t.at = l.now
 		l.tellCounts(holdings)
-	case l.now.Sub(t.countsAt) >= max(leastCountsInterval, l.wordInterval()) && !sameCounts(holdings, t.holdings):
+	case l.now.Sub(t.countsAt) >= l.countsInterval() && !holdings.Counts().About(t.holdings.Counts()):
 		l.tellCounts(holdings)
 	}
 }
 
+// noteDigested works out whether the fleet is so large that digests take the place of
+// heartbeats: words to all routers take longer than the pause between two of them. It
+// changes back only well below.
+func (l *Loader) noteDigested() {
+	all := l.wordInterval()
+	switch {
+	case all > HeartbeatInterval:
+		l.digested = true
+	case all < HeartbeatInterval*3/4:
+		l.digested = false
+	}
+}
+
+// hears tells whether a router hears heartbeats and counts of this loader itself.
+func (l *Loader) hears(r *router) bool {
+	return !l.digested || r.demand.Expects() || r.name == l.coordinator()
+}
+
+// countsInterval is the least time between two words on counts.
+func (l *Loader) countsInterval() time.Duration {
+	if l.digested {
+		return digestedCountsInterval
+	}
+	return max(leastCountsInterval, l.wordInterval())
+}
+
 // wordInterval is the least time between two words to all routers.
 func (l *Loader) wordInterval() time.Duration { return time.Duration(len(l.routers)) * wordPause }
 
@@ -117,15 +154,11 @@
 	t.holdings.Running, t.holdings.Waiting, t.holdings.Unread = holdings.Running, holdings.Waiting, holdings.Unread
 	var know []core.HostID
 	for _, r := range l.connected {
-		if r.version > 0 {
+		if r.version > 0 && l.hears(r) {
 			know = append(know, r.name)
 		}
 	}
-	counts := core.Counts{
-		Running: holdings.Running, Waiting: holdings.Waiting, Unread: holdings.Unread,
-		FreeMB: holdings.FreeMB, IdleMB: holdings.IdleMB,
-	}
-	l.emit(TellCounts{Routers: know, Counts: counts})
+	l.emit(TellCounts{Routers: know, Counts: holdings.Counts()})
 }
 
 // steady tells whether holdings of the same shape as told before need not be told
@@ -177,7 +210,7 @@
 func sameShape(a, b core.Holdings) bool {
 	sameResult := a.StoreLoad == b.StoreLoad || a.StoreLoad != nil && b.StoreLoad != nil && *a.StoreLoad == *b.StoreLoad
 	return a.Instance == b.Instance && a.Born == b.Born && a.Draining == b.Draining && a.Ended == b.Ended && a.Coordinator == b.Coordinator &&
-		a.Routers == b.Routers && (a.FreeIn == 0) == (b.FreeIn == 0) && sameResult &&
+		a.Digested == b.Digested && a.Routers == b.Routers && (a.FreeIn == 0) == (b.FreeIn == 0) && sameResult &&
 		sameModels(a.Models, b.Models) && sameNear(a, b)
 }
 
@@ -201,22 +234,11 @@
 	return slices.Equal(a.InMemory, b.InMemory) && slices.Equal(a.OnDisk, b.OnDisk)
 }
 
-// sameCounts tells whether counts make no difference to where a router sends a
-// request: of an engine's requests one or two always come and go.
-func sameCounts(a, b core.Holdings) bool {
-	near := func(x, y int) bool { return max(x-y, y-x) <= max(countsOff, max(x, y)/4) }
-	return near(a.Running+a.Waiting, b.Running+b.Waiting) && near(a.Unread, b.Unread)
-}
-
-// countsOff is by how many requests the count of an engine, or of its unread
-// prompts, may be off untold; of larger counts it is a quarter.
-const countsOff = 1
-
 // holdings describes the engine to routers.
 func (l *Loader) holdings() core.Holdings {
 	h := core.Holdings{
 		Instance: l.engine.life.Instance, Born: l.engine.life.Born, Coordinator: l.coordinator(), Routers: len(l.routers), StoreLoad: l.lastStore,
-		Ended: l.engine.ended, Config: l.configs.newest,
+		Ended: l.engine.ended, Config: l.configs.newest, Digested: l.digested,
 	}
 	report := l.engine.report
 	if report == nil || l.spec == nil {
--- a/internal/loader/world_test.go
+++ b/internal/loader/world_test.go
@@ -18,6 +18,8 @@
 	wake   core.Time
 	engine *fakeEngine
 	told   map[core.HostID]core.Holdings
+	// words counts what each router was told of the engine.
+	words map[core.HostID]int
 	// passed is what routers were sent of other routers' words.
 	passed map[core.HostID][]core.Message
 	// limits is what routers were told of servers' limits.
@@ -68,7 +70,7 @@
 
 func newWorld(t testing.TB, loaded ...string) *world {
 	w := &world{
-		t: t, now: core.Time(time.Hour), loader: New(Options{Host: "10.1.0.1"}), told: map[core.HostID]core.Holdings{}, passed: map[core.HostID][]core.Message{}, limits: map[core.HostID][]core.LimitTold{},
+		t: t, now: core.Time(time.Hour), loader: New(Options{Host: "10.1.0.1"}), told: map[core.HostID]core.Holdings{}, words: map[core.HostID]int{}, passed: map[core.HostID][]core.Message{}, limits: map[core.HostID][]core.LimitTold{},
 		engine: &fakeEngine{spec: testSpec(), instance: "i-1"},
 	}
 	for i := range 8 {
@@ -99,12 +101,17 @@
 			w.wake = e.At
 		case Tell:
 			for _, router := range e.Routers {
+				w.words[router]++
 				holdings := e.Holdings
 				if before := w.told[router]; holdings.NearAsBefore {
 					holdings.InMemory, holdings.OnDisk = before.InMemory, before.OnDisk
 				}
 				w.told[router] = holdings
 			}
+		case TellCounts:
+			for _, router := range e.Routers {
+				w.words[router]++
+			}
 		case AskSpec:
 			w.specAsks = append(w.specAsks, e.Router)
 		case TellLimit:
--- a/internal/router/demand.go
+++ b/internal/router/demand.go
@@ -57,6 +57,9 @@
 	if !l.dirty && past < demandKeepalive && sameDemand(l.told, demand, past) {
 		return
 	}
+	if demand.Expects() && !l.told.Expects() {
+		l.expectedSince = r.now
+	}
 	l.dirty, l.toldAt, l.told = false, r.now, demand
 	r.emit(Tell{Loader: l.name, Demand: demand})
 }
@@ -68,7 +71,7 @@
 		a.Within, b.Within = 0, 0 // it goes on by itself
 		return a == b
 	}
-	return now.Engine == nil && now.Spec.Hash == 0 && told.Instance == now.Instance && told.Born == now.Born &&
+	return now.Engine == nil && now.Spec.Hash == 0 && told.Direct == now.Direct && told.Instance == now.Instance && told.Born == now.Born &&
 		slices.Equal(told.Permits, now.Permits) &&
 		slices.EqualFunc(told.Wants, now.Wants, sameWant) && sameUses(told.Uses, now.Uses, past)
 }
@@ -130,6 +133,10 @@
 
 func (r *Router) demand(l *loader, b *backend) core.Demand {
 	demand := core.Demand{Instance: b.Instance, Born: b.Born, Permits: r.permits(l), Uses: r.uses(b)}
+	if l.told.Instance == "" { // the first word on this connection
+		demand.Processor = r.opts.Processor
+	}
+	demand.Direct = r.digests.direct && r.byDigest(l)
 	r.addSpec(&demand, l, r.service(b.Service).spec)
 	for _, key := range slices.SortedFunc(maps.Keys(r.waits), compareWaitKeys) {
 		if w := r.waits[key]; w.home == b {
--- a/internal/router/effect.go
+++ b/internal/router/effect.go
@@ -109,6 +109,12 @@
 	News core.PoisonNews
 }
 
+// TellDigest has a loader pass a digest on to a part of the other routers.
+type TellDigest struct {
+	Loader core.HostID
+	Digest core.LoadDigest
+}
+
 // AskConfig asks loaders for a configuration above a version. ConfigRead follows, if any
 // router has one.
 type AskConfig struct {
@@ -145,6 +151,7 @@
 func (AskQuota) effect()      {}
 func (AskLimit) effect()      {}
 func (TellRouters) effect()   {}
+func (TellDigest) effect()    {}
 func (Publish) effect()       {}
 func (Send) effect()          {}
 func (Forward) effect()       {}
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -67,6 +67,9 @@
 	Counts core.Counts
 }
 
+// DigestHeard is the coordinator's word on the loads of all engines.
+type DigestHeard struct{ Digest core.LoadDigest }
+
 // LoaderWantsSpec is a loader's question for its engine's configuration.
 type LoaderWantsSpec struct{ Loader core.HostID }
 
@@ -182,6 +185,7 @@
 type Lift struct{ Fingerprint core.Fingerprint }
 
 func (ConfigHeard) event()      {}
+func (DigestHeard) event()      {}
 func (ConfigConfirmed) event()  {}
 func (PoisonHeard) event()      {}
 func (Lift) event()             {}
--- a/internal/router/loaders.go
+++ b/internal/router/loaders.go
@@ -32,6 +32,13 @@
 	// heardAt is when its last word came, saidAt when the last holdings did: the times
 	// in them count from then.
 	heardAt, saidAt core.Time
+	// directAt is when its last word came from itself, or it connected.
+	directAt core.Time
+	// expectedSince is since when it knows that its own words are waited for; counts only
+	// while told expects them.
+	expectedSince core.Time
+	// digested is what this router has told the others of its counts.
+	digested digested
 	// countedAt is when the engine's counts came, with the holdings or alone.
 	countedAt core.Time
 	// ownThen is how many requests of ours ran there when the holdings came.
@@ -135,9 +142,9 @@
 	// Guards against a connection that went silent: the loader would seem to
 	// hold what it held minutes ago, and wants would reach nobody. Its
 	// heartbeats stop, so it is dialled anew.
-	if l.up && r.now.Sub(l.heardAt) > holdingsFresh {
+	if silent := r.now.Sub(max(l.directAt, r.awaitedSince(l))); l.up && silent > holdingsFresh {
 		r.log(Belief, "loader is silent; dialling it again", slog.String("loader", string(l.name)),
-			slog.String("silent", r.now.Sub(l.heardAt).String()))
+			slog.String("silent", silent.String()))
 		r.emit(Hangup{Loader: l.name})
 		l.up, l.dialing = false, false
 		r.gate.Lost(l.name)
@@ -154,7 +161,8 @@
 		r.emit(Hangup{Loader: name})
 		return
 	}
-	l.up, l.dialing, l.specNamed, l.specWanted, l.dirty, l.heardAt = true, false, 0, false, true, r.now
+	l.up, l.dialing, l.specNamed, l.specWanted, l.dirty, l.heardAt, l.directAt = true, false, 0, false, true, r.now, r.now
+	l.told = core.Demand{}
 	r.log(Belief, "loader connected", slog.String("loader", string(name)))
 	r.tellLimits(l)
 }
@@ -186,7 +194,7 @@
 	if b := r.engineAt(l); b != nil {
 		r.recountStoreLoads(b.Service, l.holdings, &holdings)
 	}
-	l.holdings, l.heardAt, l.saidAt, l.countedAt = &holdings, r.now, r.now, r.now
+	l.holdings, l.heardAt, l.saidAt, l.countedAt, l.directAt = &holdings, r.now, r.now, r.now, r.now
 	for _, b := range l.engines {
 		if b.unlistedAt == 0 && b.Instance == holdings.Instance && r.newLife(b, l.life()) {
 			b.aliveAt = r.now
@@ -211,9 +219,17 @@
 	if l == nil || l.holdings == nil {
 		return
 	}
-	l.holdings.Running, l.holdings.Waiting, l.holdings.Unread = counts.Running, counts.Waiting, counts.Unread
-	l.holdings.FreeMB, l.holdings.IdleMB = counts.FreeMB, counts.IdleMB
-	l.heardAt, l.countedAt = r.now, r.now
+	l.heardAt, l.directAt = r.now, r.now
+	r.takeCounts(l, counts, r.now)
+}
+
+// takeCounts takes an engine's counts as of a time, unless newer ones are known.
+func (r *Router) takeCounts(l *loader, counts core.Counts, at core.Time) {
+	if at < l.countedAt {
+		return
+	}
+	l.holdings.SetCounts(counts)
+	l.countedAt = at
 	if b := r.engineAt(l); b != nil {
 		if l.life().Compare(b.Incarnation) == 0 {
 			b.aliveAt = r.now
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -22,9 +22,12 @@
 
 // Options are fixed for the life of a router.
 type Options struct {
-	// Host is this router's name to loaders. The lowest name coordinates.
+	// Host is this router's name to loaders.
 	Host core.HostID
 	Zone core.Zone
+	// Processor is this process's share of a processor, 0 if not told. The strongest
+	// coordinates.
+	Processor float64
 	// LoaderPort is the port of the loader on each engine's host.
 	LoaderPort int
 	Bounds     fleet.Bounds
@@ -74,6 +77,8 @@
 	limited []*backend
 
 	lag lag
+	// digests are the coordinator's words on all loads, in a large fleet.
+	digests digests
 
 	callers callers
 	// heard is the newest configuration that was heard of.
@@ -187,6 +192,8 @@
 		r.loaderSaid(e.Loader, e.Holdings)
 	case LoaderCounted:
 		r.loaderCounted(e.Loader, e.Counts)
+	case DigestHeard:
+		r.digestHeard(e.Digest)
 	case LoaderWantsSpec:
 		r.loaderWantsSpec(e.Loader)
 	case LoaderToldQuota:
@@ -301,7 +308,9 @@
 
 func (r *Router) tick() {
 	r.dropUnlisted()
+	r.checkDigests()
 	r.checkLoaders()
+	r.sendDigest()
 	r.askConfig()
 	r.checkHeld()
 	r.tickQuotas()
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -44,6 +44,9 @@
 	Readiness netip.AddrPort `json:"readiness"`
 	// LoaderPort is the port of the loader on each engine's host. Required.
 	LoaderPort int `json:"loaderPort"`
+	// Processor is the process's share of a processor. Of all routers the strongest
+	// coordinates. Default 0: not known.
+	Processor float64 `json:"processor"`
 	// Store is the "IP:port" of the platform's store. Required.
 	Store netip.AddrPort `json:"store"`
 	// Bounds are the deployment's promises.
@@ -133,6 +136,7 @@
 	c.listen("readiness", r.Readiness)
 	c.listen("store", r.Store)
 	c.require(r.LoaderPort > 0 && r.LoaderPort < 1<<16, "loaderPort", r.LoaderPort, "a port")
+	c.require(r.Processor >= 0, "processor", r.Processor, "0 or more")
 	b := r.Bounds
 	c.positive("bounds.drain", b.Drain)
 	c.positive("bounds.configDelay", b.ConfigDelay)
