A router more or less is no news for all others

What it cost: the number of connected routers stands in loaders' words and was news whenever it changed: while 385 routers connect, or come back after a loss of power, each loader told each router of each other one, each second.

Change: it is told when it differs by more than a twentieth from what was told; it only divides shared bounds. TestFewRoutersMoreAreNoNews failed before.

--- a/internal/loader/digest_test.go
+++ b/internal/loader/digest_test.go
@@ -66,6 +66,27 @@
 	}
 }
 
+// Guards against a word to each router for each other one that comes or goes.
+func TestFewRoutersMoreAreNoNews(t *testing.T) {
+	w := largeFleet(t, 100)
+	w.words = map[core.HostID]int{}
+	for i := range 4 {
+		w.step(RouterUp{Router: largeRouter(200 + i)})
+	}
+	w.step(RouterDown{Router: largeRouter(200)})
+	if n := w.words[largeRouter(50)]; n != 0 {
+		t.Errorf("another router heard %d words", n)
+	}
+	w.run(3 * HeartbeatInterval)
+	for i := range 20 {
+		w.step(RouterUp{Router: largeRouter(300 + i)})
+	}
+	w.run(2 * HeartbeatInterval)
+	if got := w.told[largeRouter(50)].Routers; got < 120 {
+		t.Errorf("another router knows of %d routers", got)
+	}
+}
+
 // Guards against a digest that some routers get from no loader, or from several.
 func TestDigestReachesEachRouterOnce(t *testing.T) {
 	const parts = 4
--- a/internal/loader/tell.go
+++ b/internal/loader/tell.go
@@ -210,10 +210,18 @@
 func sameShape(a, b core.Holdings) bool {
 	sameResult := a.StoreLoad == b.StoreLoad || a.StoreLoad != nil && b.StoreLoad != nil && *a.StoreLoad == *b.StoreLoad
 	return a.Instance == b.Instance && a.Born == b.Born && a.Draining == b.Draining && a.Ended == b.Ended && a.Coordinator == b.Coordinator &&
-		a.Digested == b.Digested && a.Routers == b.Routers && (a.FreeIn == 0) == (b.FreeIn == 0) && sameResult &&
+		a.Digested == b.Digested && sameNumber(a.Routers, b.Routers) && (a.FreeIn == 0) == (b.FreeIn == 0) && sameResult &&
 		sameModels(a.Models, b.Models) && sameNear(a, b)
 }
 
+// sameNumber tells whether two numbers of routers make no difference to what a router
+// takes as its share: a twentieth. While 385 routers connect, each one that came was told
+// to all.
+func sameNumber(a, b int) bool { return max(a-b, b-a) <= max(a, b)/numberOff }
+
+// numberOff is the part of all routers by which their number may be off untold.
+const numberOff = 20
+
 // sameModels compares models without their order. There are a few, so that a
 // search costs less than sorted copies.
 func sameModels(a, b []core.HeldModel) bool {
