--- a/internal/router/large_bench_test.go
+++ b/internal/router/large_bench_test.go
@@ -93,3 +93,47 @@
 		}
 	}
 }
+
+// A router of a large fleet hears of steady engines by digests: of a tenth of them the
+// counts, four times a second. A tenth change what they hold within a second.
+const (
+	changesShare         = 10
+	digestedBenchRouters = 385
+)
+
+// BenchmarkDigestedSecond is one second of a router of a large fleet, without sockets.
+func BenchmarkDigestedSecond(b *testing.B) {
+	for _, engines := range []int{300, 600, 1200} {
+		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) { benchDigestedSecond(b, engines) })
+	}
+}
+
+func benchDigestedSecond(b *testing.B, engines int) {
+	w := largeWorld(b, engines)
+	digest := core.LoadDigest{From: "10.0.0.0", Parts: 4}
+	for i := range engines {
+		l := w.router.loaders[loaderName(i)]
+		l.holdings.Digested, l.holdings.Routers = true, digestedBenchRouters
+		if i%changesShare == 0 {
+			digest.Engines = append(digest.Engines, core.EngineCounts{Loader: l.name, Counts: core.Counts{Running: 6}})
+		}
+	}
+	b.ResetTimer()
+	for range b.N {
+		for i := range int(time.Second / tickInterval) {
+			w.now = w.now.Add(tickInterval)
+			if i%5 == 0 {
+				w.step(DigestHeard{Digest: digest})
+			}
+			for j := range engines / changesShare / 20 {
+				w.step(LoaderSaid{Loader: loaderName(i * j % engines), Holdings: *w.router.loaders[loaderName(i*j%engines)].holdings})
+			}
+			if i%10 == 0 {
+				key := w.call("quick", prompt(fmt.Sprintf("m%d", i%mostBusy)))
+				w.step(FirstEvent{Key: key, Attempt: 1})
+				w.step(Done{Key: key, Attempt: 1, Events: 10, Pause: 20 * time.Millisecond})
+			}
+			w.step(Tick{})
+		}
+	}
+}
