A request that all engines with its model have refused is not held

Cause: a request may not go twice to the same engine. The only engine that had its model had refused it; it then waited for the model to be loaded, at the engine where that is soonest: the same, where it stood already. Nothing ends such a wait but the deadline.

Change: where what it is for is loaded at engines that it was sent to and nowhere else, it is answered at once: refused with a time to come back if it has not run.

Ruled out for now: waiting for a further copy elsewhere (a load for each refusal while the fleet is full). Test: TestRequestRefusedByTheOnlyHolderIsNotHeld failed before.

--- a/internal/router/wait.go
+++ b/internal/router/wait.go
@@ -43,6 +43,10 @@
 		r.send(req, r.choose(req, both))
 		return
 	}
+	if r.onlyTriedHave(req) {
+		r.giveUp(req, code.NoBackend, "the engines that have its model did not take it")
+		return
+	}
 	adapter := ""
 	if base {
 		adapter = p.Adapter
@@ -55,6 +59,30 @@
 	r.join(req, key)
 }
 
+// onlyTriedHave tells whether what a request is for is loaded, but only at engines that it
+// was sent to before.
+//
+// It guards against a wait for what has come long ago: the engine that has the model has
+// refused the request, the queue for the model seems to be served by that engine, and the
+// request, which may not go there again, is held until its caller's deadline.
+func (r *Router) onlyTriedHave(req *request) bool {
+	if len(req.tried) == 0 {
+		return false
+	}
+	tried := false
+	for _, b := range r.holders(req.service, req.prompt.Model) {
+		hasModel, hasAdapter := r.loaded(b, req.prompt.Model, req.prompt.Adapter)
+		if !hasModel || !hasAdapter || !r.usable(b) || !r.hasRoom(b) {
+			continue
+		}
+		if !slices.Contains(req.tried, b.Instance) {
+			return false
+		}
+		tried = true
+	}
+	return tried
+}
+
 // holdersFor returns the engines that may get a request and have its model and
 // adapter, and tells whether any has the model.
 func (r *Router) holdersFor(req *request) (both []*backend, base bool) {
--- a/internal/router/wait_test.go
+++ b/internal/router/wait_test.go
@@ -8,6 +8,7 @@
 
 	"nutmeglane.example/nutmeglane/internal/code"
 	"nutmeglane.example/nutmeglane/internal/core"
+	"nutmeglane.example/nutmeglane/internal/fleet"
 )
 
 // A model that suddenly many callers want has to be read from the weight store,
@@ -159,3 +160,17 @@
 		}
 	}
 }
+
+// Guards against a request that is held until its deadline: the only engine that has its
+// model has refused it, and it waits for the model to be loaded.
+func TestRequestRefusedByTheOnlyHolderIsNotHeld(t *testing.T) {
+	w := newWorld(t)
+	w.servers(engineService, 2)
+	w.holds(0, core.Holdings{FreeMB: 20_000, Models: loadedModels("m1")})
+	w.holds(1, core.Holdings{FreeMB: 80_000})
+	key := w.call("patient", prompt("m1"))
+	w.step(Answered{Key: key, Attempt: w.lastSend(key).Attempt, Answer: fleet.Answer{Status: 503, NotRun: true}})
+	if finish := w.finishes[key]; finish.Code != code.NoBackend || finish.RetryAfter <= 0 {
+		t.Errorf("it ended with %+v, want a refusal with a time to come back", finish)
+	}
+}
