--- a/internal/router/stop_test.go
+++ b/internal/router/stop_test.go
@@ -45,19 +45,29 @@
 	}
 }
 
-// teachPace lets an engine answer until the router knows that an answer takes about a
-// second.
-func (w *world) teachPace(routeName, model string) {
-	w.t.Helper()
+// newPacedWorld has an engine with m0, whose answers have shown that they take a second.
+func newPacedWorld(t *testing.T) *world {
+	w := newWorld(t)
+	w.servers(engineService, 1)
+	held := core.Holdings{FreeMB: 50_000, Models: loadedModels("m0")}
+	w.holds(0, held)
 	for range 5 {
-		key := w.call(routeName, prompt(model))
+		key := w.call("patient", prompt("m0"))
 		attempt := w.lastSend(key).Attempt
 		w.now = w.now.Add(100 * time.Millisecond)
 		w.step(FirstEvent{Key: key, Attempt: attempt})
 		w.now = w.now.Add(900 * time.Millisecond)
 		w.step(Done{Key: key, Attempt: attempt, Events: 10, Pause: 100 * time.Millisecond})
-		w.holds(0, core.Holdings{FreeMB: 50_000, Models: loadedModels(model)})
+		w.holds(0, held)
 	}
+	return w
+}
+
+// loadsM1 lets the engine load m1 within a second.
+func (w *world) loadsM1() {
+	w.t.Helper()
+	w.holds(0, core.Holdings{FreeMB: 20_000, Models: append(loadedModels("m0"),
+		core.HeldModel{Name: "m1", State: core.HoldLoading, ReadyIn: time.Second})})
 }
 
 // wantRefusedAtStop checks that a request was refused as not run, with a time at which
@@ -76,12 +86,8 @@
 // Guards against a stream that is sent to its engine a moment before its router ends, and
 // cut there.
 func TestStopRefusesWhatWaitsForItsModel(t *testing.T) {
-	w := newWorld(t)
-	w.servers(engineService, 1)
-	w.holds(0, core.Holdings{FreeMB: 50_000, Models: loadedModels("m0")})
-	w.teachPace("patient", "m0")
-	w.holds(0, core.Holdings{FreeMB: 20_000, Models: append(loadedModels("m0"),
-		core.HeldModel{Name: "m1", State: core.HoldLoading, ReadyIn: time.Second})})
+	w := newPacedWorld(t)
+	w.loadsM1()
 	key := w.call("patient", prompt("m1"))
 	w.step(Stopping{Until: w.now.Add(2 * time.Second)})
 	w.wantRefusedAtStop(key)
@@ -90,12 +96,8 @@
 // Guards against the opposite: a request that can be answered whole before the stop is
 // refused.
 func TestStopLetsEndWhatCan(t *testing.T) {
-	w := newWorld(t)
-	w.servers(engineService, 1)
-	w.holds(0, core.Holdings{FreeMB: 50_000, Models: loadedModels("m0")})
-	w.teachPace("patient", "m0")
-	w.holds(0, core.Holdings{FreeMB: 20_000, Models: append(loadedModels("m0"),
-		core.HeldModel{Name: "m1", State: core.HoldLoading, ReadyIn: time.Second})})
+	w := newPacedWorld(t)
+	w.loadsM1()
 	waits := w.call("patient", prompt("m1"))
 	w.step(Stopping{Until: w.now.Add(7 * time.Second)})
 	comes := w.call("patient", prompt("m0"))
@@ -110,10 +112,7 @@
 // Guards against sending on a request that comes, or whose engine was slow to take it,
 // when its router is about to end.
 func TestStopRefusesWhatComesLate(t *testing.T) {
-	w := newWorld(t)
-	w.servers(engineService, 1)
-	w.holds(0, core.Holdings{FreeMB: 50_000, Models: loadedModels("m0")})
-	w.teachPace("patient", "m0")
+	w := newPacedWorld(t)
 	w.step(Stopping{Until: w.now.Add(1500 * time.Millisecond)})
 	w.wantRefusedAtStop(w.call("patient", prompt("m0")))
 }
