--- a/internal/router/coordinate.go
+++ b/internal/router/coordinate.go
@@ -19,9 +19,9 @@
 // would all take 18 s. In order they end four by four, after 6, 12 and 18 s: the
 // same store, but callers wait 12 s on average.
 //
-// One router coordinates. Each loader follows the connected router of the
-// lowest name, so that no election and no call to the platform's store is
-// needed. While two routers coordinate, after a cut, more loads begin than
+// One router coordinates. Each loader follows the strongest connected router, of
+// equal ones that of the lowest name, so that no election and no call to the
+// platform's store is needed. While two routers coordinate, after a cut, more loads begin than
 // serve best, which costs time and breaks no promise.
 
 const (
