In a large fleet who reads a configuration passes it on

Ways: (a) who has read passes it on to all; (b) who needs it asks. For small fleets (b), as it was decided for routers that the store turns away, and each reads itself. From 101 routers on (a): by a loader for each hundred routers, to each once. A router waits for it for up to a fifth of the time within which a configuration is to be in force, then reads (few first, by the same times as for the registry), then asks.

Tests: TestConfigurationIsPassedToEachRouterOnce; a small fleet does not wait (TestLargeFleetWaitsForAConfigurationToBePassedOn).

--- a/internal/core/configpass.go
+++ b/internal/core/configpass.go
@@ -16,5 +16,14 @@
 	Data []byte `cbor:"2,keyasint"`
 }
 
+// ConfigSpread is a configuration that a router has read and that a loader passes on to a
+// part of all others, as in LoadDigest: in a large fleet each would read it otherwise.
+type ConfigSpread struct {
+	Part   int          `cbor:"1,keyasint,omitempty"`
+	Parts  int          `cbor:"2,keyasint"`
+	Config ConfigPassed `cbor:"3,keyasint"`
+}
+
+func (ConfigSpread) message() {}
 func (ConfigWanted) message() {}
 func (ConfigPassed) message() {}
--- a/internal/daemon/loader.go
+++ b/internal/daemon/loader.go
@@ -144,6 +144,8 @@
 			p.step(loader.RouterSaid{Router: e.From, Demand: m})
 		case core.RegistryNews:
 			p.step(loader.RouterRead{Router: e.From, News: m})
+		case core.ConfigSpread:
+			p.step(loader.RouterSpreadConfig{Router: e.From, Spread: m})
 		case core.LoadDigest:
 			p.step(loader.RouterPassedDigest{Router: e.From, Digest: m})
 		case core.ConfigWanted:
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -87,6 +87,7 @@
 		Bounds: p.settings.Fleet(), Seed: randomUint64(),
 	}), gateway.Options{Links: p.links, Publish: notes.put, LookIntoStore: p.lookIntoStore, Metrics: p.metrics, Log: p.log, Requests: p.requests})
 	p.reader = newStoreReader(store, p.gateway, readPause(p.settings.Bounds), p.log)
+	p.reader.spread = p.spreadConfig
 	p.reader.send = func(to []core.HostID, news core.Message) { p.links.SendAll(to, news) }
 	if err := p.serve(p.settings.Readiness, &http.Server{Handler: p.readiness(), ReadHeaderTimeout: drainTime}); err != nil {
 		return err
--- a/internal/daemon/storereader.go
+++ b/internal/daemon/storereader.go
@@ -11,6 +11,7 @@
 
 	"nutmeglane.example/nutmeglane/internal/clock"
 	"nutmeglane.example/nutmeglane/internal/core"
+	"nutmeglane.example/nutmeglane/internal/fleet"
 	"nutmeglane.example/nutmeglane/internal/gateway"
 	"nutmeglane.example/nutmeglane/internal/registry"
 	"nutmeglane.example/nutmeglane/internal/router"
@@ -46,7 +47,9 @@
 	gateway *gateway.Gateway
 	// send passes news to loaders.
 	send func(to []core.HostID, news core.Message)
-	log  *slog.Logger
+	// spread passes a configuration that was read on to the other routers.
+	spread func(*fleet.Config)
+	log    *slog.Logger
 	// wake ends the wait for the next read, and look makes it due now.
 	wake chan struct{}
 	look atomic.Bool
@@ -251,6 +254,7 @@
 	}
 	if changes.Config != nil {
 		s.gateway.Step(router.ConfigRead{Config: changes.Config})
+		s.spread(changes.Config)
 	}
 	s.confirm(begun)
 	if s.reader.ReadChanges(clock.Now(), revision, changes.At) == registry.Current {
@@ -316,11 +320,19 @@
 	if version <= max(s.wanted, s.configVersion()) {
 		return
 	}
-	s.wanted, s.wantedDue = version, clock.Now()
+	s.wanted, s.wantedDue = version, clock.Now().Add(s.spreadWait())
 	s.gateway.Step(router.ConfigHeard{Version: version})
 	s.wakeUp()
 }
 
+// spreadWait is how long a configuration is left to be passed on. Few routers read first if
+// it is not, as with the registry's news.
+func (s *storeReader) spreadWait() time.Duration {
+	wait := time.Duration(0)
+	s.gateway.Look(func(r *router.Router) { wait = r.SpreadWait() })
+	return time.Duration(s.reader.Share() * float64(wait))
+}
+
 // report logs values of the platform that can't be decoded. One that is written
 // again and again is told once, until it changes.
 func (s *storeReader) report(problems []platform.Problem) {
--- a/internal/loader/digest_test.go
+++ b/internal/loader/digest_test.go
@@ -121,3 +121,30 @@
 		t.Errorf("follows %q", got)
 	}
 }
+
+// Guards against a configuration that each router of a large fleet reads from the store: who
+// has read it passes it on, each router gets it once, and who asks later gets it too.
+func TestConfigurationIsPassedToEachRouterOnce(t *testing.T) {
+	const parts = 4
+	w := largeFleet(t, 385)
+	from := largeRouter(7)
+	clear(w.passed)
+	config := core.ConfigPassed{Version: 9, Data: []byte("declared")}
+	for part := range parts {
+		w.step(RouterSpreadConfig{Router: from, Spread: core.ConfigSpread{Part: part, Parts: parts, Config: config}})
+	}
+	for _, name := range w.loader.names {
+		want := 1
+		if name == from {
+			want = 0
+		}
+		if got := len(w.passed[name]); got != want {
+			t.Errorf("%s got it %d times", name, got)
+		}
+	}
+	w.step(RouterUp{Router: "10.9.9.9"})
+	w.step(RouterWantsConfig{Router: "10.9.9.9", Above: 8})
+	if len(w.passed["10.9.9.9"]) != 1 {
+		t.Error("a router that asks later does not get it")
+	}
+}
--- a/internal/loader/event.go
+++ b/internal/loader/event.go
@@ -46,6 +46,12 @@
 	News   core.RegistryNews
 }
 
+// RouterSpreadConfig is a configuration that a router wants passed on to a part of the others.
+type RouterSpreadConfig struct {
+	Router core.HostID
+	Spread core.ConfigSpread
+}
+
 // RouterPassedDigest is a digest that a router wants passed on.
 type RouterPassedDigest struct {
 	Router core.HostID
@@ -87,6 +93,7 @@
 func (RouterAskedQuota) event()   {}
 func (RouterAskedLimit) event()   {}
 func (RouterPassedDigest) event() {}
+func (RouterSpreadConfig) event() {}
 func (RouterTold) event()         {}
 func (RouterRead) event()         {}
 func (Tick) event()               {}
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -160,7 +160,11 @@
 		l.configPassed(e.Router, e.Config)
 		return l.out
 	case RouterPassedDigest:
-		l.passDigest(e.Router, e.Digest)
+		l.passToPart(e.Router, e.Digest.Part, e.Digest.Parts, e.Digest)
+		return l.out
+	case RouterSpreadConfig:
+		l.configPassed(e.Router, e.Spread.Config)
+		l.passToPart(e.Router, e.Spread.Part, e.Spread.Parts, e.Spread.Config)
 		return l.out
 	case RouterTold:
 		l.ledger.Hear(now, e.News)
@@ -225,19 +229,19 @@
 	}
 }
 
-// passDigest sends a router's digest to the part of the others that it is for.
-func (l *Loader) passDigest(from core.HostID, digest core.LoadDigest) {
-	if digest.Parts <= 0 {
+// passToPart sends a router's news to one of so many parts of the others.
+func (l *Loader) passToPart(from core.HostID, part, parts int, news core.Message) {
+	if parts <= 0 {
 		return
 	}
-	var part []core.HostID
+	var to []core.HostID
 	for i, name := range l.names {
-		if i%digest.Parts == digest.Part && name != from {
-			part = append(part, name)
+		if i%parts == part && name != from {
+			to = append(to, name)
 		}
 	}
-	if len(part) > 0 {
-		l.emit(PassOn{Routers: part, News: digest})
+	if len(to) > 0 {
+		l.emit(PassOn{Routers: to, News: news})
 	}
 }
 
--- a/internal/registry/reader.go
+++ b/internal/registry/reader.go
@@ -9,7 +9,7 @@
 // No router is needed for another: each has a time of its own, mixed by chance, after
 // which it reads if it has heard nothing newer. What gets lost costs a call. So that a
 // large fleet reads no more often than a small one, the times are spread by the number of
-// routers; see share. The package has no I/O and no clock.
+// routers; see Share. The package has no I/O and no clock.
 package registry
 
 import (
@@ -152,16 +152,16 @@
 
 func (r *Reader) fresh(now core.Time) {
 	r.retry = 0
-	r.due = now.Add(time.Duration((soonest + (1-soonest)*r.share()) * float64(r.pause)))
+	r.due = now.Add(time.Duration((soonest + (1-soonest)*r.Share()) * float64(r.pause)))
 }
 
-// share draws a time between 0 and 1 with a density that grows exponentially, the faster the
+// Share draws a time between 0 and 1 with a density that grows exponentially, the faster the
 // more routers there are: about one is early enough to come first, and about as many come
 // within the time that its news takes, whether there are 30 routers or 800.
 //
 // It guards against reads that grow with the fleet: of 385 times that are spread evenly
 // over a second, 77 lie within the 0.2 s until the first one's news are everywhere.
-func (r *Reader) share() float64 {
+func (r *Reader) Share() float64 {
 	growth := 1 + math.Log(float64(max(1, r.readers)))
 	return math.Log1p(r.rand.Float64()*math.Expm1(growth)) / growth
 }
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -23,6 +23,19 @@
 	configLoaders = 2
 )
 
+// spreadPart is the part of the time within which a configuration is to be in force that a
+// router of a large fleet waits for who has read it to pass it on, before it reads itself.
+const spreadPart = 0.2
+
+// SpreadWait is how long a configuration that was heard of is left to be passed on; 0 where
+// each router reads for itself.
+func (r *Router) SpreadWait() time.Duration {
+	if r.Parts() < 2 {
+		return 0
+	}
+	return time.Duration(spreadPart * float64(r.opts.Bounds.ConfigDelay))
+}
+
 // heardConfig is the newest version that was heard of.
 type heardConfig struct {
 	version int64
@@ -51,7 +64,7 @@
 	if !r.configUnread() || r.now < h.nextAsk {
 		return
 	}
-	if r.turnedAway == 0 && r.now.Sub(h.at) < askConfigAfter {
+	if r.turnedAway == 0 && r.now.Sub(h.at) < r.SpreadWait()+askConfigAfter {
 		return
 	}
 	to := r.Relays(configLoaders)
--- a/internal/router/config_test.go
+++ b/internal/router/config_test.go
@@ -61,3 +61,26 @@
 	w.wantCode(served, code.OK)
 	w.wantCode(unsure, code.KeyUnsure)
 }
+
+// Guards against a large fleet in which each router reads a new configuration, or asks for it,
+// while it is on its way from the one that has read it; and against a small one that waits.
+func TestLargeFleetWaitsForAConfigurationToBePassedOn(t *testing.T) {
+	for routers, want := range map[int]time.Duration{68: 0, 385: 400 * time.Millisecond} {
+		w := newWorld(t)
+		w.servers(engineService, 1)
+		w.step(LoaderUp{Loader: loaderName(0)})
+		w.step(LoaderSaid{Loader: loaderName(0), Holdings: core.Holdings{Routers: routers}})
+		if got := w.router.SpreadWait(); got != want {
+			t.Errorf("%d routers wait %v, want %v", routers, got, want)
+		}
+		w.step(ConfigHeard{Version: 5})
+		w.run(askConfigAfter + want - tickInterval)
+		if len(w.asked) > 0 {
+			t.Errorf("%d routers: asked while it is on its way", routers)
+		}
+		w.run(2 * tickInterval)
+		if len(w.asked) == 0 {
+			t.Errorf("%d routers: not asked when it did not come", routers)
+		}
+	}
+}
--- a/internal/router/digest.go
+++ b/internal/router/digest.go
@@ -32,8 +32,8 @@
 	// digestSilent is how long the coordinator may hear nothing of a loader that speaks
 	// each second before it counts as silent.
 	digestSilent = 2 * time.Second
-	// digestPart is how many routers one loader passes a digest on to: 2 ms of its time.
-	digestPart = 100
+	// relayPart is how many routers one loader passes a message on to: 2 ms of its time.
+	relayPart = 100
 	// digestRounds is the number of digests in which all counts come once, changed or
 	// not, for those who missed a change.
 	digestRounds = 32
@@ -64,7 +64,7 @@
 		return
 	}
 	d.nextAt = r.now.Add(digestInterval)
-	digest := core.LoadDigest{From: r.opts.Host, Config: r.ConfigVersion(), Parts: (r.routers() + digestPart - 1) / digestPart}
+	digest := core.LoadDigest{From: r.opts.Host, Config: r.ConfigVersion(), Parts: r.Parts()}
 	followers := 0
 	for i, l := range r.sortedLoaders() {
 		if !r.leads(l) {
@@ -90,6 +90,10 @@
 	}
 }
 
+// Parts is into how many parts all routers are divided where several loaders pass a message
+// on; 1 in all but large fleets.
+func (r *Router) Parts() int { return (r.routers() + relayPart - 1) / relayPart }
+
 // leads tells whether this router makes the digests that tell of a loader.
 func (r *Router) leads(l *loader) bool {
 	return l.holdings != nil && l.holdings.Digested && l.holdings.Coordinator == r.opts.Host
