Copies are counted when they are told, and rates begin as before

Change: only the need is remembered, copies are counted anew; rates begin with the first word on a model, as before.

Cost: a coordinator counts the copies of what 600 engines hold twice a second.

--- a/internal/router/demand.go
+++ b/internal/router/demand.go
@@ -222,8 +222,8 @@
 		}
 		use := s.use(r.now, modelKey{model: m.Name}, running)
 		if coordinates {
-			need := r.need(s, m.Name)
-			use.Copies, use.Spare = need.copies, s.knowsDemand(r.now) && need.copies > need.needed
+			use.Copies = len(r.copiesOf(b.Service, m.Name))
+			use.Spare = s.knowsDemand(r.now) && use.Copies > r.need(s, m.Name)
 		}
 		uses = appendUse(uses, use)
 		for _, adapter := range m.Adapters {
@@ -244,9 +244,6 @@
 
 // use tells how much a model or adapter is used, with what runs at one engine.
 func (s *service) use(now core.Time, key modelKey, running map[modelKey]int) core.Use {
-	use := core.Use{Model: key.model, Adapter: key.adapter, Running: running[key]}
-	if rate := s.rates[key]; rate != nil {
-		use.Rate, use.FastRate = rate.both(now)
-	}
-	return use
+	slow, fast := s.rate(key).both(now)
+	return core.Use{Model: key.model, Adapter: key.adapter, Running: running[key], Rate: slow, FastRate: fast}
 }
--- a/internal/router/spread.go
+++ b/internal/router/spread.go
@@ -97,21 +97,22 @@
 	return max(needed, int(math.Ceil(load/targetLoad)), r.crowdCopies(service, model, slots), r.backlogCopies(service, model))
 }
 
-// copyNeed is how many copies a model has and should have, as of a time.
+// copyNeed is how many copies a model should have, as of a time.
 type copyNeed struct {
-	copies, needed int
-	at             core.Time
+	needed int
+	at     core.Time
 }
 
-// need returns the copies of a model, worked out at most once in planInterval: each engine
-// that has one asks.
-func (r *Router) need(s *service, model string) copyNeed {
+// need returns how many copies a model should have, worked out at most once in planInterval:
+// each engine that has one asks. How many it has changes with each word, and is no part of
+// it: taken as of before, two engines were told at once that theirs is one too many.
+func (r *Router) need(s *service, model string) int {
 	if n, known := s.needs[model]; known && r.now.Sub(n.at) < planInterval {
-		return n
+		return n.needed
 	}
-	n := copyNeed{copies: len(r.copiesOf(s.name, model)), needed: r.neededCopies(s.name, model), at: r.now}
+	n := copyNeed{needed: r.neededCopies(s.name, model), at: r.now}
 	s.needs[model] = n
-	return n
+	return n.needed
 }
 
 // crowdCopies is the number of engines that a model needs by what runs at those that
