--- a/internal/daemon/configpass.go
+++ b/internal/daemon/configpass.go
@@ -15,14 +15,21 @@
 	if config == nil || config.Version <= above {
 		return
 	}
-	// A configuration does not change once it is in force, so that no lock is held.
+	if passed, ok := p.encodeConfig(config); ok {
+		p.log.Info("configuration passed to a loader", "loader", string(loader), "version", passed.Version, "bytes", len(passed.Data))
+		p.links.Do(core.Send{To: loader, Message: passed})
+	}
+}
+
+// encodeConfig makes a configuration a message. It does not change once it is in force, so
+// that no lock is held.
+func (p *routerProcess) encodeConfig(config *fleet.Config) (core.ConfigPassed, bool) {
 	data, err := fleet.EncodeConfig(config)
 	if err != nil {
 		p.log.Error("configuration can't be passed on", "version", config.Version, "error", err.Error())
-		return
+		return core.ConfigPassed{}, false
 	}
-	p.log.Info("configuration passed to a loader", "loader", string(loader), "version", config.Version, "bytes", len(data))
-	p.links.Do(core.Send{To: loader, Message: core.ConfigPassed{Version: config.Version, Data: data}})
+	return core.ConfigPassed{Version: config.Version, Data: data}, true
 }
 
 // spreadConfig passes a configuration that this router has just read on to all others, where
@@ -36,15 +43,13 @@
 	if parts < 2 || len(relays) == 0 {
 		return
 	}
-	data, err := fleet.EncodeConfig(config)
-	if err != nil {
-		p.log.Error("configuration can't be passed on", "version", config.Version, "error", err.Error())
+	passed, ok := p.encodeConfig(config)
+	if !ok {
 		return
 	}
-	p.log.Info("configuration passed on to all routers", "version", config.Version, "bytes", len(data), "parts", parts)
+	p.log.Info("configuration passed on to all routers", "version", passed.Version, "bytes", len(passed.Data), "parts", parts)
 	for i := range parts {
-		spread := core.ConfigSpread{Part: i, Parts: parts, Config: core.ConfigPassed{Version: config.Version, Data: data}}
-		p.links.Do(core.Send{To: relays[i%len(relays)], Message: spread})
+		p.links.Do(core.Send{To: relays[i%len(relays)], Message: core.ConfigSpread{Part: i, Parts: parts, Config: passed}})
 	}
 }
 
--- a/internal/loader/digest_test.go
+++ b/internal/loader/digest_test.go
@@ -87,6 +87,20 @@
 	}
 }
 
+// wantPassedOnce checks that each router but the sender was passed one message.
+func (w *world) wantPassedOnce(from core.HostID) {
+	w.t.Helper()
+	for _, name := range w.loader.names {
+		want := 1
+		if name == from {
+			want = 0
+		}
+		if got := len(w.passed[name]); got != want {
+			w.t.Errorf("%s got it %d times", name, got)
+		}
+	}
+}
+
 // Guards against a digest that some routers get from no loader, or from several.
 func TestDigestReachesEachRouterOnce(t *testing.T) {
 	const parts = 4
@@ -96,15 +110,7 @@
 	for part := range parts {
 		w.step(RouterPassedDigest{Router: from, Digest: core.LoadDigest{From: from, Part: part, Parts: parts}})
 	}
-	for _, name := range w.loader.names {
-		want := 1
-		if name == from {
-			want = 0
-		}
-		if got := len(w.passed[name]); got != want {
-			t.Errorf("%s got it %d times", name, got)
-		}
-	}
+	w.wantPassedOnce(from)
 	w.step(RouterPassedDigest{Router: from, Digest: core.LoadDigest{From: from}}) // no parts: malformed
 }
 
@@ -133,15 +139,7 @@
 	for part := range parts {
 		w.step(RouterSpreadConfig{Router: from, Spread: core.ConfigSpread{Part: part, Parts: parts, Config: config}})
 	}
-	for _, name := range w.loader.names {
-		want := 1
-		if name == from {
-			want = 0
-		}
-		if got := len(w.passed[name]); got != want {
-			t.Errorf("%s got it %d times", name, got)
-		}
-	}
+	w.wantPassedOnce(from)
 	w.step(RouterUp{Router: "10.9.9.9"})
 	w.step(RouterWantsConfig{Router: "10.9.9.9", Above: 8})
 	if len(w.passed["10.9.9.9"]) != 1 {
--- a/internal/router/coordinate.go
+++ b/internal/router/coordinate.go
@@ -21,8 +21,8 @@
 //
 // One router coordinates. Each loader follows the strongest connected router, of
 // equal ones that of the lowest name, so that no election and no call to the
-// platform's store is needed. While two routers coordinate, after a cut, more loads begin than
-// serve best, which costs time and breaks no promise.
+// platform's store is needed. While two routers coordinate, after a cut, more loads
+// begin than serve best, which costs time and breaks no promise.
 
 const (
 	// planInterval is the time between two plans of background loads.
--- a/internal/router/digest.go
+++ b/internal/router/digest.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"nutmeglane.example/nutmeglane/internal/core"
@@ -137,26 +138,14 @@
 // checkDigests notes whether digests come.
 func (r *Router) checkDigests() {
 	d := &r.digests
-	late := r.now.Sub(d.heardAt) > digestLate
-	if late == d.direct {
-		return
-	}
-	if expected := r.expectsDigests(); late && !expected {
-		d.heardAt = r.now
-		return
-	}
-	d.direct = late
-	r.log(Belief, "digests of loads", slog.Bool("come", !late), slog.String("last", r.now.Sub(d.heardAt).String()))
-}
-
-// expectsDigests tells whether any loader speaks to this router by digests only.
-func (r *Router) expectsDigests() bool {
-	for _, l := range r.sortedLoaders() {
-		if r.byDigest(l) {
-			return true
-		}
+	switch late := r.now.Sub(d.heardAt) > digestLate; {
+	case late == d.direct:
+	case late && !slices.ContainsFunc(r.sortedLoaders(), r.byDigest):
+		d.heardAt = r.now // none are due
+	default:
+		d.direct = late
+		r.log(Belief, "digests of loads", slog.Bool("come", !late), slog.String("last", r.now.Sub(d.heardAt).String()))
 	}
-	return false
 }
 
 // byDigest tells whether steady times of a loader are told to this router by digests.
