A planned stop resets no caller that has just connected, on either path

Cause, by reading and then by tests without load: a listener that closes resets what waits in the kernel to be accepted; a connection that was accepted and had sent nothing yet was closed at once as idle; and entries served callers with http.Server.Shutdown, which closes a connection while its next request is being read (callerConns guards routers against that only).

Ruled out as a cause here: connections kept for long, which have been told to close for the whole stop delay before.

Change: callerConns closes its listener only when no connection waits there, counts a new connection as one with a request for a second, and serves entries too, below TLS.

--- a/internal/daemon/callerconns.go
+++ b/internal/daemon/callerconns.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
@@ -12,12 +13,18 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 )
 
-// closeInterval is the pause between two looks for idle connections while the
-// process stops: a tenth of the time in which a caller on a new connection can
-// have its answer.
-const closeInterval = 20 * time.Millisecond
+const (
+	// closeInterval is the pause between two looks for idle connections while the
+	// process stops: a tenth of the time in which a caller on a new connection can
+	// have its answer.
+	closeInterval = 20 * time.Millisecond
+	// firstRequestWait is how long a new connection counts as one whose request is on
+	// its way.
+	firstRequestWait = time.Second
+)
 
 // callerConns are the connections of a server that is to stop without losing a
 // request.
@@ -29,6 +36,10 @@
 // was read, with nothing to tell whether it ran. Here reading and closing
 // exclude each other: a connection of which a byte was read since its last
 // answer, or for which one lies in the kernel, is never closed.
+//
+// It guards as well against resets of callers that connect while the process
+// stops: of connections that wait in the kernel to be accepted when the listener
+// closes, and of one that is closed before its first request has come.
 type callerConns struct {
 	listener net.Listener
 
@@ -49,28 +60,52 @@
 
 // state is the server's ConnState hook.
 func (c *callerConns) state(conn net.Conn, state http.ConnState) {
+	if secure, ok := conn.(*tls.Conn); ok {
+		conn = secure.NetConn()
+	}
 	if caller, ok := conn.(*callerConn); ok && state == http.StateIdle {
 		caller.answered()
 	}
 }
 
-// drain closes the listener, then connections as they fall idle, until none is
-// left or ctx ends.
+// drain closes the listener once no connection waits there, then connections as they
+// fall idle, until none is left or ctx ends.
 func (c *callerConns) drain(ctx context.Context) error {
 	c.draining.Store(true)
 	if c.listener != nil {
+		for c.waiting() && ctx.Err() == nil {
+			pause(ctx, closeInterval)
+		}
 		_ = c.listener.Close() // nobody waits for what it would say
 	}
 	for c.closeIdle() > 0 {
-		select {
-		case <-ctx.Done():
-			return errors.Wrapf(ctx.Err(), "%d connections with requests", c.closeIdle())
-		case <-time.After(closeInterval):
+		if err := ctx.Err(); err != nil {
+			return errors.Wrapf(err, "%d connections with requests", c.closeIdle())
 		}
+		pause(ctx, closeInterval)
 	}
 	return nil
 }
 
+// waiting tells whether a connection waits in the kernel to be accepted.
+func (c *callerConns) waiting() bool {
+	withFD, ok := c.listener.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := withFD.SyscallConn()
+	if err != nil {
+		return false
+	}
+	waits := false
+	err = raw.Control(func(fd uintptr) {
+		look := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := unix.Poll(look, 0)
+		waits = err == nil && n > 0 && look[0].Revents&unix.POLLIN != 0
+	})
+	return err == nil && waits
+}
+
 // closeIdle closes the connections without a request and returns how many are
 // left.
 func (c *callerConns) closeIdle() int {
@@ -117,7 +152,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "descriptor of connection")
 	}
-	caller := &callerConn{Conn: conn, raw: raw, conns: l.conns, idle: true}
+	caller := &callerConn{Conn: conn, raw: raw, conns: l.conns, opened: time.Now(), idle: true}
 	l.conns.mu.Lock()
 	l.conns.open[caller] = struct{}{}
 	l.conns.mu.Unlock()
@@ -127,12 +162,13 @@
 // callerConn is a caller's connection.
 type callerConn struct {
 	net.Conn
-	raw   syscall.RawConn
-	conns *callerConns
+	raw    syscall.RawConn
+	conns  *callerConns
+	opened time.Time
 
 	mu sync.Mutex
-	// idle is set while no byte was read since the last answer.
-	idle bool
+	// asked is set once a byte was read, idle while none was since the last answer.
+	asked, idle bool
 }
 
 // Read implements net.Conn. A byte is taken from the kernel and the connection
@@ -167,7 +203,7 @@
 			continue
 		}
 		if n > 0 {
-			c.idle = false
+			c.asked, c.idle = true, false
 		}
 		return max(0, n), err
 	}
@@ -194,7 +230,8 @@
 func (c *callerConn) closeIfIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.idle || c.unread() {
+	isNew := !c.asked && time.Since(c.opened) < firstRequestWait
+	if !c.idle || isNew || c.unread() {
 		return false
 	}
 	_ = c.Close() // it is closed either way
--- a/internal/daemon/callerconns_test.go
+++ b/internal/daemon/callerconns_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"testing"
 )
 
@@ -195,3 +196,91 @@
 		t.Fatal("a further request was taken")
 	}
 }
+
+// gatedListener accepts nothing before its gate is open.
+type gatedListener struct {
+	net.Listener
+	gate chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l gatedListener) Accept() (net.Conn, error) {
+	<-l.gate
+	return l.Listener.Accept()
+}
+
+// serveGated serves on loopback through conns once the gate is open.
+func serveGated(t *testing.T, conns *callerConns, gate chan struct{}) (address string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{ConnState: conns.state, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("whole"))
+	})}
+	gated := gatedListener{conns.listen(listener), gate}
+	go func() { _ = server.Serve(gated) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String()
+}
+
+// drainBegun begins to drain and returns once that is under way.
+func drainBegun(t *testing.T, conns *callerConns) {
+	t.Helper()
+	drained := make(chan error, 1)
+	go func() { drained <- conns.drain(context.Background()) }()
+	t.Cleanup(func() {
+		if err := <-drained; err != nil {
+			t.Error(err)
+		}
+	})
+	for !conns.draining.Load() {
+		runtime.Gosched()
+	}
+}
+
+// Guards against resets of callers whose connections wait in the kernel's queue when
+// the listener closes.
+func TestDrainTakesConnectionsThatWait(t *testing.T) {
+	conns, gate := newCallerConns(), make(chan struct{})
+	address := serveGated(t, conns, gate)
+	var callers []net.Conn
+	for range 8 {
+		caller, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = caller.Close() }()
+		writeText(t, caller, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		callers = append(callers, caller)
+	}
+	drainBegun(t, conns)
+	close(gate)
+	for _, caller := range callers {
+		readWhole(t, bufio.NewReader(caller))
+	}
+}
+
+// Guards against a reset of a caller who has just connected and whose first request is
+// on its way.
+func TestDrainWaitsForTheFirstRequest(t *testing.T) {
+	conns, gate := newCallerConns(), make(chan struct{})
+	close(gate)
+	caller, err := net.Dial("tcp", serveGated(t, conns, gate))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = caller.Close() }()
+	for accepted := false; !accepted; runtime.Gosched() {
+		conns.mu.Lock()
+		accepted = len(conns.open) > 0
+		conns.mu.Unlock()
+	}
+	if left := conns.closeIdle(); left != 1 {
+		t.Fatalf("%d connections left, wanted the new one", left)
+	}
+	drainBegun(t, conns)
+	writeText(t, caller, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	readWhole(t, bufio.NewReader(caller))
+}
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -110,7 +110,7 @@
 	})
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: drainTime}
 	server.RegisterOnShutdown(e.operator.Close)
-	e.serve(callers, e.front.Server(), certificates.callers)
+	e.serveCallers(callers, e.front.Server(), certificates.callers)
 	e.serve(operators, server, certificates.operators)
 }
 
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -41,8 +41,12 @@
 	record    *os.File
 	recorder  *runtime.Recorder
 	servers   []*http.Server
-	keeper    config.Keeper
-	drain     drain
+	// callers is the callers' server, if the process has one, and callerConns are its
+	// connections.
+	callers     *http.Server
+	callerConns *callerConns
+	keeper      config.Keeper
+	drain       drain
 	// failed receives the error of a listener that ended early.
 	failed chan error
 	// drained, if not nil, runs when the reducer is done, before the
@@ -119,6 +123,17 @@
 // the process closes.
 func (p *process) serve(l net.Listener, server *http.Server, source *certs.Source) {
 	p.servers = append(p.servers, server)
+	p.serveOn(l, server, source)
+}
+
+// serveCallers is serve for callers, who lose no request when the process stops.
+func (p *process) serveCallers(l net.Listener, server *http.Server, source *certs.Source) {
+	p.callers, p.callerConns = server, newCallerConns()
+	server.ConnState = p.callerConns.state
+	p.serveOn(p.callerConns.listen(l), server, source)
+}
+
+func (p *process) serveOn(l net.Listener, server *http.Server, source *certs.Source) {
 	if server.ErrorLog == nil {
 		// Handshakes that fail are many and change no state.
 		server.ErrorLog = slog.NewLogLogger(p.logger.Handler(), slog.LevelDebug)
@@ -180,6 +195,7 @@
 	if p.drained != nil {
 		p.drained()
 	}
+	p.closeCallers(ctx)
 	for _, server := range p.servers {
 		if err := server.Shutdown(ctx); err != nil {
 			_ = server.Close()
@@ -191,6 +207,17 @@
 	p.logger.Info("stopped")
 }
 
+// closeCallers ends the callers' connections once they have their answers.
+func (p *process) closeCallers(ctx context.Context) {
+	if p.callers == nil {
+		return
+	}
+	if err := p.callerConns.drain(ctx); err != nil {
+		p.logger.Warn("callers' connections cut at the end of the stop", "error", err.Error())
+	}
+	_ = p.callers.Close()
+}
+
 // state is the answer to GET /debug/state.
 func (p *process) state(extra func() map[string]any) func() any {
 	return func() any {
