A script that fails keeps what its processes printed

rolling_restart and charge_agent_killed failed once each and could not be traced, as the output of their processes was gone with the script.

--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -63,6 +63,8 @@
 
 // bench is what one script has running.
 type bench struct {
+	// started are all processes in their order, children the present ones by name.
+	started  []*child
 	children map[string]*child
 	requests map[string]*request
 	relays   map[string]*balanced
@@ -72,10 +74,12 @@
 type benchKey struct{}
 
 func setup(env *testscript.Env) error {
-	env.Values[benchKey{}] = &bench{
+	b := &bench{
 		children: map[string]*child{}, requests: map[string]*request{},
 		relays: map[string]*balanced{}, loads: map[string]*loadRun{},
 	}
+	env.Values[benchKey{}] = b
+	env.Defer(func() { keepOutputs(env, b) })
 	declarations, err := filepath.Abs(filepath.Join("testdata", "declarations"))
 	env.Setenv("declarations", declarations)
 	return err
@@ -84,7 +88,7 @@
 func benchOf(ts *testscript.TestScript) *bench { return ts.Value(benchKey{}).(*bench) }
 
 func spawn(ts *testscript.TestScript, _ bool, args []string) {
-	c := start(ts, args[1:]...)
+	c := start(ts, args[0], args[1:]...)
 	benchOf(ts).children[args[0]] = c
 	select {
 	case <-c.started:
--- a/internal/scenario/process_test.go
+++ b/internal/scenario/process_test.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"io"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"regexp"
 	"strconv"
 	"strings"
@@ -22,7 +24,9 @@
 
 // child is a process started by a script.
 type child struct {
-	cmd *exec.Cmd
+	// name is what the script calls it.
+	name string
+	cmd  *exec.Cmd
 	// started is closed when the process has printed its addresses.
 	started chan struct{}
 	once    sync.Once
@@ -34,11 +38,11 @@
 	output bytes.Buffer
 }
 
-func start(ts *testscript.TestScript, args ...string) *child {
+func start(ts *testscript.TestScript, name string, args ...string) *child {
 	path, err := lookPath(ts, args[0])
 	ts.Check(err)
 	c := &child{
-		cmd: exec.Command(path, args[1:]...), started: make(chan struct{}), exited: make(chan struct{}),
+		name: name, cmd: exec.Command(path, args[1:]...), started: make(chan struct{}), exited: make(chan struct{}),
 		addresses: map[string]string{},
 	}
 	c.cmd.Dir = ts.Getenv("WORK")
@@ -51,6 +55,8 @@
 	for _, pipe := range []io.Reader{stdout, stderr} {
 		readers.Go(func() { c.read(pipe) })
 	}
+	b := benchOf(ts)
+	b.started = append(b.started, c)
 	go func() {
 		readers.Wait()
 		_ = c.cmd.Wait()
@@ -127,3 +133,23 @@
 	_ = c.cmd.Process.Kill()
 	<-c.exited
 }
+
+// keepOutputs writes what the processes of a failed script printed to files, and tells
+// where, so that a failure that shows once can be traced.
+func keepOutputs(env *testscript.Env, b *bench) {
+	if failed, ok := env.T().(interface{ Failed() bool }); !ok || !failed.Failed() {
+		return
+	}
+	dir, err := os.MkdirTemp("", "scenario-")
+	if err != nil {
+		env.T().Log(err)
+		return
+	}
+	for i, c := range b.started {
+		name := fmt.Sprintf("%02d-%s.log", i, c.name)
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(c.text()), 0o600); err != nil {
+			env.T().Log(err)
+		}
+	}
+	env.T().Log("output of the processes: ", dir)
+}
