A stopping entry refuses what has not begun, before its time is over

Seen by reading (the cut stream's fault, elsewhere), then by a test: a request that waits at an agent when its entry's stop limit comes was cancelled and its caller told "outcome unknown" (3001), though it had never run, so that a call which must not be repeated could not be sent again. Requests were also sent on until the limit.

Change: an entry that stops refuses at once what can't be expected to end by its limit: new requests, by the predicted wait and twice the model's learnt run, and those that an agent predicted to start too late. Half a second before the limit (at most a quarter of the stop) all that has not begun is called back: the agent refuses an attempt that still waits, which proves that it did not run, and leaves one that runs alone.

Not called back: attempts that others wait for by the same key, and resumed ones whose run was broken off for others.

--- a/internal/core/agent/viewer.go
+++ b/internal/core/agent/viewer.go
@@ -117,6 +117,10 @@
 
 // cancel handles an entry's word that nobody waits for an attempt.
 func (p *Part) cancel(m core.Cancel) {
+	if m.IfWaiting {
+		p.refuseIfWaiting(m.Attempt)
+		return
+	}
 	if v := p.attempts[m.Attempt]; v != nil {
 		p.viewerGone(v)
 		return
@@ -126,6 +130,16 @@
 	}
 }
 
+// refuseIfWaiting refuses an attempt that has not begun to run, unless another attempt
+// waits for the same run.
+func (p *Part) refuseIfWaiting(attempt core.AttemptID) {
+	v := p.attempts[attempt]
+	if v == nil || v.job.state != jobWaiting || v.job.yields > 0 || len(v.job.viewers) > 1 {
+		return
+	}
+	p.refuse(v.job, code.Draining, minRetryAfter)
+}
+
 // credit lets an attempt's answer go on and frees what the entry has.
 func (p *Part) credit(from core.HostID, m core.Credit) {
 	v := p.attempts[m.Attempt]
--- a/internal/core/entry/attempt.go
+++ b/internal/core/entry/attempt.go
@@ -24,6 +24,10 @@
 		p.finish(r, c.result, c.retryAfter)
 		return
 	}
+	if !p.inTime(&c) {
+		p.finish(r, code.Draining, minRetryAfter)
+		return
+	}
 	p.connect(c.agent)
 	c.agent.attach(r)
 	r.place, r.cold, r.phase = c.place, c.cold, phaseConnecting
@@ -80,10 +84,13 @@
 	if r.cold && startsIn > 0 && r.place.model.coldStart.value == 0 {
 		r.place.model.coldStart.add(startsIn)
 	}
-	r.accepted = true
+	r.accepted, r.startsAt = true, p.now.Add(startsIn)
 	if r.phase == phaseSent {
 		r.phase = phaseRunning
 	}
+	if !p.endsInTime(r.place, r.startsAt) {
+		p.recall(func(other *request) bool { return other == r })
+	}
 }
 
 // rejected handles an agent's word that the attempt did not run and will not.
@@ -104,10 +111,10 @@
 		result = code.NoBackend // what it means to a caller
 	}
 	r.refusal, r.retryAfter = result, retryAfter
-	if result == code.Draining {
+	if result == code.Draining && !r.recalled {
 		r.agent.noticed = true
 	}
-	if finalRefusal(result) || !p.mayRetry(r) {
+	if finalRefusal(result) || r.recalled || !p.mayRetry(r) {
 		p.finish(r, result, retryAfter)
 		return
 	}
--- a/internal/core/entry/request.go
+++ b/internal/core/entry/request.go
@@ -45,6 +45,10 @@
 	accepted bool
 	// resumed is set once the attempt was taken up again on a further connection.
 	resumed bool
+	// startsAt is when the agent predicted that it starts, and recalled is set once it was
+	// called back.
+	startsAt core.Time
+	recalled bool
 	// unproved counts the Starts without a proof that they did not run.
 	unproved int
 	tried    []core.HostID
@@ -90,6 +94,7 @@
 	r.detach()
 	p.partIfDone(a)
 	r.phase, r.accepted, r.resumed, r.sentTo = phaseConnecting, false, false, 0
+	r.startsAt, r.recalled = 0, false
 }
 
 // abandon tells the agent that nobody waits for the attempt any more, now or
--- a/internal/core/entry/stop.go
+++ b/internal/core/entry/stop.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"time"
 
 	"nutmeglane.example/nutmeglane/internal/code"
@@ -15,9 +16,22 @@
 	// refuseAt ends the delay in which new requests are still taken.
 	refuseAt core.Time
 	limit    core.Time
+	// recallAt is when what has not begun to run is called back.
+	recallAt core.Time
+	recalled bool
 	exited   bool
 }
 
+const (
+	// recallLead is the time before the limit in which an agent says what has not begun;
+	// recallPart bounds it to a part of the whole time.
+	recallLead = 500 * time.Millisecond
+	recallPart = 4
+	// stopMargin is how many times its usual run a request must have left before the
+	// limit.
+	stopMargin = 2
+)
+
 func (s *stopState) refuses(now core.Time) bool { return s.stopping && now >= min(s.refuseAt, s.limit) }
 
 func (s *stopState) next(now core.Time) core.Time {
@@ -25,7 +39,9 @@
 	case !s.stopping || s.exited:
 		return core.Never
 	case now < s.refuseAt:
-		return min(s.refuseAt, s.limit)
+		return min(s.refuseAt, s.recallAt, s.limit)
+	case !s.recalled:
+		return min(s.recallAt, s.limit)
 	default:
 		return s.limit
 	}
@@ -44,8 +60,51 @@
 	p.stop = stopState{
 		stopping: true, began: p.now, delay: ev.Delay,
 		refuseAt: p.now.Add(ev.Delay), limit: p.now.Add(ev.Limit),
+		recallAt: p.now.Add(ev.Limit - min(recallLead, ev.Limit/recallPart)),
 	}
 	p.emit(core.Ready{Ready: false})
+	p.recall(func(r *request) bool { return !p.endsInTime(r.place, r.startsAt) })
+}
+
+// endsInTime tells whether a run that starts at a time can be expected to end before the
+// process does.
+func (p *Part) endsInTime(at *place, starts core.Time) bool {
+	if !p.stop.stopping {
+		return true
+	}
+	run := time.Duration(0)
+	if at != nil {
+		run = at.model.runTime.value
+	}
+	return max(p.now, starts).Add(stopMargin*run) < p.stop.limit
+}
+
+// inTime tells whether a request that is sent to a candidate now can be expected to end
+// before the process does.
+func (p *Part) inTime(c *choice) bool {
+	wait := c.wait
+	if c.cold {
+		wait += c.place.model.coldStart.or(p.limits.ColdStart)
+	}
+	return !p.stop.recalled && p.endsInTime(c.place, p.now.Add(wait))
+}
+
+// recall ends requests that have not begun to run, where which says so. Those that were
+// sent are refused once their agents say that they had not begun.
+//
+// It guards against requests that wait until the process ends and are cut then: their
+// callers would not know that they can send them again.
+func (p *Part) recall(which func(*request) bool) {
+	for _, r := range slices.Clone(p.timers) {
+		switch {
+		case r.stream.head || r.stream.progress || r.recalled || !which(r):
+		case r.phase == phaseConnecting:
+			p.finish(r, code.Draining, minRetryAfter)
+		case r.agent.up:
+			r.recalled = true
+			p.send(r.agent, core.Cancel{Attempt: r.attemptID(), IfWaiting: true})
+		}
+	}
 }
 
 // answered begins the delay anew when a request from before the stop ends. Its
@@ -57,11 +116,20 @@
 	}
 }
 
-// stopLimit ends what is left when the time for the shutdown is over.
+// stopLimit ends what is left when the time for the shutdown is over, and calls back what
+// has not begun shortly before.
 func (p *Part) stopLimit() {
-	if !p.stop.stopping || p.now < p.stop.limit {
-		return
+	switch {
+	case !p.stop.stopping || p.now < p.stop.recallAt:
+	case p.now >= p.stop.limit:
+		p.cutAll()
+	case !p.stop.recalled:
+		p.stop.recalled = true
+		p.recall(func(*request) bool { return true })
 	}
+}
+
+func (p *Part) cutAll() {
 	for len(p.timers) > 0 {
 		r := p.timers[0]
 		p.abandon(r)
--- a/internal/core/message.go
+++ b/internal/core/message.go
@@ -242,6 +242,9 @@
 // Cancel tells the agent that nobody waits for the attempt any more.
 type Cancel struct {
 	Attempt AttemptID `cbor:"1,keyasint"`
+	// IfWaiting asks the agent to refuse the attempt, with Rejected, if it has not begun
+	// to run; one that runs goes on. The entry is about to end and waits for the answer.
+	IfWaiting bool `cbor:"2,keyasint,omitempty"`
 }
 
 // Resume asks, on a fresh connection, for the frames of a running attempt
--- a/internal/harness/referee.go
+++ b/internal/harness/referee.go
@@ -51,6 +51,9 @@
 	}
 }
 
+// Ran tells whether a request ran on an engine.
+func (r *Referee) Ran(id core.RequestID) bool { return r.runs[id] > 0 }
+
 // Violate notes a broken promise.
 func (r *Referee) Violate(format string, args ...any) {
 	r.Violations = append(r.Violations, fmt.Sprintf(format, args...))
--- a/internal/harness/stop_test.go
+++ b/internal/harness/stop_test.go
@@ -6,6 +6,7 @@
 
 	"pgregory.net/rapid"
 
+	"nutmeglane.example/nutmeglane/internal/api"
 	"nutmeglane.example/nutmeglane/internal/code"
 	"nutmeglane.example/nutmeglane/internal/core"
 	"nutmeglane.example/nutmeglane/internal/harness"
@@ -15,6 +16,8 @@
 const (
 	// stopLimit is far beyond what any call takes.
 	stopLimit = 30 * time.Second
+	// shortestLimit leaves an agent the time to say what has not begun.
+	shortestLimit = 100 * time.Millisecond
 	// longestStarved is how long a process may wait for the processor, and
 	// longestUnreachable how long where connections break besides: an entry that can't
 	// connect again within its resume window gives up, whether the agent stops or not.
@@ -170,6 +173,35 @@
 	})
 }
 
+// Guards against callers whose requests wait at an agent when their entry ends: told
+// "outcome unknown", they could not send them again.
+func TestStoppingEntryRefusesWhatWaits(t *testing.T) {
+	f := newFleet(t, 2, shortTimings())
+	f.declare(resource(api.KindService, "records", &api.ServiceSpec{MaxConcurrent: 1}))
+	f.RunFor(5 * time.Second)
+	const tokens = 60 // 1.2 s
+	var calls []*harness.Outcome
+	for range 6 {
+		calls = append(calls, f.unrepeatable("e0", serviceTarget, tokens))
+	}
+	f.RunFor(100 * time.Millisecond)
+	f.processes["e0"].Stop(3 * time.Second)
+	f.RunFor(10 * time.Second)
+	refused := 0
+	for i, o := range calls {
+		switch {
+		case o.Code.NotRun():
+			refused++
+		case !f.Referee.Ran(o.ID):
+			t.Errorf("call %d never ran and its caller was told %v", i, o.Code)
+		}
+	}
+	if refused < 3 {
+		t.Errorf("%d refused as not run, want those that could not begin in time", refused)
+	}
+	f.finish()
+}
+
 // The same of an entry: what it holds ends before it does.
 func TestPlannedStopOfAnEntryCostsNoCall(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
@@ -183,3 +215,22 @@
 		h.wholeOrNotRun(h.calls)
 	})
 }
+
+// The same of an entry whose time is too short for some: a call that never ran is told so.
+func TestShortStopOfAnEntryTellsWhatNeverRan(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		h := newStopHistory(rt)
+		const span = 4 * time.Second
+		h.declare(resource(api.KindService, "records", &api.ServiceSpec{MaxConcurrent: 1}))
+		h.calling(span)
+		limit := shortestLimit + h.draw("limit", 5*time.Second)
+		h.After(h.draw("stop at", span), func() { h.processes["e0"].Stop(limit) })
+		h.RunFor(20 * time.Second)
+		h.finish()
+		for i, o := range h.calls {
+			if o.Code != code.OK && !o.Code.NotRun() && !h.Referee.Ran(o.ID) {
+				rt.Fatalf("call %d at %s to %v never ran: %v", i, time.Duration(o.Arrived), o.Target, o.Code)
+			}
+		}
+	})
+}
