--- a/internal/router/request_test.go
+++ b/internal/router/request_test.go
@@ -191,3 +191,38 @@
 		t.Fatalf("%s is left out until %v, failing %.2f", first, b.ejectedUntil, b.failing)
 	}
 }
+
+// Guards against requests under way that a new configuration, or settings that are read
+// again, cut: also where both take away the route, service or model that they came for.
+func TestNewConfigurationAndSettingsCutNothing(t *testing.T) {
+	w := newWorld(t)
+	list := map[string]fleet.Backend{"s0": w.server(engineService, 0), "s1": w.server(plainService, 1)}
+	w.step(BackendsRead{Backends: list})
+	w.holds(0, core.Holdings{FreeMB: 50_000, Models: loadedModels("m0")})
+	stream, call := w.call("patient", prompt("m0")), w.call("once", nil)
+	sent := map[Key]int{stream: w.lastSend(stream).Attempt, call: w.lastSend(call).Attempt}
+	w.step(FirstEvent{Key: stream, Attempt: sent[stream]})
+
+	next := testConfig()
+	next.Version++
+	next.Routes = next.Routes[:1]
+	delete(next.Services, plainService)
+	delete(next.Services[engineService].Engine.Models, "m0")
+	w.step(ConfigRead{Config: next})
+	bounds := testBounds()
+	bounds.Drain, bounds.ConfigDelay = time.Second, time.Second
+	w.router.SetBounds(bounds)
+	w.run(500 * time.Millisecond)
+	for _, key := range []Key{stream, call} {
+		if finish, ended := w.finishes[key]; ended || w.abandons[key] != 0 {
+			t.Fatalf("request %d was cut: %+v", key, finish)
+		}
+	}
+	w.step(Answered{Key: call, Attempt: sent[call], Answer: fleet.Answer{Status: 200}})
+	for _, key := range []Key{stream, call} {
+		w.step(Done{Key: key, Attempt: sent[key], Events: 10, Pause: 50 * time.Millisecond})
+	}
+	if len(w.router.requests) != 0 || len(w.finishes) != 0 {
+		t.Errorf("%d requests left, ended by the router: %+v", len(w.router.requests), w.finishes)
+	}
+}
