Counts that a digest brings are of their own time

Of a server that started again in between, a request that was sent to its new life was taken for lost with the old one and sent on; and all requests that this router has there now were taken to be among the counts.

Change: the last word of a life is dated by the counts, and only requests that were sent by then count as told.

--- a/internal/router/backend.go
+++ b/internal/router/backend.go
@@ -186,6 +186,17 @@
 	return int(math.Round(r.blend(told, alike)))
 }
 
+// sentBy counts the requests under way at a server that were sent by a time.
+func (b *backend) sentBy(at core.Time) int {
+	n := 0
+	for _, a := range b.sent {
+		if a.at <= at {
+			n++
+		}
+	}
+	return n
+}
+
 // blendRouters is the number of routers at which an old word on all requests and
 // this router's own, taken for all, are about equally wrong: a word that is some
 // 250 ms old misses what a few requests a second made of it, and with five routers
--- a/internal/router/loaders.go
+++ b/internal/router/loaders.go
@@ -232,9 +232,10 @@
 	l.countedAt = at
 	if b := r.engineAt(l); b != nil {
 		if l.life().Compare(b.Incarnation) == 0 {
-			b.aliveAt = r.now
+			b.aliveAt = max(b.aliveAt, at)
 		}
-		l.ownThen, l.ownUnread = len(b.sent), b.queue.Len()
+		l.ownThen = b.sentBy(at)
+		l.ownUnread = min(l.ownThen, b.queue.Len())
 	}
 }
 
--- a/internal/router/restart_test.go
+++ b/internal/router/restart_test.go
@@ -183,3 +183,24 @@
 	w.lists(w.born(0, 0, "m1"))
 	w.lastSend(w.call("patient", prompt("m1")))
 }
+
+// Guards against a request that is taken for lost with a server's earlier life by an older
+// word on that life, which a digest brought late: it may be with the new one.
+func TestOldCountsInADigestAreOfTheirTime(t *testing.T) {
+	w := twoLives(t)
+	w.holdsIn(0, firstBorn, "m1")
+	w.run(time.Second)
+	key := w.call("patient", prompt("m1"))
+	w.lastSend(key)
+	w.run(500 * time.Millisecond)
+	w.step(DigestHeard{Digest: core.LoadDigest{From: "10.0.0.2", Engines: []core.EngineCounts{
+		{Loader: loaderName(0), Age: 1200 * time.Millisecond, Counts: core.Counts{Running: 7}},
+	}}})
+	if own := w.router.loaders[loaderName(0)].ownThen; own != 0 {
+		t.Errorf("%d requests of this router are among the counts, want none: it had none there then", own)
+	}
+	w.lists(w.born(0, secondBorn))
+	if w.abandons[key] != 0 {
+		t.Error("the request was taken for lost")
+	}
+}
