--- a/internal/loader/tell.go
+++ b/internal/loader/tell.go
@@ -42,18 +42,38 @@
 	l.noteDigested()
 	holdings := l.holdings()
 	l.noteChange(holdings)
+	due := l.dueWords(holdings)
+	behind := l.pickRouters(due)
+	l.emitHoldings(holdings)
+	l.noteTold(holdings, due, behind)
+}
+
+// dueWords are the words that it is time for.
+type dueWords struct {
+	// heartbeat is set when all are to hear that the loader is alive, full when that takes
+	// the holdings, and news when those that missed a change are to hear of it.
+	heartbeat, full, news bool
+}
+
+func (l *Loader) dueWords(holdings core.Holdings) dueWords {
 	t := &l.told
-	heartbeat := l.now.Sub(t.at) >= HeartbeatInterval
-	news := heartbeat || l.now.Sub(t.at) >= l.wordInterval()
+	due := dueWords{heartbeat: l.now.Sub(t.at) >= HeartbeatInterval}
+	due.full = due.heartbeat && !steady(holdings, t.holdings)
+	due.news = due.heartbeat || l.now.Sub(t.at) >= l.wordInterval()
 	if l.digested {
-		news = l.now.Sub(t.newsAt) >= HeartbeatInterval
+		due.news = l.now.Sub(t.newsAt) >= HeartbeatInterval
 	}
-	full := heartbeat && !steady(holdings, t.holdings)
+	return due
+}
+
+// pickRouters fills the lists of those that hear the holdings now, and tells whether any
+// other missed a change.
+func (l *Loader) pickRouters(due dueWords) (behind bool) {
+	t := &l.told
 	t.whole, t.light = t.whole[:0], t.light[:0]
-	behind := false
 	for _, r := range l.connected {
 		late := r.version < t.version
-		if !(full && l.hears(r)) && !(late && (news || l.hearsAtOnce(r))) {
+		if !(due.full && l.hears(r)) && !(late && (due.news || l.hearsAtOnce(r))) {
 			behind = behind || late
 			continue
 		}
@@ -64,16 +84,21 @@
 		}
 		r.version, r.nearVersion = t.version, t.nearVersion
 	}
-	l.emitHoldings(holdings)
-	told := len(t.whole)+len(t.light) > 0
-	if news && told {
+	return behind
+}
+
+// noteTold remembers what was told to whom, and tells the counts where they are due.
+func (l *Loader) noteTold(holdings core.Holdings, due dueWords, behind bool) {
+	t := &l.told
+	news := due.news && len(t.whole)+len(t.light) > 0
+	if news {
 		t.newsAt = l.now
 	}
 	switch {
-	case full, news && told && !behind && !l.digested:
+	case due.full, news && !behind && !l.digested:
 		t.holdings = holdings
 		t.at, t.countsAt = l.now, l.now
-	case heartbeat:
+	case due.heartbeat:
 		t.at = l.now
 		l.tellCounts(holdings)
 	case l.now.Sub(t.countsAt) >= l.countsInterval() && !holdings.Counts().About(t.holdings.Counts()):
