Soak: SIGHUP waits for a process's first instruction

Memory: not excluded, nothing speaks for it.

Change: the soak sends SIGHUP once the process has more than one thread, which the Go runtime starts first of all; from then on it must not end it, as before.

--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -1,10 +1,12 @@
 package soak
 
 import (
+	"bytes"
 	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"slices"
 	"sync"
 	"syscall"
@@ -63,16 +65,38 @@
 	return nil
 }
 
-// signal sends a signal that does not end the process.
+// programPoll is the pause between two looks at a process that starts.
+const programPoll = time.Millisecond
+
+// signal sends a signal that does not end the process. SIGHUP waits for the program's first
+// instruction: before that it ends any program, and a parent that starts a process holds the
+// lock, so that what comes meanwhile would come at that moment.
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	for s == syscall.SIGHUP && !p.down && !p.runs() {
+		time.Sleep(programPoll)
+	}
 	p.disturbed = append(p.disturbed, time.Now())
 	if !p.down {
 		_ = p.cmd.Process.Signal(s) // a process that has just ended needs none
 	}
 }
 
+var oneThread = regexp.MustCompile(`(?m)^Threads:\t1$`)
+
+// runs tells whether the Go runtime of the process has begun, which starts threads, or the
+// process has ended. It holds p.mu.
+func (p *process) runs() bool {
+	select {
+	case <-p.ended:
+		return true
+	default:
+	}
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	return err != nil || !oneThread.Match(status)
+}
+
 // end ends the process by SIGTERM, and by SIGKILL when that has no effect. It
 // reports false if another fault is ending it already.
 func (p *process) end(s syscall.Signal) bool {
@@ -115,3 +139,42 @@
 	path := filepath.Join(dir, name+".jsonc")
 	return path, os.WriteFile(path, []byte(text), 0o644)
 }
+
+// awaitLines waits until the log has so many lines on a start, or the process has ended.
+func (p *process) awaitLines(starts int) {
+	for {
+		log, _ := os.ReadFile(p.log) // not there yet is none
+		if bytes.Count(log, []byte(`"loader starting"`)) >= starts {
+			return
+		}
+		select {
+		case <-p.ended:
+			return
+		case <-time.After(programPoll):
+		}
+	}
+}
+
+// Guards against a soak that takes the end of a process by SIGHUP for its own fault where the
+// signal came before the program's first instruction: then it ends any program.
+func TestHangupFollowsTheStart(t *testing.T) {
+	settings, err := writeSettings(t.TempDir(), "loader", `{
+		"role": "loader", "host": "l", "address": "127.0.0.1", "zone": "z", "peers": "127.0.0.1:0",
+		"engine": "127.0.0.1:1", "operators": "127.0.0.1:0", "stopLimit": "1s",
+	}`)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &process{role: "loader", settings: settings, log: filepath.Join(t.TempDir(), "loader.log")}
+	for i := range 10 {
+		if err := p.start(); err != nil {
+			t.Fatal(err)
+		}
+		p.signal(syscall.SIGHUP)
+		p.awaitLines(i + 1)
+		p.end(syscall.SIGKILL)
+	}
+	for _, end := range p.ownEnds() {
+		t.Error(end)
+	}
+}
