Routers count their calls to the platform's store

By operation and result, as entries count theirs to the KV service: the price of a large fleet's calls could not be told by kind (nutmeglane_kv_calls_total).

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -29,7 +29,7 @@
 )
 
 var shellCounters = append([]core.CounterDef{
-	{Name: countKVCalls, Help: "Calls to the KV service by operation and result code.", Labels: []string{"op", "code"}},
+	{Name: countKVCalls, Help: "Calls to the KV service, or of a router to the platform's store, by operation and result code.", Labels: []string{"op", "code"}},
 	{Name: countHostReads, Help: "Reads of the platform's host list by result.", Labels: []string{"result"}},
 	{Name: countBadConfig, Help: "Configuration documents that could not be put in force."},
 }, front.Counters...)
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -79,7 +79,7 @@
 	p.log.Info("router starting", "callers", p.settings.Callers.String(), "zone", string(p.settings.Zone),
 		"store", p.settings.Store.String())
 	p.links = p.nodeProcess.links(p.fromPeer)
-	store := platform.NewStore(p.settings.Store.String(), storeTimeout)
+	store := platform.NewStore(p.settings.Store.String(), storeTimeout, p.countStoreCall)
 	defer store.Close()
 	notes := newNoteKeeper(store, p.log)
 	p.gateway = gateway.New(router.New(router.Options{
@@ -147,6 +147,10 @@
 	return nil
 }
 
+func (p *routerProcess) countStoreCall(op, result string) {
+	p.metrics.Do(core.Count{Name: countKVCalls, Labels: []string{op, result}, Add: 1})
+}
+
 func (p *routerProcess) lookIntoStore() { p.reader.lookSoon() }
 
 // readiness answers the balancer.
