A stopping router goes by how long answers take at most, as learnt

Hypothesis: twice the predicted time is too short where engines slow down, and too long elsewhere; the 99th percentile of what answers took, over their time without load, cuts fewer streams and refuses no more than that.

Test: TestTailIsWhatAnswersTakeAtMost.

--- a/internal/router/speed.go
+++ b/internal/router/speed.go
@@ -33,12 +33,21 @@
 	// leastRise is by how much a least time rises with each answer, so that one
 	// that chance made short is forgotten.
 	leastRise = 1.0005
+	// tailStep is by how much an answer that takes longer than the tail moves it up; one
+	// that does not moves it down by a part, so that one in a hundred lies beyond it.
+	tailStep = 0.2
+	tailPart = 1.0 / 99
+	// tailFirst is the tail before any answer, tailMost bounds it.
+	tailFirst, tailMost = 2, 8
 )
 
 // speed is what is known of a service's engines.
 type speed struct {
 	models map[string]*modelSpeed
-	share  float64
+	// tail is the 99th percentile of the time that answers take to generate, over that
+	// without load.
+	tail  float64
+	share float64
 	// samples is the number of answers that the share was learnt from.
 	samples int
 }
@@ -54,7 +63,7 @@
 	answers int
 }
 
-func newSpeed() speed { return speed{models: map[string]*modelSpeed{}} }
+func newSpeed() speed { return speed{models: map[string]*modelSpeed{}, tail: tailFirst} }
 
 // answer is what an answer that has ended tells of its engine.
 type answer struct {
@@ -76,6 +85,7 @@
 		m = &modelSpeed{pause: a.pause, first: a.first, events: float64(a.events)}
 		s.models[a.model] = m
 	}
+	s.learnTail(float64(a.events) * float64(a.pause) / float64(m.generating()))
 	m.pause = least(m.pause, a.pause)
 	m.first = least(m.first, a.first)
 	m.answers++
@@ -89,6 +99,15 @@
 	s.share += weight(s.samples) * (sample - s.share)
 }
 
+// learnTail takes in how many times its time without load an answer took to generate.
+func (s *speed) learnTail(times float64) {
+	if times > s.tail {
+		s.tail = min(tailMost, s.tail+tailStep)
+	} else {
+		s.tail = max(1, s.tail-tailStep*tailPart)
+	}
+}
+
 // weight of the n-th sample: a plain mean at first, so that a router that has
 // just started knows the load after some answers instead of after fifty.
 func weight(n int) float64 { return max(shareMemory, 1/float64(n)) }
--- a/internal/router/speed_test.go
+++ b/internal/router/speed_test.go
@@ -94,3 +94,29 @@
 		t.Errorf("%s, want the mean of the others, 300 ms", got)
 	}
 }
+
+// Guards against streams that are cut at a stop because engines often take longer than the
+// mean, and against refusals at a stop where they never do.
+func TestTailIsWhatAnswersTakeAtMost(t *testing.T) {
+	for name, c := range map[string]struct {
+		late        func(i int) bool
+		least, most float64
+	}{
+		"never late":            {func(int) bool { return false }, 1, 1.1},
+		"one in 20 four times":  {func(i int) bool { return i%20 == 0 }, 3.8, 4.4},
+		"one in 300 four times": {func(i int) bool { return i%300 == 0 }, 1, 1.4},
+		"always 20 times":       {func(int) bool { return true }, 1, 1.1}, // that is its time then
+	} {
+		s := newSpeed()
+		for i := range 3000 {
+			a := answer{model: "m", events: 20, first: 100 * time.Millisecond, pause: 50 * time.Millisecond}
+			if c.late(i) {
+				a.pause *= 4
+			}
+			s.answerEnded(a)
+		}
+		if s.tail < c.least || s.tail > c.most {
+			t.Errorf("%s: tail %.2f, want %.1f to %.1f", name, s.tail, c.least, c.most)
+		}
+	}
+}
--- a/internal/router/stop.go
+++ b/internal/router/stop.go
@@ -9,9 +9,9 @@
 
 // This file ends what a stopping process can no longer answer whole.
 
-// stopMargin is how many times its predicted time an answer must have left before the
-// process ends. A request that is refused is served by another host at once; one that is
-// cut midway has run, or may have.
+// stopMargin is how many times its usual time an answer of a plain service must have left
+// before the process ends. A request that is refused is served by another host at once; one
+// that is cut midway has run, or may have.
 const stopMargin = 2
 
 // stop begins the end of the process, by which each request must have its answer.
@@ -28,7 +28,8 @@
 	return r.stopAt == core.Never || r.now.Add(after+r.answerWithin(req)) <= r.stopAt
 }
 
-// answerWithin is the time in which the whole answer can be expected once a server begins.
+// answerWithin is the time in which the whole answer can be expected once a server begins,
+// in 99 of 100 cases of a generation.
 func (r *Router) answerWithin(req *request) time.Duration {
 	s := r.service(req.service)
 	if req.prompt == nil || r.engine(req.service) == nil {
@@ -38,7 +39,8 @@
 	if generating == 0 {
 		return req.route.Objective
 	}
-	return stopMargin * (s.work.Base() + s.work.Reading(req.prompt.Model, req.prompt.Tokens) + generating)
+	generating = time.Duration(s.speed.tail * float64(generating))
+	return s.work.Base() + s.work.Reading(req.prompt.Model, req.prompt.Tokens) + generating
 }
 
 // refuseAtStop ends a request whose answer would not be whole in time. Other hosts take it
