--- a/internal/core/agent/leave.go
+++ b/internal/core/agent/leave.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"maps"
 	"time"
 
 	"nutmeglane.example/nutmeglane/internal/code"
@@ -57,6 +58,7 @@
 // noteLost remembers an entry whose connection was lost: it may ask what became of what
 // it had sent, for as long as it waits for a new connection.
 func (p *Part) noteLost(entry core.HostID) {
+	p.forgetLost()
 	p.lost[entry] = p.now.Add(p.cfg.Limits.ResumeWindow)
 }
 
@@ -78,17 +80,21 @@
 }
 
 func (p *Part) awaitsLost() bool {
+	p.forgetLost()
+	if len(p.lost) == 0 {
+		return false
+	}
 	last := p.now
-	for entry, until := range p.lost {
-		if until <= p.now {
-			delete(p.lost, entry)
-		}
+	for _, until := range p.lost {
 		last = max(last, until)
 	}
-	if len(p.lost) > 0 {
-		p.timers.set(&p.lostTimer, last)
-	}
-	return len(p.lost) > 0
+	p.timers.set(&p.lostTimer, last)
+	return true
+}
+
+// forgetLost drops the entries that have given up.
+func (p *Part) forgetLost() {
+	maps.DeleteFunc(p.lost, func(_ core.HostID, until core.Time) bool { return until <= p.now })
 }
 
 // hostList begins a graceful shutdown when the platform reclaims the host.
--- a/internal/core/entry/attempt.go
+++ b/internal/core/entry/attempt.go
@@ -89,7 +89,7 @@
 		r.phase = phaseRunning
 	}
 	if !p.endsInTime(r.place, r.startsAt) {
-		p.recall(func(other *request) bool { return other == r })
+		p.recall(r)
 	}
 }
 
@@ -111,10 +111,14 @@
 		result = code.NoBackend // what it means to a caller
 	}
 	r.refusal, r.retryAfter = result, retryAfter
-	if result == code.Draining && !r.recalled {
+	if r.recalled {
+		p.finish(r, code.Draining, minRetryAfter)
+		return
+	}
+	if result == code.Draining {
 		r.agent.noticed = true
 	}
-	if finalRefusal(result) || r.recalled || !p.mayRetry(r) {
+	if finalRefusal(result) || !p.mayRetry(r) {
 		p.finish(r, result, retryAfter)
 		return
 	}
--- a/internal/core/entry/stop.go
+++ b/internal/core/entry/stop.go
@@ -63,7 +63,7 @@
 		recallAt: p.now.Add(ev.Limit - min(recallLead, ev.Limit/recallPart)),
 	}
 	p.emit(core.Ready{Ready: false})
-	p.recall(func(r *request) bool { return !p.endsInTime(r.place, r.startsAt) })
+	p.recallAll(func(r *request) bool { return !p.endsInTime(r.place, r.startsAt) })
 }
 
 // endsInTime tells whether a run that starts at a time can be expected to end before the
@@ -89,21 +89,28 @@
 	return !p.stop.recalled && p.endsInTime(c.place, p.now.Add(wait))
 }
 
-// recall ends requests that have not begun to run, where which says so. Those that were
-// sent are refused once their agents say that they had not begun.
+// recallAll calls back the requests of which says so.
+func (p *Part) recallAll(which func(*request) bool) {
+	for _, r := range slices.Clone(p.timers) {
+		if which(r) {
+			p.recall(r)
+		}
+	}
+}
+
+// recall ends a request that has not begun to run. One that was sent is refused once its
+// agent says that it had not begun.
 //
 // It guards against requests that wait until the process ends and are cut then: their
 // callers would not know that they can send them again.
-func (p *Part) recall(which func(*request) bool) {
-	for _, r := range slices.Clone(p.timers) {
-		switch {
-		case r.stream.head || r.stream.progress || r.recalled || !which(r):
-		case r.phase == phaseConnecting:
-			p.finish(r, code.Draining, minRetryAfter)
-		case r.agent.up:
-			r.recalled = true
-			p.send(r.agent, core.Cancel{Attempt: r.attemptID(), IfWaiting: true})
-		}
+func (p *Part) recall(r *request) {
+	switch {
+	case r.stream.head || r.stream.progress || r.recalled:
+	case r.phase == phaseConnecting:
+		p.finish(r, code.Draining, minRetryAfter)
+	case r.agent.up:
+		r.recalled = true
+		p.send(r.agent, core.Cancel{Attempt: r.attemptID(), IfWaiting: true})
 	}
 }
 
@@ -125,7 +132,7 @@
 		p.cutAll()
 	case !p.stop.recalled:
 		p.stop.recalled = true
-		p.recall(func(*request) bool { return true })
+		p.recallAll(func(*request) bool { return true })
 	}
 }
 
