--- a/internal/daemon/callerconns.go
+++ b/internal/daemon/callerconns.go
@@ -249,6 +249,16 @@
 	return err == nil && waiting
 }
 
+// CloseWrite ends the answers and leaves reading open, as http.Server does with a caller that
+// still sends a body that was refused: closed whole, its connection would be reset, perhaps
+// before it has read the refusal.
+func (c *callerConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
 	c.conns.forget(c)
--- a/internal/daemon/callerconns_test.go
+++ b/internal/daemon/callerconns_test.go
@@ -284,3 +284,33 @@
 	writeText(t, caller, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
 	readWhole(t, bufio.NewReader(caller))
 }
+
+// Guards against a caller whose body is too large and who sees a reset in place of the
+// refusal: http.Server has to find a connection that can be closed by half.
+func TestCallersConnectionClosesByHalf(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	caller, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = caller.Close() }()
+	accepted, err := newCallerConns().listen(listener).Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	half, ok := accepted.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		t.Fatal("the connection can't be closed by half")
+	}
+	if _, err := caller.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("the caller reads %v, want the end", err)
+	}
+	writeText(t, caller, "rest of the body")
+	if n, err := accepted.Read(make([]byte, 32)); n == 0 || err != nil {
+		t.Errorf("%d bytes read, %v", n, err)
+	}
+}
