An answer that is whole by its length ends there, so that no later request is reset

A caller who may send once can't know then that its call never ran.

Cause: the entry wrote the answer to the call before as it came, head and body with the service's Content-Length, and waited for the agent's word that it was at its end. The caller had the whole answer by its length and used the connection again. The agent was killed in between, the entry took the first answer for cut, and closed the connection, on which the next request lay unread: the kernel resets it.

Evidence: the test below, with the symptom to the letter, 3 of 3 cases.

Change: an answer whose announced bytes have been written, and one that has none by its status or method, is at its end there; what comes later changes nothing. Answers without a length are broken off as before. Routers pass on a server's answer directly and end it by its length already.

Test: TestAnswerThatIsWholeByItsLengthEndsThere failed before in all three cases, "read: connection reset by peer".

--- a/internal/front/answer_test.go
+++ b/internal/front/answer_test.go
@@ -286,3 +286,47 @@
 		t.Error("Exit was taken")
 	}
 }
+
+// Guards against a reset of a caller's next request: an answer that is whole by its length
+// has no end yet when its agent dies, and the connection that the caller uses again was
+// closed for it.
+func TestAnswerThatIsWholeByItsLengthEndsThere(t *testing.T) {
+	answers := map[string]struct {
+		method string
+		head   core.RespondHead
+		data   string
+	}{
+		"length":     {"POST", core.RespondHead{Status: 200, Header: []core.HeaderKV{{Name: "Content-Length", Value: "4"}}}, "abcd"},
+		"no content": {"POST", core.RespondHead{Status: 204}, ""},
+		"head":       {"HEAD", core.RespondHead{Status: 200, Header: []core.HeaderKV{{Name: "Content-Length", Value: "4"}}}, ""},
+	}
+	for name, a := range answers {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.server.Client().Transport.(*http.Transport).MaxConnsPerHost = 1
+			first := h.start(h.request(a.method, "/services/akte/flats", "{}"))
+			id := next[core.RequestArrived](h).ID
+			a.head.ID = id
+			h.front.Do(a.head)
+			if a.data != "" {
+				h.front.Do(core.RespondData{ID: id, Count: 1, Payload: []byte(a.data)})
+			}
+			if got := h.wait(first); got.body != a.data || got.response.StatusCode != a.head.Status {
+				t.Fatalf("%d %q", got.response.StatusCode, got.body)
+			}
+			second := h.start(h.request("POST", "/services/akte/charges", "{}"))
+			h.front.Do(core.RespondEnd{ID: id, Code: code.AnswerCut}) // its agent has died
+			arrived := make(chan core.RequestID, 1)
+			go func() { arrived <- next[core.RequestArrived](h).ID }()
+			select {
+			case got := <-second:
+				t.Fatalf("the next request on the connection: %v", got.err)
+			case id = <-arrived:
+			}
+			h.front.Do(core.RespondEnd{ID: id, Code: code.NoBackend})
+			if got := h.wait(second); got.response.Header.Get(headerCode) != "2003" {
+				t.Errorf("the next request: %v", got.response)
+			}
+		})
+	}
+}
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -80,6 +80,8 @@
 	data(core.RespondData) error
 	// flush brings all data so far on its way to the caller.
 	flush() error
+	// complete tells that the caller has all before the end has come.
+	complete() bool
 	// end ends the answer, whole if the code is OK, else visibly broken.
 	end(core.RespondEnd)
 }
@@ -132,7 +134,10 @@
 	if frames > 0 {
 		f.post(core.CallerTook{ID: in.id, Frames: frames})
 	}
-	if end != nil {
+	switch {
+	case to.complete():
+		return true // the reducer's end of it finds no call any more
+	case end != nil:
 		to.end(*end)
 	}
 	return end != nil
--- a/internal/front/completion_answer.go
+++ b/internal/front/completion_answer.go
@@ -115,6 +115,9 @@
 	s.pending = append(s.pending, "}]}\n\n"...)
 }
 
+// complete implements answer: the caller waits for the end.
+func (m *meta) complete() bool { return false }
+
 func (s *streamedAnswer) flush() error {
 	if len(s.pending) == 0 {
 		return nil
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -5,6 +5,7 @@
 	"net/url"
 	"path"
 	"slices"
+	"strconv"
 	"strings"
 
 	"nutmeglane.example/nutmeglane/internal/api"
@@ -99,8 +100,32 @@
 	in    *incoming
 	begun bool
 	dirty bool
+	// left is the number of bytes that the head announced and that have not come yet,
+	// unknownLength where it announced none.
+	left int64
 }
 
+const unknownLength = -1
+
+// answerLength is the length of the body that a head announces to the caller.
+func (in *incoming) answerLength(head core.RespondHead) int64 {
+	if in.r.Method == http.MethodHead || head.Status == http.StatusNoContent || head.Status == http.StatusNotModified {
+		return 0
+	}
+	length, err := strconv.ParseInt(in.w.Header().Get("Content-Length"), 10, 64)
+	if err != nil || length < 0 {
+		return unknownLength
+	}
+	return length
+}
+
+// complete tells that the caller has the whole answer, by its length, whatever comes.
+//
+// It guards against a reset of the caller's next request: one who has a whole answer uses
+// its connection again, which was closed when the agent died before it had said that the
+// answer was at its end.
+func (a *rawAnswer) complete() bool { return a.begun && a.left == 0 }
+
 const (
 	minFinalStatus = 200
 	maxStatus      = 599
@@ -118,6 +143,7 @@
 	if len(header["Content-Type"]) == 0 {
 		header["Content-Type"] = nil // not guessed by net/http
 	}
+	a.left = a.in.answerLength(head)
 	a.in.w.WriteHeader(head.Status)
 	return nil
 }
@@ -127,7 +153,10 @@
 		return brokenAnswer{code.BackendFailed}
 	}
 	a.dirty = true
-	_, err := a.in.w.Write(data.Payload)
+	n, err := a.in.w.Write(data.Payload)
+	if a.left != unknownLength {
+		a.left -= int64(n)
+	}
 	return err
 }
 
