--- a/internal/harness/stop_test.go
+++ b/internal/harness/stop_test.go
@@ -14,6 +14,8 @@
 
 // Bounds of what is drawn around a planned stop.
 const (
+	// stopSpan is the time in which calls, the stop and what disturbs it begin.
+	stopSpan = 4 * time.Second
 	// stopLimit is far beyond what any call takes.
 	stopLimit = 30 * time.Second
 	// shortestLimit leaves an agent the time to say what has not begun.
@@ -45,12 +47,12 @@
 }
 
 // calling sends calls at random moments of a time, each to one of the entries.
-func (h *stopHistory) calling(span time.Duration) {
+func (h *stopHistory) calling() {
 	target := rapid.SampledFrom([]core.Target{serviceTarget, serviceTarget, modelTarget("m0"), modelTarget("m1")}).Draw(h.rt, "target")
 	for range rapid.IntRange(1, 12).Draw(h.rt, "calls") {
 		entry := entryID(rapid.IntRange(0, 1).Draw(h.rt, "entry"))
 		tokens := uint64(rapid.IntRange(0, 60).Draw(h.rt, "tokens"))
-		h.After(h.draw("call at", span), func() {
+		h.After(h.draw("call at", stopSpan), func() {
 			if !h.processes[entry].Alive() {
 				entry = "e1" // no balancer sends to an entry that has ended
 			}
@@ -60,20 +62,20 @@
 }
 
 // starve keeps some of the processes from the processor for a while.
-func (h *stopHistory) starve(span, most time.Duration, hosts ...core.HostID) {
+func (h *stopHistory) starve(most time.Duration, hosts ...core.HostID) {
 	for _, host := range hosts {
 		if rapid.Bool().Draw(h.rt, "starved "+string(host)) {
 			d := h.draw("starved for", most)
-			h.After(h.draw("starved at", span), func() { h.processes[host].Pause(d) })
+			h.After(h.draw("starved at", stopSpan), func() { h.processes[host].Pause(d) })
 		}
 	}
 }
 
 // breakLinks ends the connections of some of the entries to a host.
-func (h *stopHistory) breakLinks(span time.Duration, host core.HostID) {
+func (h *stopHistory) breakLinks(host core.HostID) {
 	for _, entry := range []core.HostID{"e0", "e1"} {
 		for range rapid.IntRange(0, 2).Draw(h.rt, "breaks") {
-			h.After(h.draw("break at", span), func() { h.Break(entry, host) })
+			h.After(h.draw("break at", stopSpan), func() { h.Break(entry, host) })
 		}
 	}
 }
@@ -95,6 +97,12 @@
 	}
 }
 
+// judge checks that the stop cost none of the calls anything.
+func (h *stopHistory) judge() {
+	h.finish()
+	h.wholeOrNotRun(h.calls)
+}
+
 // stopCase is a planned stop of s0 among nine calls that e0 and e1 send to it at the same
 // moment. Times count from then.
 type stopCase struct {
@@ -146,14 +154,12 @@
 func TestPlannedStopOfAnAgentCostsNoCall(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		h := newStopHistory(rt)
-		const span = 4 * time.Second
 		stopped := rapid.SampledFrom([]core.HostID{"s0", "h0", "h1"}).Draw(rt, "stopped")
-		h.calling(span)
-		h.starve(span, longestStarved, "e0", "e1", stopped)
-		h.After(h.draw("stop at", span), func() { h.processes[stopped].Stop(stopLimit) })
+		h.calling()
+		h.starve(longestStarved, "e0", "e1", stopped)
+		h.After(h.draw("stop at", stopSpan), func() { h.processes[stopped].Stop(stopLimit) })
 		h.RunFor(30 * time.Second)
-		h.finish()
-		h.wholeOrNotRun(h.calls)
+		h.judge()
 	})
 }
 
@@ -161,15 +167,13 @@
 func TestPlannedStopOfAnAgentAmongBrokenConnections(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		h := newStopHistory(rt)
-		const span = 4 * time.Second
 		stopped := rapid.SampledFrom([]core.HostID{"s0", "h0", "h1"}).Draw(rt, "stopped")
-		h.calling(span)
-		h.starve(span, longestUnreachable, "e0", "e1", stopped)
-		h.breakLinks(span, stopped)
-		h.After(h.draw("stop at", span), func() { h.processes[stopped].Stop(stopLimit) })
+		h.calling()
+		h.starve(longestUnreachable, "e0", "e1", stopped)
+		h.breakLinks(stopped)
+		h.After(h.draw("stop at", stopSpan), func() { h.processes[stopped].Stop(stopLimit) })
 		h.RunFor(30 * time.Second)
-		h.finish()
-		h.wholeOrNotRun(h.calls)
+		h.judge()
 	})
 }
 
@@ -206,13 +210,11 @@
 func TestPlannedStopOfAnEntryCostsNoCall(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		h := newStopHistory(rt)
-		const span = 4 * time.Second
-		h.calling(span)
-		h.starve(span, longestStarved, "e1", "s0", "h0")
-		h.After(h.draw("stop at", span), func() { h.processes["e0"].Stop(stopLimit) })
+		h.calling()
+		h.starve(longestStarved, "e1", "s0", "h0")
+		h.After(h.draw("stop at", stopSpan), func() { h.processes["e0"].Stop(stopLimit) })
 		h.RunFor(40 * time.Second)
-		h.finish()
-		h.wholeOrNotRun(h.calls)
+		h.judge()
 	})
 }
 
@@ -220,11 +222,10 @@
 func TestShortStopOfAnEntryTellsWhatNeverRan(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		h := newStopHistory(rt)
-		const span = 4 * time.Second
 		h.declare(resource(api.KindService, "records", &api.ServiceSpec{MaxConcurrent: 1}))
-		h.calling(span)
+		h.calling()
 		limit := shortestLimit + h.draw("limit", 5*time.Second)
-		h.After(h.draw("stop at", span), func() { h.processes["e0"].Stop(limit) })
+		h.After(h.draw("stop at", stopSpan), func() { h.processes["e0"].Stop(limit) })
 		h.RunFor(20 * time.Second)
 		h.finish()
 		for i, o := range h.calls {
