Servers' announcements of draining and backoff are visible: logs, metrics, dump

Callers saw nothing new: no decision uses them yet. Neither header of a caller's request is passed on. Tests: TestAnnouncementsAreLoggedAndDumped, TestAnnouncementsOfAllAnswersAreRecorded, TestDecodeBackoff, TestDecodeDraining, TestRequestHeaderRemovesAnnouncements.

--- a/internal/fleet/backend.go
+++ b/internal/fleet/backend.go
@@ -135,8 +135,37 @@
 	Load *Load
 	// Limit is the request rate limit that the server reports.
 	Limit ReportedLimit
+	// Draining is set if the server announces that it is about to shut down.
+	Draining bool
+	// Backoff is for how long the server wants no further requests from this host.
+	Backoff ReportedBackoff
+}
+
+// Announces reports whether the server states that it wants no further requests.
+func (a Answer) Announces() bool { return a.Draining || a.Backoff.State != BackoffNone }
+
+// ReportedBackoff is the period, from a response that turned a request away, in which the
+// server wants no requests from the host that receives the response.
+type ReportedBackoff struct {
+	State BackoffState
+	// Period is valid if State is BackoffReported.
+	Period time.Duration
+	// Text is the unreadable value, truncated for logs, if State is BackoffMalformed.
+	Text string
 }
 
+// BackoffState states whether a response reports a backoff.
+type BackoffState uint8
+
+const (
+	// BackoffNone: the server does not ask for one.
+	BackoffNone BackoffState = iota
+	// BackoffReported: the server asks for one.
+	BackoffReported
+	// BackoffMalformed: the value can't be read and is ignored.
+	BackoffMalformed
+)
+
 // ReportedLimit is a server's limit, as reported in a response, on the requests per second
 // that it accepts from all routers together.
 type ReportedLimit struct {
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -119,6 +119,9 @@
 			continue
 		}
 		head := platform.DecodeHead(response)
+		if head.Announces() {
+			c.gateway.Step(router.ServerAnnounced{Server: d.Incarnation, Answer: head.Answer})
+		}
 		if head.RequestID != "" && head.RequestID != c.info.ID {
 			stray++
 			if _, err := io.Copy(io.Discard, response.Body); err != nil || stray > maxStrayAnswers {
--- a/internal/router/backend.go
+++ b/internal/router/backend.go
@@ -86,6 +86,8 @@
 
 	// limit is the state of the server's request limit.
 	limit serverLimit
+	// announced is what the server stated of itself in its answers.
+	announced announced
 
 	indexed indexed
 	// aliveAt is when the last report of the server's present incarnation arrived.
--- a/internal/router/dump.go
+++ b/internal/router/dump.go
@@ -42,7 +42,11 @@
 	// has known it.
 	LimitPerSecond *float64
 	LimitKnownFor  time.Duration
-	Holdings       *core.Holdings
+	// DrainingFor is for how long this router has known from an answer that the server is
+	// draining, 0 if none said so. BackoffLeft is the remaining time in which the server
+	// wants no requests from this host.
+	DrainingFor, BackoffLeft time.Duration
+	Holdings                 *core.Holdings
 }
 
 // WaitState is the dump of the requests that wait for a model.
@@ -62,6 +66,7 @@
 			Listed: b.unlistedAt == 0, Draining: r.draining(b), LeftOut: r.now < b.ejectedUntil,
 			Requests: len(b.sent), Latency: b.latency, Ahead: b.queue.Delay(r.now), Pace: b.pace, Failing: b.failureRate, Holdings: r.holdings(b),
 			LimitPerSecond: perSecond, LimitKnownFor: knownFor,
+			DrainingFor: b.announced.drainingFor(r.now), BackoffLeft: b.announced.backoffLeft(r.now),
 		})
 	}
 	for _, key := range slices.SortedFunc(maps.Keys(r.waits), compareWaitKeys) {
--- a/internal/router/effect.go
+++ b/internal/router/effect.go
@@ -6,6 +6,7 @@
 
 	"nutmeglane.example/nutmeglane/internal/code"
 	"nutmeglane.example/nutmeglane/internal/core"
+	"nutmeglane.example/nutmeglane/internal/fleet"
 )
 
 // Effect is an output of the reducer.
@@ -16,9 +17,9 @@
 type Send struct {
 	Key     Key
 	Attempt int
-	// Instance and Address identify the server.
-	Instance string
-	Address  string
+	// Incarnation and Address identify the server.
+	fleet.Incarnation
+	Address string
 	// MaxConns is this router's share of the server's connections.
 	MaxConns int
 	// Until is when the attempt ends at the latest.
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -159,6 +159,14 @@
 	Answer  fleet.Answer
 }
 
+// ServerAnnounced delivers what a server states of itself in the head of an answer, as soon
+// as the head is read. The answer may belong to an attempt that was abandoned, or fail later.
+type ServerAnnounced struct {
+	// Server is the incarnation that the request was sent to.
+	Server fleet.Incarnation
+	Answer fleet.Answer
+}
+
 // FirstEvent reports that the first event of a stream was forwarded.
 type FirstEvent struct {
 	Key     Key
@@ -212,6 +220,7 @@
 func (AttemptFailed) event()        {}
 func (Stalled) event()              {}
 func (Answered) event()             {}
+func (ServerAnnounced) event()      {}
 func (FirstEvent) event()           {}
 func (Done) event()                 {}
 func (CallerLeft) event()           {}
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -241,11 +241,12 @@
 	req.tried = append(req.tried, b.Instance)
 	req.attempt = &attempt{at: r.now, incarnation: b.Incarnation, slowdown: r.slowdown(b), forecast: c.forecast}
 	b.sent[req.key] = req.attempt
+	r.noteUnwanted(req, b)
 	if req.prompt != nil && r.engine(req.service) != nil {
 		r.promptSent(req)
 	}
 	send := Send{
-		Key: req.key, Attempt: req.number, Instance: b.Instance, Address: b.Address,
+		Key: req.key, Attempt: req.number, Incarnation: b.Incarnation, Address: b.Address,
 		MaxConns: r.connShare(req.service), Until: req.deadline,
 		Priority: enginePriority(req.rank()),
 		Account:  req.accountName(), HideCredentials: len(r.config.Accounts) > 0,
--- a/internal/router/restart.go
+++ b/internal/router/restart.go
@@ -50,6 +50,7 @@
 	b.queue, b.cache, b.pace = work.Queue{}, work.NewCache(r.kvTokens(b.Service)), 1
 	b.latency, b.load = 0, nil
 	r.dropLimit(b)
+	b.announced = announced{}
 	b.failureRate, b.failures, b.ejectedUntil = 0, 0, 0
 	b.foundAt, b.aliveAt = r.now, r.now
 	r.reindex(b)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -215,6 +215,8 @@
 		r.stalled(e)
 	case Answered:
 		r.answered(e)
+	case ServerAnnounced:
+		r.serverAnnounced(e)
 	case FirstEvent:
 		r.firstEvent(e)
 	case Done:
