--- a/internal/router/announced_test.go
+++ b/internal/router/announced_test.go
@@ -44,3 +44,37 @@
 		t.Errorf("the dump has %v, %v and %v", state[0].DrainingFor, state[1].BackoffLeft, state[2].BackoffLeft)
 	}
 }
+
+// Guards against requests to a server that an answer showed to be draining, while its registry
+// entry says that it is ready: with the store away, and after a read that is older than the
+// answer.
+func TestServerDrainingByItsAnswerGetsNoRequests(t *testing.T) {
+	w := newFixture(t)
+	w.servers(plainService, 3)
+	w.step(StoreState{Reachable: false})
+	w.announce("s0", drainingAnswer())
+	for i := range 60 {
+		if i == 30 {
+			w.step(StoreState{Reachable: true})
+			w.servers(plainService, 3)
+		}
+		if send := w.lastSend(w.call("again", nil)); send.Instance == "s0" {
+			t.Fatalf("request %d sent to a server that is draining, %v after its answer", i, w.router.Dump().Backends[0].DrainingFor)
+		}
+		w.run(100 * time.Millisecond)
+	}
+}
+
+// Guards against requests to a server within the time for which it wants none: each is turned
+// away, and its caller is told to come back while the server still wants none.
+func TestServerGetsNoRequestsWithinItsBackoff(t *testing.T) {
+	w := newFixture(t)
+	w.servers(plainService, 3)
+	const period = 3 * time.Second
+	w.announce("s0", backoffAnswer(period))
+	for until := w.now.Add(period); w.now < until; w.run(100 * time.Millisecond) {
+		if send := w.lastSend(w.call("again", nil)); send.Instance == "s0" {
+			t.Fatalf("request sent to a server that wants none for %v", w.router.Dump().Backends[0].BackoffLeft)
+		}
+	}
+}
--- a/internal/soak/backend_test.go
+++ b/internal/soak/backend_test.go
@@ -65,7 +65,13 @@
 	left  bool
 	fault serverFault
 	// limit is the limit announced in its answers, in requests per second.
-	limit  string
+	limit string
+	// announcesDraining is set if its answers state that it is draining. backoff is what
+	// it wants if requests are turned away, until backoffEnds.
+	announcesDraining bool
+	backoff           string
+	backoffEnds       time.Time
+
 	server *http.Server
 	life   int
 	tasks  sync.WaitGroup
@@ -81,6 +87,7 @@
 	defer b.mu.Unlock()
 	b.life++
 	b.instance, b.draining, b.left, b.limit = fmt.Sprintf("%s-%d", b.name, b.life), false, false, ""
+	b.announcesDraining, b.backoffEnds = false, time.Time{}
 	if b.engine != nil {
 		b.engine.restart()
 	}
@@ -221,6 +228,7 @@
 	id := r.Header.Get("Nutmeglane-Request-Id")
 	w.Header().Set("Nutmeglane-Request-Id", id)
 	w.Header().Set("Nutmeglane-Instance-Id", instance)
+	b.announceDraining(w.Header())
 	if id == "" && b.engine == nil {
 		refuseRun(w, http.StatusBadRequest)
 		return
@@ -236,6 +244,9 @@
 		w.Header().Set("Server-Limit", limit)
 	}
 	b.checker.arrived(instance, id)
+	if b.turnAway(w, instance, id) {
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return // the request did not arrive completely
--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -174,7 +174,11 @@
 		r.reportViolation("%s got the answer of %q: %d", id, got, status)
 	}
 	sealed := response.Header.Get("Nutmeglane-Server-Seal")
-	r.limits.limitForwarded(a.router, response.Header.Get("Nutmeglane-Instance-Id"), response.Header.Get("Server-Limit"))
+	server := response.Header.Get("Nutmeglane-Instance-Id")
+	r.limits.limitForwarded(a.router, server, response.Header.Get("Server-Limit"))
+	if response.Header.Get("Server-Leaving") != "" {
+		r.announcements.drainingForwarded(path{a.router, server})
+	}
 	switch {
 	case body != "" && strings.Contains(body, code.PoisonRequest.String()) && !strings.HasPrefix(id, "poison"):
 		r.reportViolation("%s is a healthy request and was refused as poison: %s", id, body)
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -164,7 +164,9 @@
 }
 
 func (f *faults) disturb(lasts time.Duration, how func(*relay.Relay)) {
-	link := f.world.links[pick(f, sortedKeys(f.world.links))]
+	name := pick(f, sortedKeys(f.world.links))
+	link := f.world.links[name]
+	f.world.checker.announcements.linkDisturbed(name, lasts)
 	how(link)
 	f.tasks.Go(func() {
 		time.Sleep(lasts)
--- a/internal/soak/result_checker_test.go
+++ b/internal/soak/result_checker_test.go
@@ -29,7 +29,9 @@
 type checker struct {
 	mu    sync.Mutex
 	asked map[string]sentRequest
-	runs  map[string]int
+	// sentAt is when callers sent their requests.
+	sentAt map[string]time.Time
+	runs   map[string]int
 	// notRun holds the statuses of requests that were refused as not run.
 	notRun   map[string]string
 	served   map[string]int
@@ -42,10 +44,13 @@
 	busyRuns []use
 	// limits checks the requests that reach servers with a limit.
 	limits *limits
+	// announcements checks the requests that reach servers that announced that they want
+	// none.
+	announcements *announcements
 }
 
 func newChecker() *checker {
-	return &checker{asked: map[string]sentRequest{}, runs: map[string]int{}, notRun: map[string]string{}, served: map[string]int{}, sent: map[string]time.Time{}, limits: newLimits()}
+	return &checker{asked: map[string]sentRequest{}, sentAt: map[string]time.Time{}, runs: map[string]int{}, notRun: map[string]string{}, served: map[string]int{}, sent: map[string]time.Time{}, limits: newLimits(), announcements: newAnnouncements()}
 }
 
 func (r *checker) reportViolation(format string, args ...any) {
@@ -57,7 +62,7 @@
 func (r *checker) requestSent(id string, a sentRequest) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.asked[id] = a
+	r.asked[id], r.sentAt[id] = a, time.Now()
 	if a.account == busyAccount {
 		r.sent[id] = time.Now()
 	}
@@ -87,9 +92,10 @@
 // arrived records that a request reached a server through its router.
 func (r *checker) arrived(server, id string) {
 	r.mu.Lock()
-	want := r.asked[id]
+	want, sentAt := r.asked[id], r.sentAt[id]
 	r.mu.Unlock()
 	r.limits.arrived(server, want.router)
+	r.announcements.arrived(path{want.router, server}, sentAt)
 }
 
 func (r *checker) hasRun(id string) bool {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -70,6 +70,16 @@
 	}
 }
 
+// Guards against requests to servers that announced that they want none, during the faults of a
+// seed. Servers announce in their answers alone that they are draining, and leave or are lost
+// some time later; others turn requests away and want a backoff.
+func TestAnnouncementsAmongFaults(t *testing.T) {
+	for i := range *seedCount {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, seed, announce) })
+	}
+}
+
 // boundSeeds are seeds that exceeded the bound of the busy account by up to 29%: routers and
 // loaders are stopped or killed several times within some seconds.
 var boundSeeds = []uint64{118, 401, 435, 488}
@@ -258,6 +268,7 @@
 	broken := w.checker.violations()
 	broken = append(broken, w.unexpectedExits()...)
 	broken = append(broken, w.checker.limits.violations(w.exempt)...)
+	broken = append(broken, w.checker.announcements.violations(w.disturbedBetween)...)
 	served := w.checker.counts()
 	t.Logf("seed %d: %d faults, %d requests, served %v, servers crashed by a poison request: %d, worst window of the busy account: %d of %d",
 		seed, len(f.log), w.checker.requests(), served, w.checker.poisonEnds(), w.checker.busiest(), int(busyBound))
