--- a/internal/core/loading.go
+++ b/internal/core/loading.go
@@ -162,6 +162,8 @@
 	// Digested is set if routers that do not wait for anything here receive heartbeats and
 	// counts only through the coordinator's digests; see LoadDigest.
 	Digested bool `cbor:"19,keyasint,omitempty"`
+	// Leaving is set once the engine has announced that it is about to shut down.
+	Leaving bool `cbor:"20,keyasint,omitempty"`
 }
 
 // Counts is sent by a loader to routers if nothing else has changed since its last
--- a/internal/core/poison.go
+++ b/internal/core/poison.go
@@ -61,6 +61,14 @@
 	Arrival uint32
 }
 
+// ServerDraining is sent by a router and reports a server whose answer announced that it is
+// draining. Loaders forward it to all other routers.
+type ServerDraining struct {
+	Server ServerLife `cbor:"1,keyasint"`
+}
+
+func (ServerDraining) message() {}
+
 // PoisonNews is sent by a router and reports servers that ended while requests ran on
 // them. Loaders forward it to all other routers and keep it for routers that start later;
 // the platform's store keeps it when all processes have ended.
--- a/internal/daemon/loader.go
+++ b/internal/daemon/loader.go
@@ -157,6 +157,8 @@
 			p.step(loader.QuotaRequested{Router: e.From, Request: m})
 		case core.LimitRequest:
 			p.step(loader.LimitRequested{Router: e.From, Request: m})
+		case core.ServerDraining:
+			p.step(loader.DrainingReceived{Router: e.From, News: m})
 		case core.PoisonNews:
 			p.step(loader.PoisonNewsReceived{Router: e.From, News: m})
 		}
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -249,6 +249,8 @@
 			p.gateway.Step(router.LoaderAnsweredLimit{Loader: e.From, Answer: m})
 		case core.RegistryNews:
 			p.reader.applyPeerNews(m)
+		case core.ServerDraining:
+			p.gateway.Step(router.DrainingReported{News: m})
 		case core.PoisonNews:
 			p.gateway.Step(router.PoisonReported{News: m})
 		}
--- a/internal/gateway/announced_test.go
+++ b/internal/gateway/announced_test.go
@@ -4,8 +4,11 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
+	"time"
 
+	"nutmeglane.example/nutmeglane/internal/fleet"
 	"nutmeglane.example/nutmeglane/internal/router"
 )
 
@@ -37,3 +40,25 @@
 		})
 	}
 }
+
+// Guards against a request that is written to a server which announced draining while a
+// connection to it was opened: the connection must close without it.
+func TestNothingIsWrittenToAServerExcludedMeanwhile(t *testing.T) {
+	received := make(chan string, 1)
+	s := newFixture(t, func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		received <- readRequest(conn)
+	})
+	server := fleet.Incarnation{Instance: "i-0"}
+	var address string
+	s.gateway.Inspect(func(r *router.Router) { address = r.Dump().Backends[0].Address })
+	s.gateway.Step(router.ServerAnnounced{Server: server, Answer: fleet.Answer{Status: 200, Draining: true}})
+
+	request := httptest.NewRequest(http.MethodPost, "/once/x", nil)
+	c := s.gateway.register(request, nil)
+	defer s.gateway.unregister(c)
+	c.attempt(router.Send{Key: c.key, Attempt: 1, Incarnation: server, Address: address, MaxConns: 1, Until: c.now().Add(time.Minute)})
+	if got := <-received; got != "" {
+		t.Errorf("the server received %q", got)
+	}
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -180,6 +180,10 @@
 		conn.discard()
 		return
 	}
+	if !conn.used && !c.mayStillSend(d) {
+		c.abortAndReport(d, conn, router.Withdrawn, errExcluded)
+		return
+	}
 	_ = conn.SetDeadline(deadline)
 	header := platform.RequestHeader(c.request.Header, platform.RequestOptions{
 		Instance: d.Instance, Remaining: limit, Priority: d.Priority, LastEvent: c.lastEvent,
@@ -201,6 +205,16 @@
 	return c.gateway.pool.get(ctx, d.Address, d.MaxConns)
 }
 
+// errExcluded means that a server was excluded while a connection to it was opened.
+var errExcluded = errors.New("the server wants no requests")
+
+// mayStillSend reports whether an attempt whose connection has just been opened may be sent.
+// Opening it may take as long as a server needs to announce that it wants no requests.
+func (c *call) mayStillSend(d router.Send) (may bool) {
+	c.gateway.Inspect(func(r *router.Router) { may = r.MayStillSend(d.Incarnation) })
+	return may
+}
+
 // write sends the request with the caller's method, target and body unchanged. The body is
 // sent with a Content-Length. It returns the number of bytes written.
 func (c *call) write(conn *upstream, header http.Header) (int, error) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -93,6 +93,10 @@
 		for _, to := range e.Via {
 			g.opts.Links.Do(core.Send{To: to, Message: e.News})
 		}
+	case router.RelayDraining:
+		for _, to := range e.Via {
+			g.opts.Links.Do(core.Send{To: to, Message: e.News})
+		}
 	case router.RelayDigest:
 		g.opts.Links.Do(core.Send{To: e.Loader, Message: e.Digest})
 	case router.RequestConfig:
--- a/internal/loader/announce.go
+++ b/internal/loader/announce.go
@@ -221,7 +221,7 @@
 // acceptsLess reports whether the engine has stopped taking requests that it took before.
 // Routers that do not know it send them there, and each is refused.
 func acceptsLess(now, before core.Holdings) bool {
-	if now.Draining && !before.Draining || now.Ended && !before.Ended || now.Instance != before.Instance || now.Born != before.Born {
+	if now.Draining && !before.Draining || now.Leaving && !before.Leaving || now.Ended && !before.Ended || now.Instance != before.Instance || now.Born != before.Born {
 		return true
 	}
 	return slices.ContainsFunc(before.Models, func(b core.HeldModel) bool {
@@ -243,7 +243,7 @@
 // routers, whose answers changed it again.
 func sameShape(a, b core.Holdings) bool {
 	sameResult := a.StoreLoad == b.StoreLoad || a.StoreLoad != nil && b.StoreLoad != nil && *a.StoreLoad == *b.StoreLoad
-	return a.Instance == b.Instance && a.Born == b.Born && a.Draining == b.Draining && a.Ended == b.Ended && a.Coordinator == b.Coordinator &&
+	return a.Instance == b.Instance && a.Born == b.Born && a.Draining == b.Draining && a.Leaving == b.Leaving && a.Ended == b.Ended && a.Coordinator == b.Coordinator &&
 		a.Digested == b.Digested && similarCount(a.Routers, b.Routers) && (a.FreeIn == 0) == (b.FreeIn == 0) && sameResult &&
 		sameModels(a.Models, b.Models) && sameNear(a, b)
 }
@@ -281,7 +281,7 @@
 func (l *Loader) holdings() core.Holdings {
 	h := core.Holdings{
 		Instance: l.engine.life.Instance, Born: l.engine.life.Born, Coordinator: l.coordinator(), Routers: len(l.routers), StoreLoad: l.lastStore,
-		Ended: l.engine.ended, Config: l.configs.newestVersion, Digested: l.digested,
+		Ended: l.engine.ended, Leaving: l.engine.draining, Config: l.configs.newestVersion, Digested: l.digested,
 	}
 	report := l.engine.report
 	if report == nil || l.spec == nil {
--- a/internal/loader/ended_test.go
+++ b/internal/loader/ended_test.go
@@ -83,3 +83,31 @@
 }
 
 var errRefused = errors.Wrap(syscall.ECONNREFUSED, "dial")
+
+// Guards against an engine that never gets a request because routers take the announcement of
+// its predecessor at the address for its own: also a report that was requested before the
+// instance changed may be the predecessor's.
+func TestLeavingIsAnnouncedForOneInstance(t *testing.T) {
+	w := newFixture(t)
+	spec := testSpec()
+	w.step(DemandReceived{Router: "10.0.0.1", Demand: core.Demand{Engine: &spec, Instance: "i-1"}})
+	w.engine.report.Draining = true
+	w.run(time.Second)
+	if got := w.holdings["10.0.0.1"]; !got.Leaving || got.Instance != "i-1" {
+		t.Fatalf("announced %s, leaving %t", got.Instance, got.Leaving)
+	}
+	late := w.engine.report
+	w.engine.report.Draining = false
+	w.now = w.now.Add(time.Millisecond)
+	w.step(DemandReceived{Router: "10.0.0.1", Demand: core.Demand{Engine: &spec, Instance: "i-2"}})
+	w.step(ReportRead{Report: late})
+	w.run(time.Second)
+	for _, h := range w.announced["10.0.0.1"] {
+		if h.Instance == "i-2" && h.Leaving {
+			t.Error("the successor is announced as leaving")
+		}
+	}
+	if got := w.holdings["10.0.0.1"].Instance; got != "i-2" {
+		t.Errorf("announced %s, want i-2", got)
+	}
+}
--- a/internal/loader/event.go
+++ b/internal/loader/event.go
@@ -60,6 +60,12 @@
 	Digest core.LoadDigest
 }
 
+// DrainingReceived is news of a draining server that a router wants forwarded.
+type DrainingReceived struct {
+	Router core.HostID
+	News   core.ServerDraining
+}
+
 // PoisonNewsReceived is news of poison requests that a router wants forwarded.
 type PoisonNewsReceived struct {
 	Router core.HostID
@@ -97,6 +103,7 @@
 func (LimitRequested) event()       {}
 func (DigestReceived) event()       {}
 func (ConfigSpreadReceived) event() {}
+func (DrainingReceived) event()     {}
 func (PoisonNewsReceived) event()   {}
 func (RegistryNewsReceived) event() {}
 func (Tick) event()                 {}
--- a/internal/loader/fixture_test.go
+++ b/internal/loader/fixture_test.go
@@ -18,6 +18,8 @@
 	wake     core.Time
 	engine   *fakeEngine
 	holdings map[core.HostID]core.Holdings
+	// announced are all holdings that each router received.
+	announced map[core.HostID][]core.Holdings
 	// messages counts the messages on the engine that each router received.
 	messages map[core.HostID]int
 	// forwarded are the messages of other routers that each router received.
@@ -70,7 +72,7 @@
 
 func newFixture(t testing.TB, loaded ...string) *fixture {
 	w := &fixture{
-		t: t, now: core.Time(time.Hour), loader: New(Options{Host: "10.1.0.1"}), holdings: map[core.HostID]core.Holdings{}, messages: map[core.HostID]int{}, forwarded: map[core.HostID][]core.Message{}, limits: map[core.HostID][]core.LimitReply{},
+		t: t, now: core.Time(time.Hour), loader: New(Options{Host: "10.1.0.1"}), holdings: map[core.HostID]core.Holdings{}, announced: map[core.HostID][]core.Holdings{}, messages: map[core.HostID]int{}, forwarded: map[core.HostID][]core.Message{}, limits: map[core.HostID][]core.LimitReply{},
 		engine: &fakeEngine{spec: testSpec(), instance: "i-1"},
 	}
 	for i := range 8 {
@@ -107,6 +109,7 @@
 					holdings.InMemory, holdings.OnDisk = before.InMemory, before.OnDisk
 				}
 				w.holdings[router] = holdings
+				w.announced[router] = append(w.announced[router], holdings)
 			}
 		case SendCounts:
 			for _, router := range e.Routers {
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -132,6 +132,9 @@
 	// does not listen yet, and an engine that replaces another did not refuse the
 	// earlier connections.
 	answered, draining, ended bool
+	// instanceSince is when the instance last changed. A report that was requested before
+	// may be one of the earlier instance.
+	instanceSince core.Time
 }
 
 // New returns a loader without any state of the engine or routers.
@@ -175,6 +178,9 @@
 		l.handleConfig(e.Router, e.Spread.Config)
 		l.forwardToPart(e.Router, e.Spread.Part, e.Spread.Parts, e.Spread.Config)
 		return l.out
+	case DrainingReceived:
+		l.forwardToOthers(e.Router, e.News)
+		return l.out
 	case PoisonNewsReceived:
 		l.ledger.AddNews(now, e.News)
 		l.forwardToOthers(e.Router, e.News)
@@ -274,8 +280,9 @@
 	if life.Instance == "" || life.Compare(l.engine.life) < 0 {
 		return
 	}
-	if l.engine.ended && l.engine.life.Instance != life.Instance {
+	if before := l.engine.life.Instance; before != "" && before != life.Instance {
 		l.engine.answered, l.engine.draining, l.engine.ended = false, false, false
+		l.engine.instanceSince = l.now
 	}
 	l.engine.life.Instance = life.Instance
 }
--- a/internal/loader/report.go
+++ b/internal/loader/report.go
@@ -37,7 +37,8 @@
 		l.log("engine answers again", slog.Int64("orders", e.Report.Sequence))
 	}
 	l.engine.failedReads = 0
-	l.engine.answered, l.engine.draining, l.engine.ended = true, e.Report.Draining, false
+	l.engine.answered, l.engine.ended = true, false
+	l.engine.draining = e.Report.Draining && l.lastReadAt >= l.engine.instanceSince
 	before := l.engine.report
 	l.engine.report = &e.Report
 	if before == nil || before.Draining != e.Report.Draining {
--- a/internal/router/announced.go
+++ b/internal/router/announced.go
@@ -1,23 +1,27 @@
 package router
 
 import (
+	"maps"
 	"time"
 
 	"nutmeglane.example/nutmeglane/internal/core"
 	"nutmeglane.example/nutmeglane/internal/fleet"
 )
 
-// This file records what backend servers state in their answers about requests that they do
-// not want: that they are draining, or for how long the sender should back off.
+// This file records what backend servers state about requests that they do not want, and
+// decides whether a server gets requests. A server's own statement counts more than the
+// registry, which may be seconds behind or unavailable, and more than a guess of this router.
 
 // malformedLogInterval is the time between two log lines on malformed backoffs of one server.
 const malformedLogInterval = 4 * time.Second
 
-// announced is what one server stated of itself in its answers. It ends with the server's
-// incarnation.
+// announced is what one server stated of itself. It ends with the server's incarnation.
 type announced struct {
-	// drainingAt is when an answer first stated that the server is draining, 0 if none has.
+	// drainingAt is when this router learned that the server is draining, 0 if it has not,
+	// drainingBy from whom. It is never revoked: a server that is draining exits, and a
+	// statement to the contrary is an older one.
 	drainingAt core.Time
+	drainingBy string
 	// backoffUntil is when the server's longest backoff ends. backoffAt is when the answer
 	// that set it arrived.
 	backoffUntil, backoffAt core.Time
@@ -25,6 +29,72 @@
 	malformedAt core.Time
 }
 
+// Sources of the statement that a server is draining.
+const (
+	byAnswer   = "its answer"
+	byRegistry = "the registry"
+	byLoader   = "its loader"
+	byRouter   = "another router"
+)
+
+// exclusion is why a server gets no requests.
+type exclusion uint8
+
+const (
+	notExcluded exclusion = iota
+	// excludedUnlisted servers are no longer in the registry.
+	excludedUnlisted
+	// excludedDraining servers are about to shut down, or do not answer their loader.
+	excludedDraining
+	// excludedEjected servers failed several requests. Unlike the others, this is a guess,
+	// and it does not apply if there is no other server.
+	excludedEjected
+)
+
+// exclusion returns why a server gets no requests, notExcluded if it does.
+func (r *Router) exclusion(b *backend) exclusion {
+	switch {
+	case b.unlistedAt != 0:
+		return excludedUnlisted
+	case r.draining(b):
+		return excludedDraining
+	case r.now < b.ejectedUntil:
+		return excludedEjected
+	default:
+		return notExcluded
+	}
+}
+
+// usable reports whether a server may get requests.
+func (r *Router) usable(b *backend) bool { return r.exclusion(b) == notExcluded }
+
+// accepts reports whether a server may get requests if there is no other.
+func (r *Router) accepts(b *backend) bool {
+	e := r.exclusion(b)
+	return e == notExcluded || e == excludedEjected
+}
+
+// stays reports whether a server is listed and not draining, so that it keeps the models that
+// it has.
+func (r *Router) stays(b *backend) bool { return b.unlistedAt == 0 && !r.draining(b) }
+
+// draining reports whether a server has announced that it is draining, or does not answer its
+// loader.
+func (r *Router) draining(b *backend) bool {
+	if b.announced.drainingAt != 0 {
+		return true
+	}
+	held := r.holdings(b)
+	return held != nil && held.Draining
+}
+
+// MayStillSend reports whether an attempt may be sent to its server, to which a connection
+// had to be opened since the attempt was chosen.
+func (r *Router) MayStillSend(server fleet.Incarnation) bool {
+	b := r.backends[server.Instance]
+	return b != nil && server.Compare(b.Incarnation) == 0 && r.accepts(b)
+}
+
 func (a *announced) drainingFor(now core.Time) time.Duration {
 	if a.drainingAt == 0 {
 		return 0
@@ -34,19 +104,6 @@
 
 func (a *announced) backoffLeft(now core.Time) time.Duration { return max(0, a.backoffUntil.Sub(now)) }
 
-// unwanted returns what a server stated about requests that it does not want, "" if it takes
-// them.
-func (a *announced) unwanted(now core.Time) string {
-	switch {
-	case a.drainingAt != 0:
-		return "draining"
-	case now < a.backoffUntil:
-		return "backoff"
-	default:
-		return ""
-	}
-}
-
 // serverAnnounced records what a server stated in the head of an answer. It ignores an answer
 // to a request that was sent to an earlier incarnation, and one of another server that has
 // taken over the address.
@@ -56,7 +113,7 @@
 		return
 	}
 	if e.Answer.Draining {
-		r.announcedDraining(b)
+		r.noteDraining(b, byAnswer)
 	}
 	switch e.Answer.Backoff.State {
 	case fleet.BackoffReported:
@@ -66,14 +123,61 @@
 	}
 }
 
-func (r *Router) announcedDraining(b *backend) {
+// noteDraining records that a server is draining. The other routers are told unless they
+// learn it from the registry or from the server's loader.
+func (r *Router) noteDraining(b *backend, source string) {
 	if b.announced.drainingAt != 0 {
 		return
 	}
-	b.announced.drainingAt = r.now
+	b.announced.drainingAt, b.announced.drainingBy = r.now, source
 	r.countAnnounced(b, "draining")
-	r.log(StateChange, "backend server is draining, by its answer", b.attrs("born", b.Born, "in_registry", b.Draining,
+	r.log(StateChange, "backend server is draining", b.attrs("born", b.Born, "source", source, "in_registry", b.Draining,
 		"store_away", r.storeDownSince != 0, "under_way", len(b.sent))...)
+	if to := r.Relays(drainingRelays); source == byAnswer && r.holdings(b) == nil && len(to) > 0 {
+		r.emit(RelayDraining{Via: to, News: core.ServerDraining{Server: serverLife(b.Incarnation)}})
+	}
+	r.recheckWaitsFor(b)
+}
+
+// drainingRelays is how many loaders pass a draining server on to the other routers: one may
+// be lost.
+const drainingRelays = 2
+
+// drainingReported processes the news of another router.
+func (r *Router) drainingReported(news core.ServerDraining) {
+	b := r.backends[news.Server.Instance]
+	if b != nil && (fleet.Incarnation{Instance: news.Server.Instance, Born: news.Server.Born}).Compare(b.Incarnation) == 0 {
+		r.noteDraining(b, byRouter)
+	}
+}
+
+// departed is a draining server that left the registry and was forgotten.
+type departed struct {
+	fleet.Incarnation
+	announced announced
+	at        core.Time
+}
+
+// rememberDeparted keeps what a server announced when it is forgotten.
+//
+// It guards against an entry that comes back, because a late write or an old copy of the
+// registry contains it: the server would get requests again although it is draining.
+func (r *Router) rememberDeparted(b *backend) {
+	if b.announced.drainingAt != 0 {
+		r.departed[b.Instance] = departed{b.Incarnation, b.announced, r.now}
+	}
+}
+
+// restoreDeparted gives a server that is found again what it had announced.
+func (r *Router) restoreDeparted(b *backend) {
+	if d, known := r.departed[b.Instance]; known && d.Compare(b.Incarnation) == 0 {
+		b.announced = d.announced
+	}
+	delete(r.departed, b.Instance)
+}
+
+func (r *Router) expireDeparted() {
+	maps.DeleteFunc(r.departed, func(_ string, d departed) bool { return r.now.Sub(d.at) >= forgetAfter })
 }
 
 func (r *Router) announcedBackoff(b *backend, period time.Duration) {
@@ -99,15 +203,3 @@
 func (r *Router) countAnnounced(b *backend, what string) {
 	r.emit(Count{core.Count{Name: metricAnnounced, Labels: []string{b.Service, what}, Add: 1}})
 }
-
-// noteUnwanted logs and counts a request that is sent to a server that wants none.
-func (r *Router) noteUnwanted(req *request, b *backend) {
-	what := b.announced.unwanted(r.now)
-	if what == "" {
-		return
-	}
-	r.emit(Count{core.Count{Name: metricUnwanted, Labels: []string{b.Service, what}, Add: 1}})
-	r.log(SingleRequest, "request sent to a server that wants none", req.attrs("instance", b.Instance, "what", what,
-		"attempt", req.number, "waited", req.waited.String(), "draining_for", b.announced.drainingFor(r.now).String(),
-		"backoff_left", b.announced.backoffLeft(r.now).String(), "in_registry", b.Draining)...)
-}
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -31,13 +31,13 @@
 	// Guards against ejecting a server because of this router's own connection limit: the
 	// server serves its other requests, and the rest of the load would fall on fewer
 	// servers.
-	if e.Failure != ConnsExhausted {
+	if e.Failure != ConnsExhausted && e.Failure != Withdrawn {
 		r.recordFailure(b, e.Failure, e.Cause)
 	}
 	r.log(SingleRequest, "attempt failed", req.attrs("instance", b.Instance, "attempt", e.Attempt,
 		"failure", e.Failure.String(), "cause", e.Cause, "fingerprint", req.fingerprint.String())...)
 	r.noteConnection(b, req, e)
-	if e.Failure == NotSent || e.Failure == ConnsExhausted {
+	if e.Failure == NotSent || e.Failure == ConnsExhausted || e.Failure == Withdrawn {
 		req.sends--
 		r.dispatch(req)
 		return
--- a/internal/router/backend.go
+++ b/internal/router/backend.go
@@ -86,7 +86,7 @@
 
 	// limit is the state of the server's request limit.
 	limit serverLimit
-	// announced is what the server stated of itself in its answers.
+	// announced is what the server stated of itself.
 	announced announced
 
 	indexed indexed
@@ -112,20 +112,6 @@
 	concurrent int
 }
 
-// draining reports whether the server is draining, according to the registry or its loader.
-func (r *Router) draining(b *backend) bool {
-	if b.Draining {
-		return true
-	}
-	held := r.holdings(b)
-	return held != nil && held.Draining
-}
-
-// usable reports whether the server may get requests.
-func (r *Router) usable(b *backend) bool {
-	return b.unlistedAt == 0 && !r.draining(b) && r.now >= b.ejectedUntil
-}
-
 // holdings returns the last report of an engine's loader, nil if there is none that is
 // recent and of the engine's present incarnation.
 func (r *Router) holdings(b *backend) *core.Holdings {
--- a/internal/router/background.go
+++ b/internal/router/background.go
@@ -115,15 +115,14 @@
 // nearCopies counts the engines with a copy on disk or in memory, and reports whether the
 // model is loaded, or about to be, anywhere.
 func (r *Router) nearCopies(service, model string) (near int, loaded bool) {
-	counts := func(b *backend) bool { return b.unlistedAt == 0 && !r.draining(b) }
 	engines := r.service(service).enginesOf(model)
 	for _, b := range engines.holders {
-		if m := r.heldAt(b, model); m != nil && counts(b) && m.State != core.HoldUnloading {
+		if m := r.heldAt(b, model); m != nil && r.stays(b) && m.State != core.HoldUnloading {
 			loaded = true
 		}
 	}
 	for _, b := range engines.near {
-		if r.near(b, model) && counts(b) {
+		if r.near(b, model) && r.stays(b) {
 			near++
 		}
 	}
@@ -214,7 +213,7 @@
 // second time, while twenty models that no engine had were left waiting.
 func (r *Router) hasElsewhere(b *backend, model string) bool {
 	there := func(other *backend) bool {
-		return other != b && other.unlistedAt == 0 && !r.draining(other)
+		return other != b && r.stays(other)
 	}
 	engines := r.service(b.Service).enginesOf(model)
 	for _, other := range engines.holders {
--- a/internal/router/effect.go
+++ b/internal/router/effect.go
@@ -110,6 +110,12 @@
 	News core.PoisonNews
 }
 
+// RelayDraining makes loaders relay news of a draining server to all other routers.
+type RelayDraining struct {
+	Via  []core.HostID
+	News core.ServerDraining
+}
+
 // RelayDigest makes a loader relay a digest to a part of the other routers.
 type RelayDigest struct {
 	Loader core.HostID
@@ -155,6 +161,7 @@
 func (SendLimitRequest) effect() {}
 func (RelayPoison) effect()      {}
 func (RelayDigest) effect()      {}
+func (RelayDraining) effect()    {}
 func (Publish) effect()          {}
 func (Send) effect()             {}
 func (Forward) effect()          {}
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -111,11 +111,14 @@
 	// ConnsExhausted means that this router's share of the connections to the server is in
 	// use. Nothing was sent, and the server is not at fault.
 	ConnsExhausted
+	// Withdrawn means that the server was excluded while a connection to it was opened.
+	// Nothing was sent, and the server is not at fault.
+	Withdrawn
 )
 
 // String returns the name of the failure for logs.
 func (f Failure) String() string {
-	return [...]string{"not sent", "no answer", "bad answer", "broken off", "connections used"}[f]
+	return [...]string{"not sent", "no answer", "bad answer", "broken off", "connections used", "withdrawn"}[f]
 }
 
 // CPUWaitMeasured reports how long work of the process recently waited for the processor,
@@ -192,6 +195,9 @@
 // servers that ended while they ran requests.
 type PoisonReported struct{ News core.PoisonNews }
 
+// DrainingReported delivers news from another router of a server that is draining.
+type DrainingReported struct{ News core.ServerDraining }
+
 // LiftPoison is an operator's order to send a request to servers again.
 type LiftPoison struct{ Fingerprint core.Fingerprint }
 
@@ -221,6 +227,7 @@
 func (Stalled) event()              {}
 func (Answered) event()             {}
 func (ServerAnnounced) event()      {}
+func (DrainingReported) event()     {}
 func (FirstEvent) event()           {}
 func (Done) event()                 {}
 func (CallerLeft) event()           {}
--- a/internal/router/fixture_test.go
+++ b/internal/router/fixture_test.go
@@ -25,6 +25,8 @@
 	// relayed and published are the news of poison requests that were sent.
 	relayed   []RelayPoison
 	published []Publish
+	// drainingRelayed are the news of draining servers that were sent.
+	drainingRelayed []RelayDraining
 	// storeReads counts the reads of the store that were requested.
 	storeReads int
 	// limitRequests are the reports of servers' limits and the permit requests.
@@ -112,6 +114,8 @@
 			w.abandons[e.Key] = e.Attempt
 		case RelayPoison:
 			w.relayed = append(w.relayed, e)
+		case RelayDraining:
+			w.drainingRelayed = append(w.drainingRelayed, e)
 		case Publish:
 			w.published = append(w.published, e)
 		case SendLimitRequest:
--- a/internal/router/loaders.go
+++ b/internal/router/loaders.go
@@ -107,7 +107,8 @@
 		if b.unlistedAt != 0 {
 			continue
 		}
-		if found == nil || found.Draining || found.Draining == b.Draining && b.Instance > found.Instance {
+		leaves, foundLeaves := b.announced.drainingAt != 0, found != nil && found.announced.drainingAt != 0
+		if found == nil || foundLeaves || foundLeaves == leaves && b.Instance > found.Instance {
 			found = b
 		}
 	}
@@ -201,6 +202,9 @@
 	for _, b := range l.engines {
 		if b.unlistedAt == 0 && b.Instance == holdings.Instance && r.observeIncarnation(b, l.incarnation()) {
 			b.aliveAt = r.now
+			if holdings.Leaving {
+				r.noteDraining(b, byLoader)
+			}
 			if holdings.Ended {
 				r.serverEnded(b, "its loader finds it gone")
 			}
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -103,6 +103,7 @@
 		r.byService = nil
 		r.setAddress(b, entry.Address)
 		b.Backend = entry
+		r.restoreDeparted(b)
 		r.replaceInstances(b)
 		r.log(StateChange, "backend server found", b.attrs("slots", entry.Slots, "draining", entry.Draining)...)
 	} else if !r.observeIncarnation(b, entry.Incarnation) {
@@ -125,6 +126,9 @@
 	if !b.replaced {
 		b.unlistedAt = 0
 	}
+	if entry.Draining {
+		r.noteDraining(b, byRegistry)
+	}
 	r.connect(b)
 	r.reindex(b)
 }
@@ -211,8 +215,10 @@
 		if b.unlistedAt == 0 || len(b.sent) > 0 && r.now.Sub(b.unlistedAt) < forgetAfter {
 			continue
 		}
+		r.rememberDeparted(b)
 		r.forget(b)
 	}
+	r.expireDeparted()
 }
 
 // storeAnswersOthers records that another router has read the store.
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -13,7 +13,6 @@
 	metricLimitPermits core.Counter = "router_limit_permits_total"
 	metricLimitedSends core.Counter = "router_limited_sends_total"
 	metricAnnounced    core.Counter = "router_server_announcements_total"
-	metricUnwanted     core.Counter = "router_unwanted_sends_total"
 	metricFirstByte    core.Counter = "router_first_byte_seconds"
 )
 
@@ -26,8 +25,7 @@
 	{Name: metricServerLimits, Help: "Changes of the limits that backend servers name, and limits that can't be read, by service.", Labels: []string{"service", "change"}},
 	{Name: metricLimitPermits, Help: "Requests that needed a permit of a server with a limit, by service and outcome.", Labels: []string{"service", "outcome"}},
 	{Name: metricLimitedSends, Help: "Requests sent to backend servers while they named a limit, by service.", Labels: []string{"service"}},
-	{Name: metricAnnounced, Help: "What backend servers stated in answers about requests that they do not want (draining, backoff), and backoffs that can't be read (malformed), by service.", Labels: []string{"service", "what"}},
-	{Name: metricUnwanted, Help: "Requests sent to backend servers after an answer had stated that they want none, by service and statement.", Labels: []string{"service", "what"}},
+	{Name: metricAnnounced, Help: "Backend servers that were found to be draining, backoffs that they want, and backoffs that can't be read (malformed), by service.", Labels: []string{"service", "what"}},
 	{Name: metricColdStart, Help: "Time from a request's arrival to its first event, of requests that waited for a load, by where the nearest copy lay.", Labels: []string{"tier"}},
 	{Name: metricFirstByte, Help: "Time from sending a request to its first byte or event, by service.", Labels: []string{"service"}},
 }
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -195,7 +195,7 @@
 
 // eligible reports whether a server may get a request, ignoring ejection for failures.
 func (r *Router) eligible(b *backend, req *request) bool {
-	return b.unlistedAt == 0 && !r.draining(b) && !slices.Contains(req.tried, b.Instance)
+	return r.accepts(b) && !slices.Contains(req.tried, b.Instance)
 }
 
 // candidatesOf returns those of the servers that may get a request and have room for it.
@@ -241,7 +241,6 @@
 	req.tried = append(req.tried, b.Instance)
 	req.attempt = &attempt{at: r.now, incarnation: b.Incarnation, slowdown: r.slowdown(b), forecast: c.forecast}
 	b.sent[req.key] = req.attempt
-	r.noteUnwanted(req, b)
 	if req.prompt != nil && r.engine(req.service) != nil {
 		r.promptSent(req)
 	}
--- a/internal/router/restored.go
+++ b/internal/router/restored.go
@@ -45,8 +45,6 @@
 		case b.unlistedAt != 0:
 			r.log(StateChange, "restored entry ignored: the server had already left", b.attrs()...)
 			continue
-		case b.Draining:
-			entry.Draining = true
 		}
 		known[instance] = entry
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -80,6 +80,8 @@
 
 	// limited holds the servers that name a limit, sorted by instance.
 	limited []*backend
+	// departed are draining servers that were forgotten a short time ago.
+	departed map[string]departed
 
 	cpuWait cpuWait
 	// digests is the state of the coordinator's digests of all loads, used in a large
@@ -156,7 +158,7 @@
 		waits:    map[waitKey]*wait{},
 		callers:  newCallers(),
 		gate:     quota.NewGate(quotaBounds(opts.Bounds)),
-		ledger:   poison.New(), published: map[core.Fingerprint]core.Time{},
+		ledger:   poison.New(), published: map[core.Fingerprint]core.Time{}, departed: map[string]departed{},
 		stopAt: core.Never,
 	}
 }
@@ -217,6 +219,8 @@
 		r.answered(e)
 	case ServerAnnounced:
 		r.serverAnnounced(e)
+	case DrainingReported:
+		r.drainingReported(e.News)
 	case FirstEvent:
 		r.firstEvent(e)
 	case Done:
--- a/internal/router/spread.go
+++ b/internal/router/spread.go
@@ -48,7 +48,7 @@
 func (r *Router) copiesOf(service, model string) []*backend {
 	var copies []*backend
 	for _, b := range r.holders(service, model) {
-		if b.unlistedAt != 0 || r.draining(b) || r.limitTooLow(b) {
+		if !r.stays(b) || r.limitTooLow(b) {
 			continue
 		}
 		if has, _ := r.loaded(b, model, ""); has {
