--- a/internal/code/code.go
+++ b/internal/code/code.go
@@ -39,6 +39,7 @@
 	KeyUnsure       Code = 2014 // unknown API key, which may have been added recently
 	OverQuota       Code = 2015 // the client account exceeds its rate
 	AtLimit         Code = 2016 // the limits of all servers are reached
+	BackingOff      Code = 2017 // all servers want no requests for some time
 
 	// 3xxx: the request may have run.
 	OutcomeUnknown Code = 3001 // the connection or process was lost
--- a/internal/code/table.go
+++ b/internal/code/table.go
@@ -47,6 +47,7 @@
 	{KeyUnsure, "KeyUnsure", 503, "the API key is unknown here, and the process can't tell whether it is a new one"},
 	{OverQuota, "OverQuota", 429, "the client account asks for more than its rate and burst allow; Retry-After tells when it has room again"},
 	{AtLimit, "AtLimit", 503, "each server of the service takes no more requests now, by the limit that it names; Retry-After tells when the first has room"},
+	{BackingOff, "BackingOff", 503, "each server of the service has turned a request away and wants none for some time; Retry-After tells when the first takes some again"},
 
 	{OutcomeUnknown, "OutcomeUnknown", 502, "a connection or process was lost; the request may have run"},
 	{BackendFailed, "BackendFailed", 502, "the backend server failed during the run"},
--- a/internal/daemon/loader.go
+++ b/internal/daemon/loader.go
@@ -106,8 +106,8 @@
 		})
 	case loader.SendOrder:
 		p.calls.Go(func() {
-			result, instance, err := p.engine.Order(context.Background(), e.Order)
-			p.step(loader.OrderDone{Order: e.Order, Result: result, Instance: instance, Err: err})
+			answer, err := p.engine.Order(context.Background(), e.Order)
+			p.step(loader.OrderDone{Order: e.Order, OrderAnswer: answer, Err: err})
 		})
 	case loader.SendHoldings:
 		p.links.SendAll(e.Routers, e.Holdings)
--- a/internal/fleet/engine.go
+++ b/internal/fleet/engine.go
@@ -57,6 +57,15 @@
 	For Incarnation
 }
 
+// OrderAnswer is an engine's answer to an order.
+type OrderAnswer struct {
+	Result OrderResult
+	// Instance is the instance that the answer names, "" if none.
+	Instance string
+	// Backoff is for how long the engine wants no further order, 0 if it did not state that.
+	Backoff time.Duration
+}
+
 // OrderResult is the result of an order.
 type OrderResult uint8
 
--- a/internal/limit/gate.go
+++ b/internal/limit/gate.go
@@ -43,7 +43,7 @@
 	// intentAt is when a request was last about to be sent there.
 	intentAt core.Time
 	// retries schedules the retries of refused callers.
-	retries retrySchedule
+	retries RetrySchedule
 	// localUntil is the time until which this router decides on its own.
 	localUntil core.Time
 	// phase is the offset of this router's turn within each period, from 0 to 1, while
@@ -114,7 +114,7 @@
 // RetryAfter returns after what time the next caller that is refused because of the limit
 // should retry.
 func (g *Gate) RetryAfter(now core.Time) time.Duration {
-	return g.retries.next(now, g.Delay(now, false), permitInterval(g.announcement.PerSecond))
+	return g.retries.Next(now, g.Delay(now, false), permitInterval(g.announcement.PerSecond))
 }
 
 // RecordIntent records that a request is to be sent to the server once it is permitted.
--- a/internal/limit/limiter.go
+++ b/internal/limit/limiter.go
@@ -26,7 +26,7 @@
 	announcement Announcement
 	bucket       bucket
 	// retries schedules the retries of routers that were refused.
-	retries retrySchedule
+	retries RetrySchedule
 	// updatedAt is when a router last reported anything about the server.
 	updatedAt core.Time
 }
@@ -98,7 +98,7 @@
 	}
 	reply.Room = s.bucket.delay(now, reserve)
 	if !request.Spare {
-		reply.Room = s.retries.next(now, reply.Room, permitInterval(s.bucket.rate))
+		reply.Room = s.retries.Next(now, reply.Room, permitInterval(s.bucket.rate))
 	}
 	return reply
 }
--- a/internal/limit/retry.go
+++ b/internal/limit/retry.go
@@ -10,16 +10,17 @@
 // passed.
 const maxRetryDelay = Window
 
-// retrySchedule assigns retry times to refused requests, one permit apart.
+// RetrySchedule assigns retry times to refused requests, one permit apart. Its zero value is
+// ready for use.
 //
 // It guards against callers or routers that retry at the same time: 28 routers that were
 // all given the time of the next permit would ask together, and all but one would be
 // refused each time.
-type retrySchedule struct{ last core.Time }
+type RetrySchedule struct{ last core.Time }
 
-// next returns the delay of the next retry, where the first permit is available after
+// Next returns the delay of the next retry, where the first permit is available after
 // delay and further ones at each interval.
-func (r *retrySchedule) next(now core.Time, delay, interval time.Duration) time.Duration {
+func (r *RetrySchedule) Next(now core.Time, delay, interval time.Duration) time.Duration {
 	r.last = max(now.Add(delay), r.last.Add(interval))
 	if r.last.Sub(now) > max(delay, maxRetryDelay) {
 		r.last = now.Add(delay)
--- a/internal/loader/decide_test.go
+++ b/internal/loader/decide_test.go
@@ -269,3 +269,19 @@
 		t.Errorf("predicted to end in %v when it was overdue by %v", got, late)
 	}
 }
+
+// Guards against orders to an engine that has turned one away and wants none for some time.
+func TestNoOrderWithinTheBackoffOfAnEngine(t *testing.T) {
+	w := newFixture(t)
+	const backoff = 3 * time.Second
+	w.engine.backoffUntil = w.now.Add(backoff)
+	w.demand("10.0.0.1", core.Demand{Wants: []core.Want{{Model: "m1", Waiting: 1, Within: 10 * time.Second}}})
+	w.run(backoff - 100*time.Millisecond)
+	if len(w.orders) != 1 {
+		t.Errorf("%d orders within the backoff, want the one that was turned away", len(w.orders))
+	}
+	w.run(time.Second)
+	if len(w.orders) != 2 {
+		t.Errorf("%d orders, want one more after the backoff", len(w.orders))
+	}
+}
--- a/internal/loader/event.go
+++ b/internal/loader/event.go
@@ -21,11 +21,9 @@
 
 // OrderDone is the result of an order.
 type OrderDone struct {
-	Order  fleet.Order
-	Result fleet.OrderResult
-	// Instance is the instance that the engine's answer names, "" if none.
-	Instance string
-	Err      error
+	Order fleet.Order
+	fleet.OrderAnswer
+	Err error
 }
 
 // RouterUp and RouterDown report that a router connected or disconnected.
--- a/internal/loader/fixture_test.go
+++ b/internal/loader/fixture_test.go
@@ -36,9 +36,11 @@
 
 // fakeEngine simulates the loader's engine.
 type fakeEngine struct {
-	report   fleet.Report
-	spec     core.EngineSpec
-	instance string
+	// backoffUntil is when the engine takes orders again.
+	backoffUntil core.Time
+	report       fleet.Report
+	spec         core.EngineSpec
+	instance     string
 	// until is when the order in progress ends, and done is called then.
 	until core.Time
 	done  func()
@@ -138,10 +140,10 @@
 			if w.loseNext > 0 {
 				w.loseNext--
 				w.engine.late = append(w.engine.late, lateOrder{w.now.Add(3 * time.Second), e.Order})
-				w.step(OrderDone{Order: e.Order, Result: fleet.OrderUnknown})
+				w.step(OrderDone{Order: e.Order, OrderAnswer: fleet.OrderAnswer{Result: fleet.OrderUnknown}})
 				continue
 			}
-			w.step(OrderDone{Order: e.Order, Result: w.engine.handleOrder(w.now, e.Order)})
+			w.step(OrderDone{Order: e.Order, OrderAnswer: w.engine.answerOrder(w.now, e.Order)})
 		}
 	}
 }
@@ -172,6 +174,14 @@
 	e.late = later
 }
 
+// answerOrder answers an order, or turns it away while the engine wants a backoff.
+func (e *fakeEngine) answerOrder(now core.Time, order fleet.Order) fleet.OrderAnswer {
+	if left := e.backoffUntil.Sub(now); left > 0 {
+		return fleet.OrderAnswer{Result: fleet.OrderUnknown, Backoff: left}
+	}
+	return fleet.OrderAnswer{Result: e.handleOrder(now, order)}
+}
+
 // handleOrder is the engine's handling of an order.
 func (e *fakeEngine) handleOrder(now core.Time, order fleet.Order) fleet.OrderResult {
 	if order.For.Instance != "" && order.For.Instance != e.instance {
--- a/internal/loader/orders.go
+++ b/internal/loader/orders.go
@@ -39,8 +39,8 @@
 	case fleet.OrderWrongInstance:
 		l.engine.life.Instance = e.Instance
 	}
-	l.nextOrder = l.now.Add(orderRetryDelay)
-	attrs := orderAttrs(e.Order, slog.String("result", e.Result.String()), slog.String("instance", e.Order.For.Instance))
+	l.nextOrder = l.now.Add(max(orderRetryDelay, e.Backoff))
+	attrs := orderAttrs(e.Order, slog.String("result", e.Result.String()), slog.String("instance", e.Order.For.Instance), slog.String("backoff", e.Backoff.String()))
 	if e.Err != nil {
 		attrs = append(attrs, slog.String("error", e.Err.Error()))
 	}
--- a/internal/loader/restart_test.go
+++ b/internal/loader/restart_test.go
@@ -53,7 +53,7 @@
 	w.loader.orderPending = true
 	w.engine.restart(secondBorn)
 	w.run(idleReadInterval)
-	w.step(OrderDone{Order: order, Result: fleet.OrderAccepted})
+	w.step(OrderDone{Order: order, OrderAnswer: fleet.OrderAnswer{Result: fleet.OrderAccepted}})
 	if w.loader.task != nil || w.loader.orderPending {
 		t.Fatalf("task %+v, ordering %t", w.loader.task, w.loader.orderPending)
 	}
--- a/internal/router/announced.go
+++ b/internal/router/announced.go
@@ -12,9 +12,6 @@
 // decides whether a server gets requests. A server's own statement counts more than the
 // registry, which may be seconds behind or unavailable, and more than a guess of this router.
 
-// malformedLogInterval is the time between two log lines on malformed backoffs of one server.
-const malformedLogInterval = 4 * time.Second
-
 // announced is what one server stated of itself. It ends with the server's incarnation.
 type announced struct {
 	// drainingAt is when this router learned that the server is draining, 0 if it has not,
@@ -22,11 +19,7 @@
 	// statement to the contrary is an older one.
 	drainingAt core.Time
 	drainingBy string
-	// backoffUntil is when the server's longest backoff ends. backoffAt is when the answer
-	// that set it arrived.
-	backoffUntil, backoffAt core.Time
-	// malformedAt is when a malformed backoff was last logged.
-	malformedAt core.Time
+	backoff    backoff
 }
 
 // Sources of the statement that a server is draining.
@@ -46,6 +39,9 @@
 	excludedUnlisted
 	// excludedDraining servers are about to shut down, or do not answer their loader.
 	excludedDraining
+	// excludedBackoff servers want no requests from this host for some time, or have just
+	// begun to take some again.
+	excludedBackoff
 	// excludedEjected servers failed several requests. Unlike the others, this is a guess,
 	// and it does not apply if there is no other server.
 	excludedEjected
@@ -58,6 +54,8 @@
 		return excludedUnlisted
 	case r.draining(b):
 		return excludedDraining
+	case r.backsOff(b):
+		return excludedBackoff
 	case r.now < b.ejectedUntil:
 		return excludedEjected
 	default:
@@ -102,8 +100,6 @@
 	return now.Sub(a.drainingAt)
 }
 
-func (a *announced) backoffLeft(now core.Time) time.Duration { return max(0, a.backoffUntil.Sub(now)) }
-
 // serverAnnounced records what a server stated in the head of an answer. It ignores an answer
 // to a request that was sent to an earlier incarnation, and one of another server that has
 // taken over the address.
@@ -117,7 +113,7 @@
 	}
 	switch e.Answer.Backoff.State {
 	case fleet.BackoffReported:
-		r.announcedBackoff(b, e.Answer.Backoff.Period)
+		r.startBackoff(b, e.Answer.Backoff.Period)
 	case fleet.BackoffMalformed:
 		r.backoffMalformed(b, e.Answer.Backoff.Text)
 	}
@@ -180,26 +176,6 @@
 	maps.DeleteFunc(r.departed, func(_ string, d departed) bool { return r.now.Sub(d.at) >= forgetAfter })
 }
 
-func (r *Router) announcedBackoff(b *backend, period time.Duration) {
-	left := b.announced.backoffLeft(r.now)
-	r.countAnnounced(b, "backoff")
-	r.log(StateChange, "backend server wants a backoff", b.attrs("born", b.Born, "period", period.String(),
-		"left_before", left.String(), "under_way", len(b.sent))...)
-	if period > left {
-		b.announced.backoffUntil, b.announced.backoffAt = r.now.Add(period), r.now
-	}
-}
-
-// backoffMalformed counts a malformed backoff, and logs it at most once per
-// malformedLogInterval.
-func (r *Router) backoffMalformed(b *backend, text string) {
-	r.countAnnounced(b, "malformed")
-	if a := &b.announced; a.malformedAt == 0 || r.now.Sub(a.malformedAt) >= malformedLogInterval {
-		a.malformedAt = r.now
-		r.log(StateChange, "backend server's backoff malformed; ignored", b.attrs("text", text)...)
-	}
-}
-
 func (r *Router) countAnnounced(b *backend, what string) {
 	r.emit(Count{core.Count{Name: metricAnnounced, Labels: []string{b.Service, what}, Add: 1}})
 }
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -70,6 +70,7 @@
 		b.load, b.loadAt, b.ownAtLoad = e.Answer.Load, r.now, len(b.sent)
 	}
 	r.noteLimit(req, e.Answer)
+	r.widenWindow(b, req.attempt, e.Answer)
 	switch {
 	case e.Answer.NotRun:
 		r.rejected(req, e)
@@ -106,9 +107,14 @@
 	b := req.backend
 	r.release(req)
 	req.arrivals++
-	b.failureRate += (1 - b.failureRate) * smoothing
+	// A backoff is the server's own word on how long it fails; a guess from its failures
+	// would outlast it.
+	backsOff := e.Answer.Backoff.State == fleet.BackoffReported
+	if !backsOff {
+		b.failureRate += (1 - b.failureRate) * smoothing
+	}
 	r.log(SingleRequest, "backend server refused the request", req.attrs("instance", b.Instance,
-		"attempt", e.Attempt, "status", e.Answer.Status)...)
+		"attempt", e.Attempt, "status", e.Answer.Status, "backoff", e.Answer.Backoff.Period.String())...)
 	if e.Answer.Absent && req.prompt != nil {
 		// The registry entry is out of date. Without a report from the loader it would
 		// direct the next request there too.
@@ -123,6 +129,10 @@
 		r.finish(req, code.NoBackend, r.retryAfterIn(quickRetryAfter), "the backend server refused it; another can serve it")
 		return
 	}
+	if backsOff {
+		r.refuseTurnedAway(req)
+		return
+	}
 	r.giveUp(req, code.NoBackend, "the backend server refused it")
 }
 
--- a/internal/router/dump.go
+++ b/internal/router/dump.go
@@ -44,8 +44,10 @@
 	LimitKnownFor  time.Duration
 	// DrainingFor is for how long this router has known from an answer that the server is
 	// draining, 0 if none said so. BackoffLeft is the remaining time in which the server
-	// wants no requests from this host.
+	// wants no requests from this host. BackoffWindow is how many requests it may have at
+	// once after that, 0 if their number is not limited.
 	DrainingFor, BackoffLeft time.Duration
+	BackoffWindow            int
 	Holdings                 *core.Holdings
 }
 
@@ -66,7 +68,7 @@
 			Listed: b.unlistedAt == 0, Draining: r.draining(b), LeftOut: r.now < b.ejectedUntil,
 			Requests: len(b.sent), Latency: b.latency, Ahead: b.queue.Delay(r.now), Pace: b.pace, Failing: b.failureRate, Holdings: r.holdings(b),
 			LimitPerSecond: perSecond, LimitKnownFor: knownFor,
-			DrainingFor: b.announced.drainingFor(r.now), BackoffLeft: b.announced.backoffLeft(r.now),
+			DrainingFor: b.announced.drainingFor(r.now), BackoffLeft: b.announced.backoff.left(r.now), BackoffWindow: b.announced.backoff.window,
 		})
 	}
 	for _, key := range slices.SortedFunc(maps.Keys(r.waits), compareWaitKeys) {
--- a/internal/router/home.go
+++ b/internal/router/home.go
@@ -28,14 +28,16 @@
 
 // canLoad reports whether an engine may be asked to load a model or adapter.
 func (r *Router) canLoad(b *backend, key waitKey) bool {
-	if !r.usable(b) || r.holdings(b) == nil {
+	if r.holdings(b) == nil {
 		return false
 	}
-	if key.adapter == "" {
+	e := r.exclusion(b)
+	if e == notExcluded && key.adapter == "" {
 		return true
 	}
+	// An engine that backs off may serve a model that it has sooner than another can load it.
 	hasModel, _ := r.loaded(b, key.model, "")
-	return hasModel
+	return hasModel && (e == notExcluded || e == excludedBackoff)
 }
 
 // bestHome returns the engine where the model would be ready first, and the predicted time
@@ -64,13 +66,13 @@
 }
 
 // readyIn predicts when an engine would have loaded what is waited for and have capacity
-// for all waiting requests.
+// for all waiting requests, after its backoff.
 func (r *Router) readyIn(b *backend, key waitKey) time.Duration {
 	waiting := 1
 	if w := r.waits[key]; w != nil {
 		waiting = len(w.requests)
 	}
-	return max(r.loadedIn(b, key), r.roomFor(b, waiting))
+	return max(r.loadedIn(b, key), r.roomFor(b, waiting), b.announced.backoff.left(r.now))
 }
 
 // loadedIn predicts when an engine would have loaded it, regardless of the engine's request
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -173,7 +173,7 @@
 		return
 	}
 	if !r.anyCandidate(req) {
-		r.giveUp(req, code.NoBackend, "no backend server of the service takes requests")
+		r.refuseInBackoff(req)
 		return
 	}
 	if req.prompt != nil && r.engine(req.service) != nil {
@@ -188,9 +188,13 @@
 	r.send(req, r.choose(req, candidates))
 }
 
-// anyCandidate reports whether any server may get a request.
+// anyCandidate reports whether any server may get a request. A generation may wait for an
+// engine's backoff to end.
 func (r *Router) anyCandidate(req *request) bool {
-	return slices.ContainsFunc(r.serversOf(req.service), func(b *backend) bool { return r.eligible(b, req) })
+	waits := req.prompt != nil && r.engine(req.service) != nil
+	return slices.ContainsFunc(r.serversOf(req.service), func(b *backend) bool {
+		return r.eligible(b, req) || waits && r.exclusion(b) == excludedBackoff && !slices.Contains(req.tried, b.Instance)
+	})
 }
 
 // eligible reports whether a server may get a request, ignoring ejection for failures.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -9,6 +9,7 @@
 
 	"nutmeglane.example/nutmeglane/internal/core"
 	"nutmeglane.example/nutmeglane/internal/fleet"
+	"nutmeglane.example/nutmeglane/internal/limit"
 	"nutmeglane.example/nutmeglane/internal/poison"
 	"nutmeglane.example/nutmeglane/internal/quota"
 	"nutmeglane.example/nutmeglane/internal/work"
@@ -115,6 +116,9 @@
 type service struct {
 	name   string
 	budget budget
+	// backoffRetries schedules the retries of callers that were refused because all servers
+	// want a backoff.
+	backoffRetries limit.RetrySchedule
 	// latency is the moving average over all servers of a plain service.
 	latency time.Duration
 	speed   speed
--- a/internal/router/spread.go
+++ b/internal/router/spread.go
@@ -43,12 +43,12 @@
 	spreadLife = 3 * time.Second
 )
 
-// copiesOf returns the engines that have a model loaded, take requests and are not limited
+// copiesOf returns the engines that have a model loaded, take requests now and are not limited
 // below the rate at which they are called.
 func (r *Router) copiesOf(service, model string) []*backend {
 	var copies []*backend
 	for _, b := range r.holders(service, model) {
-		if !r.stays(b) || r.limitTooLow(b) {
+		if !r.stays(b) || r.backsOff(b) || r.limitTooLow(b) {
 			continue
 		}
 		if has, _ := r.loaded(b, model, ""); has {
