--- a/internal/loader/decide_test.go
+++ b/internal/loader/decide_test.go
@@ -285,3 +285,16 @@
 		t.Errorf("%d orders, want one more after the backoff", len(w.orders))
 	}
 }
+
+// Guards against an engine that gets no orders because an earlier process wanted none.
+func TestBackoffOfAnEngineEndsWithItsLife(t *testing.T) {
+	w := newFixture(t)
+	w.engine.backoffUntil, w.engine.report.Born = w.now.Add(time.Hour), 1
+	w.demand("10.0.0.1", core.Demand{Wants: []core.Want{{Model: "m1", Waiting: 1, Within: 10 * time.Second}}})
+	w.run(time.Second)
+	w.engine.backoffUntil, w.engine.report.Born = 0, 7
+	w.run(2 * time.Second)
+	if len(w.orders) != 2 {
+		t.Errorf("%d orders, want one to each life", len(w.orders))
+	}
+}
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -282,7 +282,7 @@
 	}
 	if before := l.engine.life.Instance; before != "" && before != life.Instance {
 		l.engine.answered, l.engine.draining, l.engine.ended = false, false, false
-		l.engine.instanceSince = l.now
+		l.engine.instanceSince, l.nextOrder = l.now, l.now
 	}
 	l.engine.life.Instance = life.Instance
 }
--- a/internal/loader/restart.go
+++ b/internal/loader/restart.go
@@ -57,7 +57,7 @@
 		l.engine.life = fleet.Incarnation{}
 		l.restoreInstance(report.Born)
 	}
-	l.engine.report, l.task = nil, nil
+	l.engine.report, l.task, l.nextOrder = nil, nil, l.now
 	clear(l.loadedAt)
 	clear(l.retiring)
 	clear(l.usage.lastUsed)
--- a/internal/router/announced.go
+++ b/internal/router/announced.go
@@ -117,6 +117,7 @@
 	case fleet.BackoffMalformed:
 		r.backoffMalformed(b, e.Answer.Backoff.Text)
 	}
+	r.recheckWaitsFor(b)
 }
 
 // noteDraining records that a server is draining. The other routers are told unless they
@@ -129,10 +130,15 @@
 	r.countAnnounced(b, "draining")
 	r.log(StateChange, "backend server is draining", b.attrs("born", b.Born, "source", source, "in_registry", b.Draining,
 		"store_away", r.storeDownSince != 0, "under_way", len(b.sent))...)
-	if to := r.Relays(drainingRelays); source == byAnswer && r.holdings(b) == nil && len(to) > 0 {
+	if source == byAnswer && r.holdings(b) == nil {
+		r.relayDraining(b)
+	}
+}
+
+func (r *Router) relayDraining(b *backend) {
+	if to := r.Relays(drainingRelays); len(to) > 0 {
 		r.emit(RelayDraining{Via: to, News: core.ServerDraining{Server: serverLife(b.Incarnation)}})
 	}
-	r.recheckWaitsFor(b)
 }
 
 // drainingRelays is how many loaders pass a draining server on to the other routers: one may
@@ -144,23 +150,30 @@
 	b := r.backends[news.Server.Instance]
 	if b != nil && (fleet.Incarnation{Instance: news.Server.Instance, Born: news.Server.Born}).Compare(b.Incarnation) == 0 {
 		r.noteDraining(b, byRouter)
+		r.recheckWaitsFor(b)
 	}
 }
 
-// departed is a draining server that left the registry and was forgotten.
+// departed is a server that left the registry and was forgotten while what it had announced
+// applied.
 type departed struct {
 	fleet.Incarnation
 	announced announced
-	at        core.Time
+	// until is when it is dropped.
+	until core.Time
 }
 
 // rememberDeparted keeps what a server announced when it is forgotten.
 //
 // It guards against an entry that comes back, because a late write or an old copy of the
-// registry contains it: the server would get requests again although it is draining.
+// registry contains it: the server would get requests again although it wants none.
 func (r *Router) rememberDeparted(b *backend) {
+	until := b.announced.backoff.until
 	if b.announced.drainingAt != 0 {
-		r.departed[b.Instance] = departed{b.Incarnation, b.announced, r.now}
+		until = max(until, r.now.Add(forgetAfter))
+	}
+	if r.now < until {
+		r.departed[b.Instance] = departed{b.Incarnation, b.announced, until}
 	}
 }
 
@@ -173,7 +186,7 @@
 }
 
 func (r *Router) expireDeparted() {
-	maps.DeleteFunc(r.departed, func(_ string, d departed) bool { return r.now.Sub(d.at) >= forgetAfter })
+	maps.DeleteFunc(r.departed, func(_ string, d departed) bool { return r.now >= d.until })
 }
 
 func (r *Router) countAnnounced(b *backend, what string) {
--- a/internal/router/announced_test.go
+++ b/internal/router/announced_test.go
@@ -339,3 +339,17 @@
 		t.Errorf("sent to %s; failures of %s: %d", send.Instance, first.Instance, w.router.backends[first.Instance].failures)
 	}
 }
+
+// Guards against refusing requests that wait for an engine when one read of the registry shows
+// that it is draining and that its successor is there.
+func TestSuccessorInTheSameReadTakesWaitingRequests(t *testing.T) {
+	w := newFixture(t)
+	w.engineWith(nil)
+	key := w.call("patient", prompt("m0"))
+	leaving, successor := w.server(engineService, 0), w.server(engineService, 1)
+	leaving.Draining, leaving.Registered, successor.Registered = true, 1, 2
+	w.step(BackendsChanged{Written: map[string]fleet.Backend{"s0": leaving, "s1": successor}})
+	if end, ended := w.finishes[key]; ended {
+		t.Errorf("refused: %+v", end)
+	}
+}
--- a/internal/router/backoff_test.go
+++ b/internal/router/backoff_test.go
@@ -264,3 +264,42 @@
 		t.Error("an attempt whose connection was opened meanwhile may be sent")
 	}
 }
+
+// Guards against a backoff that is forgotten with a registry entry that is gone for a moment.
+func TestBackoffOutlastsItsEntry(t *testing.T) {
+	w := newFixture(t)
+	w.servers(plainService, 2)
+	w.announce("s0", backoffAnswer(3*time.Second))
+	w.step(BackendsChanged{Removed: map[string]bool{"s0": true}})
+	w.run(time.Second)
+	w.servers(plainService, 2)
+	for range 20 {
+		if send := w.lastSend(w.call("once", nil)); send.Instance != "s1" {
+			t.Fatalf("sent to %s within its backoff", send.Instance)
+		}
+	}
+	w.run(2 * time.Second)
+	if left := w.router.Dump().Backends[0].BackoffLeft; left != 0 {
+		t.Errorf("%v left", left)
+	}
+}
+
+// Guards against a request that waits until its model is loaded at an engine that it may not be
+// sent to again: it must wait for another, or be refused at once.
+func TestRequestDoesNotWaitForATriedEngine(t *testing.T) {
+	for name, others := range map[string]int{"another engine can load it": 1, "no other": 0} {
+		t.Run(name, func(t *testing.T) {
+			w := newFixture(t)
+			w.engineWith(append([][]string{{"m0"}}, make([][]string, others)...)...)
+			key := w.call("patient", prompt("m0"))
+			w.turnAway(key, 300*time.Millisecond)
+			req, end := w.router.requests[key], w.finishes[key]
+			switch {
+			case others > 0 && (req == nil || req.waiting == nil || req.waiting.home.Instance != "s1"):
+				t.Errorf("doesn't wait for the other engine: %+v", end)
+			case others == 0 && !end.Code.NotRun():
+				t.Errorf("not refused: %+v", end)
+			}
+		})
+	}
+}
--- a/internal/router/dump.go
+++ b/internal/router/dump.go
@@ -42,11 +42,12 @@
 	// has known it.
 	LimitPerSecond *float64
 	LimitKnownFor  time.Duration
-	// DrainingFor is for how long this router has known from an answer that the server is
-	// draining, 0 if none said so. BackoffLeft is the remaining time in which the server
+	// DrainingFor is for how long this router has known that the server is draining, 0 if it
+	// is not, and DrainingBy from whom. BackoffLeft is the remaining time in which the server
 	// wants no requests from this host. BackoffWindow is how many requests it may have at
 	// once after that, 0 if their number is not limited.
 	DrainingFor, BackoffLeft time.Duration
+	DrainingBy               string
 	BackoffWindow            int
 	Holdings                 *core.Holdings
 }
@@ -68,7 +69,8 @@
 			Listed: b.unlistedAt == 0, Draining: r.draining(b), LeftOut: r.now < b.ejectedUntil,
 			Requests: len(b.sent), Latency: b.latency, Ahead: b.queue.Delay(r.now), Pace: b.pace, Failing: b.failureRate, Holdings: r.holdings(b),
 			LimitPerSecond: perSecond, LimitKnownFor: knownFor,
-			DrainingFor: b.announced.drainingFor(r.now), BackoffLeft: b.announced.backoff.left(r.now), BackoffWindow: b.announced.backoff.window,
+			DrainingFor: b.announced.drainingFor(r.now), DrainingBy: b.announced.drainingBy,
+			BackoffLeft: b.announced.backoff.left(r.now), BackoffWindow: b.announced.backoff.window,
 		})
 	}
 	for _, key := range slices.SortedFunc(maps.Keys(r.waits), compareWaitKeys) {
--- a/internal/router/home.go
+++ b/internal/router/home.go
@@ -47,7 +47,7 @@
 	var bestScore uint64
 	key := w.key
 	for _, b := range r.serversOf(key.service) {
-		if !r.canLoad(b, key) {
+		if !r.canLoad(b, key) || w.triedByAll(b) {
 			continue
 		}
 		t := (r.firstEventIn(b, w) + time.Duration(r.utilization(b)*float64(homeLoadPenalty))).Round(etaResolution)
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -207,11 +207,13 @@
 func (r *Router) candidatesOf(req *request, servers []*backend) []*backend {
 	var usable, ejected []*backend
 	for _, b := range servers {
-		switch {
-		case !r.eligible(b, req) || !r.hasRoom(b):
-		case r.usable(b):
+		if slices.Contains(req.tried, b.Instance) || !r.hasRoom(b) {
+			continue
+		}
+		switch r.exclusion(b) {
+		case notExcluded:
 			usable = append(usable, b)
-		default:
+		case excludedEjected:
 			ejected = append(ejected, b)
 		}
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -81,7 +81,7 @@
 
 	// limited holds the servers that name a limit, sorted by instance.
 	limited []*backend
-	// departed are draining servers that were forgotten a short time ago.
+	// departed are servers that were forgotten although what they announced still applies.
 	departed map[string]departed
 
 	cpuWait cpuWait
--- a/internal/router/wait.go
+++ b/internal/router/wait.go
@@ -237,9 +237,31 @@
 	} else {
 		eta = current
 	}
+	r.refuseTried(w)
 	r.refuseLate(w, eta)
 }
 
+// triedByAll reports whether all requests of a queue were sent to an engine before, so that
+// none of them may be sent there again.
+func (w *wait) triedByAll(b *backend) bool {
+	return !slices.ContainsFunc(w.requests, func(req *request) bool { return !slices.Contains(req.tried, b.Instance) })
+}
+
+// refuseTried refuses the requests that may not be sent to the home of their queue, because
+// they were sent there before. Held, each would be refused once the model is loaded there;
+// their callers' next tries may wait for it.
+func (r *Router) refuseTried(w *wait) {
+	for _, req := range slices.Clone(w.requests) {
+		switch {
+		case !slices.Contains(req.tried, w.home.Instance):
+		case req.mayHaveRun:
+			r.giveUp(req, code.NoBackend, "the engine that loads its model was tried")
+		default:
+			r.finish(req, code.NoBackend, r.retryAfterIn(quickRetryAfter), "the engine that loads its model was tried")
+		}
+	}
+}
+
 // refuseAll refuses the requests for a model that no engine can load.
 func (r *Router) refuseAll(w *wait) {
 	after := defaultRetryAfter
