TestExpiredLeaseDeletesItsKey reads the result of its own call

Callers: none; the client is not at fault. Cause: the write's answer (tag 2) may arrive after the key's deletion was seen, and the test took it for that of its keep-alive (tag 3), as it did not look at the tag. Evidence: a play in that order, now part of the test (answered last): with the former reading it fails each time with OK in place of KVConflict. Change: the result with the keep-alive's tag is read; the same code is wanted as before, in both orders. The package's other tests compare whole results, tag included, or have one call under way. Callers in the product: config, steward and its lease look results up by tag; entries use a result as a value of its key, with its revision.

--- a/internal/kv/kv_test.go
+++ b/internal/kv/kv_test.go
@@ -80,6 +80,16 @@
 	}
 }
 
+// resultOf returns the result of the effect with a tag, and discards those of other effects.
+func resultOf(t *testing.T, events <-chan core.Event, tag uint64) core.KVResult {
+	t.Helper()
+	for {
+		if result := next[core.KVResult](t, events); result.Tag == tag {
+			return result
+		}
+	}
+}
+
 func equal(t *testing.T, got, want any) {
 	t.Helper()
 	if diff := cmp.Diff(want, got); diff != "" {
@@ -200,20 +210,53 @@
 }
 
 // A lease expires while a watch on the key bound to it is open. The watcher must report the
-// deletion, and the lease's holder must learn that it lost the lease.
+// deletion, and the lease's holder must learn that it lost the lease, whether the answer to
+// its write arrives before or after that.
 func TestExpiredLeaseDeletesItsKey(t *testing.T) {
-	clock := &clock{now: time.Unix(0, 0)}
-	r := newRig(t, standin.Options{Now: clock.Now}, kv.ClientOptions{})
-	e, events := r.execute(t, kv.ExecutorOptions{}, "k")
-	e.Do(core.KVLease{Tag: 1, TTL: time.Minute})
-	lease := next[core.KVResult](t, events).Lease
-	e.Do(core.KVCas{Tag: 2, Key: "k", Value: []byte("v"), Lease: lease})
-	equal(t, next[core.KVValue](t, events), core.KVValue{Key: "k", Value: []byte("v"), Revision: 1})
-	clock.advance(time.Minute)
-	r.service.Expire()
-	equal(t, next[core.KVValue](t, events), core.KVValue{Key: "k"})
-	e.Do(core.KVKeepAlive{Tag: 3, Lease: lease})
-	equal(t, next[core.KVResult](t, events).Code, code.KVConflict)
+	for name, late := range map[string]bool{"answered at once": false, "answered last": true} {
+		t.Run(name, func(t *testing.T) {
+			clock := &clock{now: time.Unix(0, 0)}
+			r := newRig(t, standin.Options{Now: clock.Now}, kv.ClientOptions{})
+			writeAnswered := make(chan struct{})
+			answerWrite := sync.OnceFunc(func() { close(writeAnswered) })
+			front := r.holdWrites(t, writeAnswered)
+			t.Cleanup(answerWrite)
+			if !late {
+				answerWrite()
+			}
+			e, events := front.execute(t, kv.ExecutorOptions{}, "k")
+			e.Do(core.KVLease{Tag: 1, TTL: time.Minute})
+			lease := resultOf(t, events, 1).Lease
+			e.Do(core.KVCas{Tag: 2, Key: "k", Value: []byte("v"), Lease: lease})
+			equal(t, next[core.KVValue](t, events), core.KVValue{Key: "k", Value: []byte("v"), Revision: 1})
+			clock.advance(time.Minute)
+			r.service.Expire()
+			equal(t, next[core.KVValue](t, events), core.KVValue{Key: "k"})
+			answerWrite()
+			e.Do(core.KVKeepAlive{Tag: 3, Lease: lease})
+			equal(t, resultOf(t, events, 3).Code, code.KVConflict)
+		})
+	}
+}
+
+// holdWrites returns a rig of the same service whose answers to writes are held back until the
+// channel is closed.
+func (r *rig) holdWrites(t *testing.T, until <-chan struct{}) *rig {
+	t.Helper()
+	front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if req.URL.Path != kv.PathCas {
+			r.service.ServeHTTP(w, req)
+			return
+		}
+		answer := httptest.NewRecorder()
+		r.service.ServeHTTP(answer, req)
+		<-until
+		w.WriteHeader(answer.Code)
+		_, _ = w.Write(answer.Body.Bytes()) // fails only if the client has gone
+	}))
+	t.Cleanup(front.Close)
+	t.Cleanup(r.service.Close)
+	return &rig{service: r.service, http: front, client: newClient(t, front.URL, kv.ClientOptions{CallTimeout: testTimeout})}
 }
 
 // During a long outage of the service, one key changes, one is deleted because its lease
