A service whose agent is in no roster yet is told as such; the operators' test waits for the roster

Seen: TestOperatorWorkflow beside load, describe service says NoBackend, 'no backend server of the service is known', with the revision in force at both daemons. So the state is true: entries send requests to agents of a roster only, and a request at that moment is refused. What was wrong is the reason, which sends an operator looking for a server that is there, and the test's wait, which covers the configuration and not the roster. Change: the condition says BackendsNotRostered, with the number of connected agents (TestServiceWhoseAgentIsInNoRosterYet failed before); the test waits for the end of that state, and takes no other reason than before.

--- a/internal/cli/operators_test.go
+++ b/internal/cli/operators_test.go
@@ -180,7 +180,14 @@
 	}
 	s.expect(0, "revision 1 in force at 2 of 2 known daemons", "rollout", "status")
 	s.expect(0, "no differences to revision 1", "diff", "-f", dir)
-	s.expect(0, "BackendTakesRequests", "describe", "service", "akte")
+	// The entry sends requests to agents of a roster only: wait until the steward's lists it.
+	described := "BackendsNotRostered"
+	for strings.Contains(described, "BackendsNotRostered") {
+		described = s.expect(0, "Available", "describe", "service", "akte")
+	}
+	if !strings.Contains(described, "BackendTakesRequests") {
+		t.Fatalf("describe prints:\n%s", described)
+	}
 	s.expect(0, "akte", "get", "services")
 	s.expect(ExitRefused, "does not exist", "get", "service", "absent")
 	s.expect(ExitRefused, "unknown kind", "get", "robots")
--- a/internal/operator/status/status.go
+++ b/internal/operator/status/status.go
@@ -220,7 +220,10 @@
 		}
 	}
 	message := fmt.Sprintf("%d of %d backend servers take requests", usable, known)
-	switch {
+	switch connected := v.connected(service); {
+	case known == 0 && connected > 0:
+		return Condition{Available, False, "BackendsNotRostered",
+			fmt.Sprintf("%d backend servers of the service are connected, but in no roster yet; the steward adds them once they have reported to it", connected)}
 	case known == 0:
 		return Condition{Available, False, "NoBackend", "no backend server of the service is known"}
 	case usable == 0:
@@ -228,3 +231,15 @@
 	}
 	return Condition{Available, True, "BackendTakesRequests", message}
 }
+
+// connected returns the number of connected agents that run a service, whether or not a
+// roster lists them. Requests are sent only to agents of a roster.
+func (v View) connected(service string) int {
+	count := 0
+	for _, agent := range v.agents {
+		if agent.Service == service {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/operator/status/status_test.go
+++ b/internal/operator/status/status_test.go
@@ -108,3 +108,21 @@
 		t.Errorf("rollout %+v", rollout)
 	}
 }
+
+// Guards against telling operators that no backend server of a service is known while its agent
+// has connected and only the steward's roster, by which requests are sent, does not list it yet.
+func TestServiceWhoseAgentIsInNoRosterYet(t *testing.T) {
+	s := snapshot(t)
+	r, _ := s.Resource(api.Key{Kind: api.KindService, Name: "akte"})
+	agents := observe.New()
+	agents.Step(0, core.PeerUp{Peer: "c"})
+	agents.Step(0, core.Received{From: "c", Message: core.Welcome{Host: "c", Kind: core.BackendService, Service: "akte"}})
+	state := dump()
+	state["observe"] = agents.Dump()
+	for rostered, want := range map[string]string{"": "False BackendsNotRostered", "akte": "True BackendTakesRequests"} {
+		state["entry"] = entry.State{Agents: map[core.HostID]entry.AgentState{"c": {Up: true, Usable: true, Service: rostered}}}
+		if got := reasons(Collect("entry-1", state).StatusOf(s, r))[Available]; got != want {
+			t.Errorf("service %q by the roster: %q, want %q", rostered, got, want)
+		}
+	}
+}
