A limit is kept with a registry entry that is gone for a moment

A router that forgot a server with a limit sent it as much as the others until its next answer, when the entry came back. TestLimitOutlastsItsEntry fails without the change.

--- a/internal/router/announced.go
+++ b/internal/router/announced.go
@@ -159,6 +159,7 @@
 type departed struct {
 	fleet.Incarnation
 	announced announced
+	limit     serverLimit
 	// until is when it is dropped.
 	until core.Time
 }
@@ -166,21 +167,25 @@
 // rememberDeparted keeps what a server announced when it is forgotten.
 //
 // It guards against an entry that comes back, because a late write or an old copy of the
-// registry contains it: the server would get requests again although it wants none.
+// registry contains it: the server would get requests again although it wants none, or as
+// many as without its limit.
 func (r *Router) rememberDeparted(b *backend) {
 	until := b.announced.backoff.until
-	if b.announced.drainingAt != 0 {
+	if b.announced.drainingAt != 0 || b.limited() {
 		until = max(until, r.now.Add(forgetAfter))
 	}
 	if r.now < until {
-		r.departed[b.Instance] = departed{b.Incarnation, b.announced, until}
+		r.departed[b.Instance] = departed{b.Incarnation, b.announced, b.limit, until}
 	}
 }
 
 // restoreDeparted gives a server that is found again what it had announced.
 func (r *Router) restoreDeparted(b *backend) {
 	if d, known := r.departed[b.Instance]; known && d.Compare(b.Incarnation) == 0 {
-		b.announced = d.announced
+		b.announced, b.limit = d.announced, d.limit
+		if b.limited() {
+			r.limited = with(r.limited, b)
+		}
 	}
 	delete(r.departed, b.Instance)
 }
--- a/internal/router/serverlimit_test.go
+++ b/internal/router/serverlimit_test.go
@@ -352,3 +352,16 @@
 		t.Error("the end of the limit was not noticed")
 	}
 }
+
+// Guards against a limit that is forgotten with a registry entry that is gone for a moment: until
+// the next answer the server would get as many requests as the others.
+func TestLimitOutlastsItsEntry(t *testing.T) {
+	w := newLimitedFixture(t, 2, 3)
+	limited := w.server(plainService, 0)
+	w.step(BackendsChanged{Removed: map[string]bool{"s0": true}})
+	w.run(time.Second)
+	w.step(BackendsChanged{Written: map[string]fleet.Backend{"s0": limited}})
+	if state := w.router.Dump().Backends[1]; state.Instance != "s0" || state.LimitPerSecond == nil || *state.LimitPerSecond != 3 {
+		t.Errorf("%s has the limit %v, want 3", state.Instance, state.LimitPerSecond)
+	}
+}
