--- a/internal/core/permits/permits.go
+++ b/internal/core/permits/permits.go
@@ -136,8 +136,11 @@
 	}
 }
 
-// grant sends permits for background reads while lanes are free.
+// grant sends permits for background reads while lanes are free. A read whose deadline has
+// passed would take a lane for nothing.
 func (p *Part) grant() {
+	expired := func(r request) bool { return r.deadline <= p.now }
+	p.waiting = slices.DeleteFunc(p.waiting, expired)
 	for len(p.waiting) > 0 && len(p.active) < max(1, p.lanes-reservedLanes) {
 		next := p.waiting[0]
 		p.waiting = p.waiting[1:]
--- a/internal/core/permits/permits_test.go
+++ b/internal/core/permits/permits_test.go
@@ -75,3 +75,20 @@
 	f.step(core.Tick{})
 	f.expect(t, "e")
 }
+
+// Guards against a permit for a background read whose deadline passed while it was queued: it
+// would take the place of one that is still wanted.
+func TestExpiredRequestGetsNoPermit(t *testing.T) {
+	f := newFixture()
+	for _, host := range []core.HostID{"a", "b", "c"} {
+		f.ask(host, api.PriorityInteractive, 0)
+	}
+	f.ask("expired", api.PriorityBatch, time.Second)
+	f.ask("wanted", api.PriorityBatch, time.Minute)
+	f.now = f.now.Add(time.Second)
+	f.done("a")
+	f.expect(t, "wanted")
+	if waiting := f.part.Dump().(State).Waiting; waiting != 0 {
+		t.Errorf("%d requests are queued", waiting)
+	}
+}
