Without cgo, a command under nohup stays deaf to SIGHUP

Cause: whether it was ignored is a package variable that must be read before Notify clears it; Go initialized it after, as files are taken by name and nothing tied the two together. Change: the channel's initialization refers to it.

--- a/internal/hangup/hangup.go
+++ b/internal/hangup/hangup.go
@@ -17,6 +17,8 @@
 var signals = notifyHangup()
 
 func notifyHangup() chan os.Signal {
+	// Notify clears what this reads without cgo; the reference makes it initialized before.
+	_ = ignoredByParent()
 	c := make(chan os.Signal, 1)
 	signal.Notify(c, syscall.SIGHUP)
 	return c
--- a/internal/hangup/hangup_test.go
+++ b/internal/hangup/hangup_test.go
@@ -4,15 +4,43 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"syscall"
 	"testing"
 	"time"
 
+	"nutmeglane.example/nutmeglane/internal/hangup"
 	"nutmeglane.example/nutmeglane/internal/selfexec"
 )
 
-func TestMain(m *testing.M) { selfexec.Main(m) }
+// restoreVariable makes the test binary print what Restore returns.
+const restoreVariable = "HANGUP_TEST_RESTORE"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(restoreVariable) != "" {
+		fmt.Print(hangup.Restore())
+		os.Exit(0)
+	}
+	selfexec.Main(m)
+}
+
+// Guards against a command under nohup that is ended by SIGHUP, with and without cgo: Restore
+// must leave the signal ignored if the parent ignored it.
+func TestRestoreKeepsAnIgnoredHangup(t *testing.T) {
+	for _, ignored := range []bool{false, true} {
+		if ignored {
+			signal.Ignore(syscall.SIGHUP) // inherited by the child
+			defer signal.Reset(syscall.SIGHUP)
+		}
+		cmd := exec.Command(os.Args[0])
+		cmd.Env = append(os.Environ(), restoreVariable+"=1")
+		out, err := cmd.Output()
+		if want := fmt.Sprint(!ignored); err != nil || string(out) != want {
+			t.Errorf("ignored %t: Restore returned %q, %v; want %s", ignored, out, err, want)
+		}
+	}
+}
 
 // start starts a daemon whose settings are in a file.
 func start(t testing.TB, role, settings string) *exec.Cmd {
--- a/test.sh
+++ b/test.sh
@@ -34,3 +34,6 @@
 
 echo "== test -race"
 go test -race -count=1 -timeout 15m "${skip[@]}" ./...
+
+echo "== test without cgo"
+CGO_ENABLED=0 go test -count=1 ./internal/hangup
