--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -252,12 +252,14 @@
 	}
 }
 
-// newStallTimer returns a timer that reports to the reducer that no event has arrived for too
-// long. It is effectively started by the first event; the initial hour is a placeholder.
+// newStallTimer returns a stopped timer that reports to the reducer that no event has arrived
+// for too long. Each event starts it again if the attempt has a limit.
 func (c *call) newStallTimer(a *answer) *time.Timer {
-	return time.AfterFunc(time.Hour, func() {
+	timer := time.AfterFunc(time.Hour, func() {
 		c.gateway.Step(router.Stalled{Key: c.key, Attempt: a.attempt})
 	})
+	timer.Stop()
+	return timer
 }
 
 func (c *call) writeEvents(a *answer, events []byte, first *bool) {
