--- a/internal/wire/options.go
+++ b/internal/wire/options.go
@@ -13,7 +13,6 @@
 
 // Defaults of Options.
 const (
-	DefaultPingInterval = 2 * time.Second
 	DefaultDialTimeout  = 3 * time.Second
 	DefaultUpgradeRate  = rate.Limit(200)
 	DefaultUpgradeBurst = 100
@@ -98,7 +97,7 @@
 }
 
 func (o Options) withDefaults() Options {
-	defaults.Set(&o.PingInterval, DefaultPingInterval)
+	defaults.Set(&o.PingInterval, core.DefaultTimings().PingInterval)
 	defaults.Set(&o.DialTimeout, DefaultDialTimeout)
 	defaults.Set(&o.UpgradeRate, DefaultUpgradeRate)
 	defaults.Set(&o.UpgradeBurst, DefaultUpgradeBurst)
