Router: names for what a failed attempt tells, one question for draining, refuseExcluded

No change of behaviour: read as a newcomer would. Which failures sent nothing and which are a server's own stood twice in attempt.go; whether a server is known to be draining was a comparison in six places; refuseInBackoff refuses also where no server backs off.

--- a/internal/router/announced.go
+++ b/internal/router/announced.go
@@ -79,7 +79,7 @@
 // draining reports whether a server has announced that it is draining, or does not answer its
 // loader.
 func (r *Router) draining(b *backend) bool {
-	if b.announced.drainingAt != 0 {
+	if b.announced.draining() {
 		return true
 	}
 	held := r.holdings(b)
@@ -93,8 +93,11 @@
 	return b != nil && server.Compare(b.Incarnation) == 0 && r.accepts(b)
 }
 
+// draining reports whether the server is known to be draining.
+func (a *announced) draining() bool { return a.drainingAt != 0 }
+
 func (a *announced) drainingFor(now core.Time) time.Duration {
-	if a.drainingAt == 0 {
+	if !a.draining() {
 		return 0
 	}
 	return now.Sub(a.drainingAt)
@@ -123,7 +126,7 @@
 // noteDraining records that a server is draining. The other routers are told unless they
 // learn it from the registry or from the server's loader.
 func (r *Router) noteDraining(b *backend, source string) {
-	if b.announced.drainingAt != 0 {
+	if b.announced.draining() {
 		return
 	}
 	b.announced.drainingAt, b.announced.drainingBy = r.now, source
@@ -171,7 +174,7 @@
 // many as without its limit.
 func (r *Router) rememberDeparted(b *backend) {
 	until := b.announced.backoff.until
-	if b.announced.drainingAt != 0 || b.limited() {
+	if b.announced.draining() || b.limited() {
 		until = max(until, r.now.Add(forgetAfter))
 	}
 	if r.now < until {
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -31,13 +31,13 @@
 	// Guards against ejecting a server because of this router's own connection limit: the
 	// server serves its other requests, and the rest of the load would fall on fewer
 	// servers.
-	if e.Failure != ConnsExhausted && e.Failure != Withdrawn {
+	if e.Failure.ofServer() {
 		r.recordFailure(b, e.Failure, e.Cause)
 	}
 	r.log(SingleRequest, "attempt failed", req.attrs("instance", b.Instance, "attempt", e.Attempt,
 		"failure", e.Failure.String(), "cause", e.Cause, "fingerprint", req.fingerprint.String())...)
 	r.noteConnection(b, req, e)
-	if e.Failure == NotSent || e.Failure == ConnsExhausted || e.Failure == Withdrawn {
+	if !e.Failure.sent() {
 		req.sends--
 		r.dispatch(req)
 		return
@@ -107,8 +107,8 @@
 	b := req.backend
 	r.release(req)
 	req.arrivals++
-	// A backoff is the server's own word on how long it fails; a guess from its failures
-	// would outlast it.
+	// With a backoff the server states for how long it fails; a guess from its failures
+	// would outlast that.
 	backsOff := e.Answer.Backoff.State == fleet.BackoffReported
 	if !backsOff {
 		b.failureRate += (1 - b.failureRate) * smoothing
--- a/internal/router/backoff.go
+++ b/internal/router/backoff.go
@@ -89,9 +89,9 @@
 	r.recheckWaitsFor(b)
 }
 
-// refuseInBackoff refuses a request that no server takes now, with the time at which the
-// first ends its backoff, if any does.
-func (r *Router) refuseInBackoff(req *request) {
+// refuseExcluded refuses a request that no server takes now: with the time at which the first
+// backoff ends, if that is why.
+func (r *Router) refuseExcluded(req *request) {
 	first := r.firstAfterBackoff(req.service)
 	if first == nil || req.mayHaveRun || slices.ContainsFunc(r.serversOf(req.service), r.accepts) {
 		r.giveUp(req, code.NoBackend, "no backend server of the service takes requests")
@@ -107,7 +107,7 @@
 func (r *Router) refuseTurnedAway(req *request) {
 	eta, ok := r.loadableIn(req)
 	if req.mayHaveRun || !ok || r.now.Add(eta) >= req.firstEventDeadline {
-		r.refuseInBackoff(req)
+		r.refuseExcluded(req)
 		return
 	}
 	r.finish(req, code.BackingOff, r.retryAfterIn(quickRetryAfter), "its backend server wants no requests; its next try can wait for another")
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -121,6 +121,12 @@
 	return [...]string{"not sent", "no answer", "bad answer", "broken off", "connections used", "withdrawn"}[f]
 }
 
+// sent reports whether the request, or a part of it, was sent to the server.
+func (f Failure) sent() bool { return f != NotSent && f != ConnsExhausted && f != Withdrawn }
+
+// ofServer reports whether the server is at fault, as far as known.
+func (f Failure) ofServer() bool { return f != ConnsExhausted && f != Withdrawn }
+
 // CPUWaitMeasured reports how long work of the process recently waited for the processor,
 // as the 90th percentile.
 type CPUWaitMeasured struct{ Wait time.Duration }
--- a/internal/router/loaders.go
+++ b/internal/router/loaders.go
@@ -107,8 +107,7 @@
 		if b.unlistedAt != 0 {
 			continue
 		}
-		leaves, foundLeaves := b.announced.drainingAt != 0, found != nil && found.announced.drainingAt != 0
-		if found == nil || foundLeaves || foundLeaves == leaves && b.Instance > found.Instance {
+		if found == nil || found.announced.draining() || !b.announced.draining() && b.Instance > found.Instance {
 			found = b
 		}
 	}
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -173,7 +173,7 @@
 		return
 	}
 	if !r.anyCandidate(req) {
-		r.refuseInBackoff(req)
+		r.refuseExcluded(req)
 		return
 	}
 	if req.prompt != nil && r.engine(req.service) != nil {
--- a/internal/router/serverend.go
+++ b/internal/router/serverend.go
@@ -61,7 +61,7 @@
 		Arrival: uint32(xxhash.Sum64String(req.id)),
 	}
 	switch incarnation := req.attempt.incarnation; {
-	case b.announced.drainingAt != 0:
+	case b.announced.draining():
 	case incarnation.Compare(b.Incarnation) < 0:
 		r.recordEnd(r.endOf(b, incarnation, r.now, lost))
 	case b.endedAt != 0 && r.now.Sub(b.endedAt) < lostWindow:
@@ -75,7 +75,7 @@
 // serverEnded records that a server's present incarnation has ended, together with the
 // requests lost there.
 func (r *Router) serverEnded(b *backend, sign string) {
-	if b.endedAt != 0 || b.announced.drainingAt != 0 {
+	if b.endedAt != 0 || b.announced.draining() {
 		return
 	}
 	b.endedAt = r.now
--- a/internal/router/wait.go
+++ b/internal/router/wait.go
@@ -251,14 +251,16 @@
 // they were sent there before. Held, each would be refused once the model is loaded there;
 // their callers' next tries may wait for it.
 func (r *Router) refuseTried(w *wait) {
+	const reason = "the engine that loads its model was tried"
 	for _, req := range slices.Clone(w.requests) {
-		switch {
-		case !slices.Contains(req.tried, w.home.Instance):
-		case req.mayHaveRun:
-			r.giveUp(req, code.NoBackend, "the engine that loads its model was tried")
-		default:
-			r.finish(req, code.NoBackend, r.retryAfterIn(quickRetryAfter), "the engine that loads its model was tried")
+		if !slices.Contains(req.tried, w.home.Instance) {
+			continue
+		}
+		if req.mayHaveRun {
+			r.giveUp(req, code.NoBackend, reason)
+			continue
 		}
+		r.finish(req, code.NoBackend, r.retryAfterIn(quickRetryAfter), reason)
 	}
 }
 
