--- a/internal/core/agent/admit.go
+++ b/internal/core/agent/admit.go
@@ -89,6 +89,9 @@
 		if m.Target.Service != p.cfg.Service || p.snapshot.Services[p.cfg.Service] == nil {
 			return nil, refusal{code.UnknownService, 0}
 		}
+		if left := p.service.backoffUntil.Sub(p.now); left > 0 {
+			return nil, refusal{code.BackingOff, left}
+		}
 		return p.service.base, refusal{}
 	}
 	if p.snapshot.Models[m.Target.Model] == nil {
--- a/internal/core/agent/deliver.go
+++ b/internal/core/agent/deliver.go
@@ -14,6 +14,9 @@
 	switch ev.Kind {
 	case core.FrameHead:
 		j.answer.head, j.answer.status, j.answer.header = true, ev.Status, ev.Header
+		if j.target.slot.service {
+			p.noteBackoff(j.target.slot, ev)
+		}
 	case core.FrameData:
 		j.answer.add(ev)
 	case core.FrameEnd:
--- a/internal/core/agent/script_test.go
+++ b/internal/core/agent/script_test.go
@@ -104,7 +104,11 @@
 	case "req":
 		s.receive(from, startOf(w, a))
 	case "head":
-		s.step(core.RunProgress{Attempt: a, Kind: core.FrameHead, Status: 200})
+		head := core.RunProgress{Attempt: a, Kind: core.FrameHead, Status: int(w.number("status", 200))}
+		if w.has("retry-after") {
+			head.Header = []core.HeaderKV{{Name: "Retry-After", Value: w.text("retry-after", "")}}
+		}
+		s.step(head)
 	case "data":
 		s.step(core.RunProgress{Attempt: a, Kind: core.FrameData, Count: n, Payload: make([]byte, n)})
 	case "end":
--- a/internal/core/agent/slot.go
+++ b/internal/core/agent/slot.go
@@ -41,6 +41,9 @@
 	dirty      bool
 	// starved is set while a load waits for accelerator memory.
 	starved bool
+	// backoffUntil is when the plain service takes requests again after it has turned one
+	// away; 0 if it never has.
+	backoffUntil core.Time
 	// crowdedAt is when a request was last refused for lack of memory; 0 if
 	// never.
 	crowdedAt core.Time
--- a/internal/core/entry/agents.go
+++ b/internal/core/entry/agents.go
@@ -77,6 +77,10 @@
 	kind    core.BackendKind
 	service string
 
+	// backoffUntil is when an agent of a plain service takes requests again after its
+	// rejection with BackingOff; 0 if there was none.
+	backoffUntil core.Time
+
 	load           load
 	replicas       []*replica
 	lastStatus     *core.Status
--- a/internal/core/entry/attempt.go
+++ b/internal/core/entry/attempt.go
@@ -114,8 +114,11 @@
 		p.finish(r, code.Draining, minRetryAfter)
 		return
 	}
-	if result == code.Draining {
+	switch result {
+	case code.Draining:
 		r.agent.announcedLeaving = true
+	case code.BackingOff:
+		r.agent.backoffUntil = p.now.Add(retryAfter)
 	}
 	if finalRefusal(result) || !p.mayRetry(r) {
 		p.finish(r, result, retryAfter)
--- a/internal/core/entry/keyed.go
+++ b/internal/core/entry/keyed.go
@@ -63,5 +63,8 @@
 	if owner == nil || !owner.usable() || r.isTried(owner.host) {
 		return r.refused(code.NoBackend, 0), !r.arrived.Idempotent
 	}
+	if left := owner.backoffUntil.Sub(p.now); left > 0 {
+		return r.refused(code.BackingOff, left), !r.arrived.Idempotent
+	}
 	return choice{candidate: candidate{agent: owner}}, true
 }
--- a/internal/core/entry/recover.go
+++ b/internal/core/entry/recover.go
@@ -35,7 +35,7 @@
 // resetProcess drops what the previous process at the host reported.
 func (p *Part) resetProcess(a *agent, incarnation core.Incarnation) {
 	a.incarnation, a.announcedLeaving, a.leaveAckPending, a.lastStatus = incarnation, false, false, nil
-	a.pendingCancels, a.prefixes = nil, nil
+	a.pendingCancels, a.prefixes, a.backoffUntil = nil, nil, 0
 	a.load = load{sent: a.load.sent}
 	for _, rep := range a.replicas {
 		rep.reset()
--- a/internal/core/entry/services.go
+++ b/internal/core/entry/services.go
@@ -1,6 +1,9 @@
 package entry
 
-import "nutmeglane.example/nutmeglane/internal/code"
+import (
+	"nutmeglane.example/nutmeglane/internal/code"
+	"nutmeglane.example/nutmeglane/internal/core"
+)
 
 // loadTolerance is the difference in requests up to which loads count as equal, because
 // load reports lag.
@@ -17,6 +20,7 @@
 	}
 	p.scratch = p.scratch[:0]
 	anyUp := false
+	backoff := core.Never
 	for i, a := range agents {
 		if len(p.scratch) == p.limits.ServiceSubset {
 			break
@@ -24,10 +28,17 @@
 		if !a.usable() || r.isTried(a.host) {
 			continue
 		}
+		if p.now < a.backoffUntil {
+			backoff = min(backoff, a.backoffUntil)
+			continue
+		}
 		p.connect(a)
 		anyUp = anyUp || a.up
 		p.scratch = append(p.scratch, option{number: i, load: a.load.total(), sameZone: a.zone == p.config.Zone})
 	}
+	if len(p.scratch) == 0 && backoff != core.Never {
+		return choice{result: code.BackingOff, retryAfter: backoff.Sub(p.now)}
+	}
 	if len(p.scratch) == 0 {
 		return r.refused(code.NoBackend, 0)
 	}
