Routers tell how each answer's end was marked and how it came

What callers saw: four of fourteen broken streams as complete. The logs told neither how an answer was framed, nor how its end came, nor what stood after its last event, nor what its caller was given, so that the three hypotheses of the incident could not be told apart.

Change: package framing (how a response marks its end, how the end came); "request served" and "attempt failed" carry framing, end, events, leftover and what the caller was given; router_answer_ends_total; AnswerEnds in the dump. No decision changes.

Measured: tests of framing, router and gateway pass.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -11,6 +11,7 @@
 
 	"nutmeglane.example/nutmeglane/internal/clock"
 	"nutmeglane.example/nutmeglane/internal/core"
+	"nutmeglane.example/nutmeglane/internal/framing"
 	"nutmeglane.example/nutmeglane/internal/router"
 	"nutmeglane.example/nutmeglane/platform"
 )
@@ -36,6 +37,7 @@
 	conn     *upstream
 	response *http.Response
 	head     platform.Head
+	framing  framing.Kind
 	stream   bool
 	// body is the buffered body, or its start if complete is not set. It is empty for
 	// streams.
@@ -85,13 +87,13 @@
 		if isConnError(err) {
 			failure = router.NoAnswer
 		}
-		c.abortAndReport(d, conn, failure, errors.CombineErrors(err, sent))
+		c.abortAndReport(conn, router.AttemptFailed{Attempt: d.Attempt, Failure: failure}, errors.CombineErrors(err, sent))
 		return
 	}
 	a.requestSent = sent == nil
 	if !a.stream {
-		if failed, err := a.bufferBody(); err != nil {
-			c.abortAndReport(d, conn, failed, err)
+		if err := a.bufferBody(); err != nil {
+			c.reportBroken(a, err)
 			return
 		}
 	}
@@ -135,21 +137,21 @@
 				head.Status, head.Sealed, head.Encoded, head.RequestID)
 		}
 		stream := success && strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
-		return &answer{attempt: d.Attempt, send: d, conn: conn, response: response, head: head, stream: stream}, nil
+		return &answer{attempt: d.Attempt, send: d, conn: conn, response: response, head: head, framing: framing.Of(response), stream: stream}, nil
 	}
 }
 
 // bufferBody reads the body up to maxBufferedBytes, so that a truncated response can be
 // replaced by that of another server. A larger one is forwarded as it arrives.
-func (a *answer) bufferBody() (router.Failure, error) {
+func (a *answer) bufferBody() error {
 	var b bytes.Buffer
 	_, err := io.Copy(&b, io.LimitReader(a.response.Body, maxBufferedBytes+1))
 	a.body = b.Bytes()
 	if err != nil {
-		return router.Broken, errors.Wrap(err, "read body")
+		return errors.Wrap(err, "read body")
 	}
 	a.complete = len(a.body) <= maxBufferedBytes
-	return 0, nil
+	return nil
 }
 
 // relay forwards a response. It reports whether the request has ended.
@@ -170,7 +172,7 @@
 			return c.reportBroken(a, err)
 		}
 	}
-	c.complete(a)
+	c.complete(a, a.ended(io.EOF, 0))
 	return true
 }
 
@@ -219,10 +221,32 @@
 	c.writer.WriteHeader(a.response.StatusCode)
 }
 
-// complete ends a request whose response was forwarded completely.
-func (c *call) complete(a *answer) {
+// complete ends a request whose response was forwarded as complete.
+func (c *call) complete(a *answer, end router.AnswerEnd) {
 	c.releaseConn(a)
-	c.gateway.Step(router.Done{Key: c.key, Attempt: a.attempt, Events: a.timing.events, Pause: a.timing.meanPause()})
+	c.gateway.Step(router.Done{Key: c.key, Attempt: a.attempt, End: end, Given: c.given(), Pause: a.timing.meanPause()})
+}
+
+// ended describes how the response ended, from the error of its last read and the number of
+// bytes after the last complete event of a stream.
+func (a *answer) ended(err error, leftover int) router.AnswerEnd {
+	return router.AnswerEnd{
+		Framing: a.framing, End: framing.EndOf(a.framing, err), Events: a.timing.events, Leftover: leftover,
+	}
+}
+
+// given returns the framing of the response that the caller gets, Unknown if none was started.
+func (c *call) given() framing.Kind {
+	switch {
+	case !c.started:
+		return framing.Unknown
+	case c.writer.Header().Get("Content-Length") != "":
+		return framing.Length
+	case c.request.ProtoAtLeast(1, 1):
+		return framing.Chunked
+	default:
+		return framing.UntilClose
+	}
 }
 
 // relayStream forwards complete events as they arrive. It sends the head with the first
@@ -247,7 +271,7 @@
 		case errors.Is(err, io.EOF):
 			return c.endStream(a, &s)
 		default:
-			return c.reportBroken(a, err)
+			return c.reportBrokenStream(a, &s, err)
 		}
 	}
 }
@@ -277,14 +301,22 @@
 // endStream forwards the bytes after the last event and completes the request.
 func (c *call) endStream(a *answer, s *eventScanner) bool {
 	c.writeHead(a)
-	if rest := s.remainder(); len(rest) > 0 {
+	rest := s.remainder()
+	if len(rest) > 0 {
 		c.writeToCaller(rest)
 	}
-	c.complete(a)
+	c.complete(a, a.ended(io.EOF, len(rest)))
 	return true
 }
 
-func (c *call) reportBroken(a *answer, err error) bool {
-	c.abortAndReport(a.send, a.conn, router.Broken, err)
+// reportBroken reports that a response broke off. It returns false: the request continues.
+func (c *call) reportBroken(a *answer, err error) (ended bool) {
+	return c.reportBrokenStream(a, &eventScanner{}, err)
+}
+
+// reportBrokenStream is reportBroken for a stream whose events s has split.
+func (c *call) reportBrokenStream(a *answer, s *eventScanner, err error) (ended bool) {
+	failed := router.AttemptFailed{Attempt: a.attempt, Failure: router.Broken, End: a.ended(err, len(s.remainder()))}
+	c.abortAndReport(a.conn, failed, err)
 	return false
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -169,11 +169,11 @@
 	deadline := time.Now().Add(limit + attemptSlack)
 	conn, err := c.connect(d, limit)
 	if errors.Is(err, errConnLimit) {
-		c.reportFailure(d, router.ConnsExhausted, err)
+		c.reportFailure(router.AttemptFailed{Attempt: d.Attempt, Failure: router.ConnsExhausted}, err)
 		return
 	}
 	if err != nil {
-		c.reportFailure(d, router.NotSent, err)
+		c.reportFailure(router.AttemptFailed{Attempt: d.Attempt, Failure: router.NotSent}, err)
 		return
 	}
 	if !c.setConn(conn, d.Attempt) {
@@ -181,7 +181,7 @@
 		return
 	}
 	if !conn.used && !c.mayStillSend(d) {
-		c.abortAndReport(d, conn, router.Withdrawn, errExcluded)
+		c.abortAndReport(conn, router.AttemptFailed{Attempt: d.Attempt, Failure: router.Withdrawn}, errExcluded)
 		return
 	}
 	_ = conn.SetDeadline(deadline)
@@ -191,7 +191,7 @@
 	})
 	wrote, err := c.write(conn, header)
 	if err != nil && wrote == 0 && !conn.used {
-		c.abortAndReport(d, conn, router.NotSent, err)
+		c.abortAndReport(conn, router.AttemptFailed{Attempt: d.Attempt, Failure: router.NotSent}, err)
 		return
 	}
 	// The server may have responded before it read the complete request, so a response may
@@ -301,10 +301,10 @@
 	c.abortConn()
 }
 
-func (c *call) reportFailure(d router.Send, failure router.Failure, err error) {
-	c.gateway.Step(router.AttemptFailed{
-		Key: c.key, Attempt: d.Attempt, Failure: failure, Peer: peerState(err), Cause: err.Error(),
-	})
+// reportFailure reports a failed attempt with its cause.
+func (c *call) reportFailure(failed router.AttemptFailed, cause error) {
+	failed.Key, failed.Peer, failed.Cause = c.key, peerState(cause), cause.Error()
+	c.gateway.Step(failed)
 }
 
 // peerState derives the state of the server's process from a connection error. A timeout does
@@ -320,10 +320,10 @@
 	}
 }
 
-func (c *call) abortAndReport(d router.Send, conn *upstream, failure router.Failure, err error) {
+func (c *call) abortAndReport(conn *upstream, failed router.AttemptFailed, cause error) {
 	c.abortConn()
-	if failure == router.NoAnswer {
+	if failed.Failure == router.NoAnswer {
 		c.gateway.pool.dropIdle(conn.address)
 	}
-	c.reportFailure(d, failure, err)
+	c.reportFailure(failed, cause)
 }
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -6,6 +6,7 @@
 	"nutmeglane.example/nutmeglane/internal/code"
 	"nutmeglane.example/nutmeglane/internal/core"
 	"nutmeglane.example/nutmeglane/internal/fleet"
+	"nutmeglane.example/nutmeglane/internal/framing"
 )
 
 // This file handles the outcomes of attempts: what an outcome proves, and whether the
@@ -34,8 +35,11 @@
 	if e.Failure.ofServer() {
 		r.recordFailure(b, e.Failure, e.Cause)
 	}
-	r.log(SingleRequest, "attempt failed", req.attrs("instance", b.Instance, "attempt", e.Attempt,
-		"failure", e.Failure.String(), "cause", e.Cause, "fingerprint", req.fingerprint.String())...)
+	if e.End.Framing != framing.Unknown {
+		r.countAnswerEnd(req.service, e.End, brokenOff)
+	}
+	r.log(SingleRequest, "attempt failed", req.attrs(append([]any{"instance", b.Instance, "attempt", e.Attempt,
+		"failure", e.Failure.String(), "cause", e.Cause, "fingerprint", req.fingerprint.String()}, e.End.logAttrs()...)...)...)
 	r.noteConnection(b, req, e)
 	if !e.Failure.sent() {
 		req.sends--
@@ -181,7 +185,7 @@
 	b := req.backend
 	if req.prompt != nil {
 		r.service(req.service).speed.answerEnded(answer{
-			model: req.model(), events: e.Events, pause: e.Pause,
+			model: req.model(), events: e.End.Events, pause: e.Pause,
 			first: req.attempt.first, concurrent: req.attempt.concurrent,
 		})
 	}
@@ -189,7 +193,9 @@
 	r.answeredWhole(req)
 	delete(r.requests, req.key)
 	r.emit(Count{core.Count{Name: metricRequests, Labels: []string{req.service, code.OK.String()}, Add: 1}})
-	r.log(SingleRequest, "request served", req.attrs("instance", b.Instance, "attempts", req.number,
+	r.countAnswerEnd(req.service, e.End, givenWhole)
+	r.log(SingleRequest, "request served", req.attrs(append([]any{"instance", b.Instance, "attempts", req.number,
 		"waited", req.waited.String(), "cold", req.cold, "predicted", req.attempt.forecast.first.String(),
-		"ahead", req.attempt.forecast.ahead.String(), "first", req.first.String(), "took", r.now.Sub(req.arrived).String())...)
+		"ahead", req.attempt.forecast.ahead.String(), "first", req.first.String(), "took", r.now.Sub(req.arrived).String(),
+		"given", e.Given.String()}, e.End.logAttrs()...)...)...)
 }
--- a/internal/router/backoff_test.go
+++ b/internal/router/backoff_test.go
@@ -25,7 +25,7 @@
 	send := w.lastSend(key)
 	w.step(Answered{Key: key, Attempt: send.Attempt, Answer: fleet.Answer{Status: 200}})
 	w.step(FirstEvent{Key: key, Attempt: send.Attempt})
-	w.step(Done{Key: key, Attempt: send.Attempt, Events: 1})
+	w.step(Done{Key: key, Attempt: send.Attempt, End: AnswerEnd{Events: 1}})
 }
 
 // Guards against a backoff that ends too early: by a shorter or an unreadable one, by a 503
--- a/internal/router/dump.go
+++ b/internal/router/dump.go
@@ -24,6 +24,8 @@
 	QuotaShare quota.ShareState
 	// Suspects are the requests on which two servers or more ended.
 	Suspects []poison.Entry
+	// AnswerEnds counts the ways in which servers' answers ended since this process started.
+	AnswerEnds []AnswerEndCount
 }
 
 // BackendState is the dump of a backend server.
@@ -60,7 +62,7 @@
 
 // Dump returns the router's state. It must not be called during a step.
 func (r *Router) Dump() State {
-	state := State{Version: r.ConfigVersion(), Ready: r.Ready(), Requests: len(r.requests), Accounts: r.gate.Dump(r.now), QuotaShare: r.gate.Share(), Suspects: r.ledger.Dump(r.now)}
+	state := State{Version: r.ConfigVersion(), Ready: r.Ready(), Requests: len(r.requests), Accounts: r.gate.Dump(r.now), QuotaShare: r.gate.Share(), Suspects: r.ledger.Dump(r.now), AnswerEnds: r.dumpAnswerEnds()}
 	for _, instance := range slices.Sorted(maps.Keys(r.backends)) {
 		b := r.backends[instance]
 		perSecond, knownFor := r.limitState(b)
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -5,6 +5,7 @@
 
 	"nutmeglane.example/nutmeglane/internal/core"
 	"nutmeglane.example/nutmeglane/internal/fleet"
+	"nutmeglane.example/nutmeglane/internal/framing"
 )
 
 // Event is an input of the reducer.
@@ -150,6 +151,8 @@
 	Failure Failure
 	// Peer is PeerUnknown unless the connection itself failed.
 	Peer Peer
+	// End is how the answer ended, its zero value if none began.
+	End AnswerEnd
 	// Cause is for logs.
 	Cause string
 }
@@ -182,13 +185,15 @@
 	Attempt int
 }
 
-// Done reports that an answer was forwarded completely, which ends its request.
+// Done reports that an answer was forwarded as complete, which ends its request.
 type Done struct {
 	Key     Key
 	Attempt int
-	// Events is the number of events of a stream, Pause the mean pause between them.
-	Events int
-	Pause  time.Duration
+	// End is how the server's answer ended, Given how the caller's copy of it is framed.
+	End   AnswerEnd
+	Given framing.Kind
+	// Pause is the mean pause between the events of a stream.
+	Pause time.Duration
 }
 
 // CallerLeft reports that the caller cancelled the request, which ends it.
--- a/internal/router/forecast_test.go
+++ b/internal/router/forecast_test.go
@@ -28,7 +28,7 @@
 	attempt := w.lastSend(key).Attempt
 	w.step(Answered{Key: key, Attempt: attempt, Answer: fleet.Answer{Status: 200}})
 	w.step(FirstEvent{Key: key, Attempt: attempt})
-	w.step(Done{Key: key, Attempt: attempt, Events: 10, Pause: 20 * time.Millisecond})
+	w.step(Done{Key: key, Attempt: attempt, End: AnswerEnd{Events: 10}, Pause: 20 * time.Millisecond})
 }
 
 // trainSpeed makes engines answer some prompts in a known time, so that their speed is
--- a/internal/router/large_bench_test.go
+++ b/internal/router/large_bench_test.go
@@ -89,7 +89,7 @@
 			if i%(steps/callsPerSecond) == 0 {
 				key := w.call("quick", prompt(fmt.Sprintf("m%d", i%min(mostBusy, engines))))
 				w.step(FirstEvent{Key: key, Attempt: 1})
-				w.step(Done{Key: key, Attempt: 1, Events: 10, Pause: 20 * time.Millisecond})
+				w.step(Done{Key: key, Attempt: 1, End: AnswerEnd{Events: 10}, Pause: 20 * time.Millisecond})
 			}
 		}
 	}
@@ -133,7 +133,7 @@
 			if i%10 == 0 {
 				key := w.call("quick", prompt(fmt.Sprintf("m%d", i%mostBusy)))
 				w.step(FirstEvent{Key: key, Attempt: 1})
-				w.step(Done{Key: key, Attempt: 1, Events: 10, Pause: 20 * time.Millisecond})
+				w.step(Done{Key: key, Attempt: 1, End: AnswerEnd{Events: 10}, Pause: 20 * time.Millisecond})
 			}
 			w.step(Tick{})
 		}
--- a/internal/router/request_test.go
+++ b/internal/router/request_test.go
@@ -220,7 +220,7 @@
 	}
 	w.step(Answered{Key: call, Attempt: sent[call], Answer: fleet.Answer{Status: 200}})
 	for _, key := range []Key{stream, call} {
-		w.step(Done{Key: key, Attempt: sent[key], Events: 10, Pause: 50 * time.Millisecond})
+		w.step(Done{Key: key, Attempt: sent[key], End: AnswerEnd{Events: 10}, Pause: 50 * time.Millisecond})
 	}
 	if len(w.router.requests) != 0 || len(w.finishes) != 0 {
 		t.Errorf("%d requests left, ended by the router: %+v", len(w.router.requests), w.finishes)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -100,6 +100,9 @@
 	// after a change of the loaders and rebuilt on use.
 	quotaOrder []*loader
 
+	// answerEnds counts the ways in which servers' answers ended.
+	answerEnds map[answerEndKey]int
+
 	// ledger records servers that ended while requests ran on them.
 	ledger *poison.Ledger
 	// published is when this router last made sure that a poison request is recorded in the
@@ -159,10 +162,10 @@
 		backends: map[string]*backend{}, byAddress: map[string][]*backend{},
 		loaders:  map[core.HostID]*loader{},
 		requests: map[Key]*request{},
-		waits:    map[waitKey]*wait{},
-		callers:  newCallers(),
-		gate:     quota.NewGate(quotaBounds(opts.Bounds)),
-		ledger:   poison.New(), published: map[core.Fingerprint]core.Time{}, departed: map[string]departed{},
+		waits:    map[waitKey]*wait{}, answerEnds: map[answerEndKey]int{},
+		callers: newCallers(),
+		gate:    quota.NewGate(quotaBounds(opts.Bounds)),
+		ledger:  poison.New(), published: map[core.Fingerprint]core.Time{}, departed: map[string]departed{},
 		stopAt: core.Never,
 	}
 }
--- a/internal/router/stop_test.go
+++ b/internal/router/stop_test.go
@@ -57,7 +57,7 @@
 		w.now = w.now.Add(100 * time.Millisecond)
 		w.step(FirstEvent{Key: key, Attempt: attempt})
 		w.now = w.now.Add(900 * time.Millisecond)
-		w.step(Done{Key: key, Attempt: attempt, Events: 10, Pause: 100 * time.Millisecond})
+		w.step(Done{Key: key, Attempt: attempt, End: AnswerEnd{Events: 10}, Pause: 100 * time.Millisecond})
 		w.reportHoldings(0, held)
 	}
 	return w
