--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -30,8 +30,8 @@
 	callers *httptest.Server
 }
 
-// newFixture returns a gateway that routes /stream/ (resumable), /once/ (non-idempotent) and
-// /again/ (idempotent) to servers that handle each connection with the given functions.
+// newFixture returns a gateway that routes /stream/ (resumable), /once-stream/ (a stream that is not),
+// /once/ (non-idempotent) and /again/ (idempotent) to servers that handle each connection with the given functions.
 func newFixture(t testing.TB, servers ...func(net.Conn)) *fixture {
 	t.Helper()
 	route := func(name string, kind fleet.Kind, attempts int, resumable bool) fleet.Route {
@@ -45,7 +45,8 @@
 		Version:  1,
 		Services: map[string]*fleet.Service{"s": {Name: "s", MaxConns: 40}},
 		Routes: []fleet.Route{
-			route("stream", fleet.Stream, 3, true), route("once", fleet.NonIdempotent, 1, false),
+			route("stream", fleet.Stream, 3, true), route("once-stream", fleet.Stream, 1, false),
+			route("once", fleet.NonIdempotent, 1, false),
 			route("again", fleet.Idempotent, 3, false),
 		},
 	}
