A stream that stops inside an event is broken off, however its end is marked

Cause: an answer's end was taken from the transport alone. endStream took any end of the body for the end of the answer, passed on what was left of an unfinished event and completed the request, which the caller got framed by chunks: a claim that the server had not made. A stream without length and chunks ends with its connection, so that each break by an orderly close looked like its end.

Change: one place (streamBreak) decides from the framing, how the end came and where the stream stops. Inside an event nothing is complete; until close nothing is inside a line, nor without an event. What is left of an unfinished event reaches no caller. The scanner (package sse) knows lines that end with LF, CRLF or CR, keeps the position across servers and tells events from comments: a comment of the second server no longer makes the third one start anew.

--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -98,3 +98,10 @@
 		return Malformed
 	}
 }
+
+// Complete reports whether a body that ended is complete as far as its framing tells. A body
+// that ends with its connection is complete if the connection was closed in an orderly way:
+// then a server that failed can't be told from one that had sent everything.
+func Complete(k Kind, e End) bool {
+	return e == Marked || k == UntilClose && e == Closed
+}
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -26,8 +26,6 @@
 	// maxBufferedBytes is the largest body that is buffered completely before it is
 	// forwarded. Larger ones are forwarded as they arrive.
 	maxBufferedBytes = 256 << 10
-	// streamChunk is the size of reads from a stream, in bytes.
-	streamChunk = 4 << 10
 )
 
 // answer is a backend server's response to an attempt.
@@ -48,28 +46,6 @@
 	requestSent bool
 }
 
-// eventTiming measures the intervals between the events of a stream.
-type eventTiming struct {
-	events      int
-	first, last time.Time
-}
-
-// add records that, in total, the given number of events have arrived by now.
-func (t *eventTiming) add(events int, now time.Time) {
-	if t.events == 0 {
-		t.first = now
-	}
-	t.events, t.last = events, now
-}
-
-// meanPause returns the mean interval between events, 0 for fewer than two.
-func (t *eventTiming) meanPause() time.Duration {
-	if t.events < 2 {
-		return 0
-	}
-	return t.last.Sub(t.first) / time.Duration(t.events-1)
-}
-
 func (c *call) now() core.Time { return clock.Now() }
 
 // reusable reports whether the connection can be used for another request.
@@ -172,7 +148,7 @@
 			return c.reportBroken(a, err)
 		}
 	}
-	c.complete(a, a.ended(io.EOF, 0))
+	c.complete(a, a.ended(io.EOF))
 	return true
 }
 
@@ -227,12 +203,9 @@
 	c.gateway.Step(router.Done{Key: c.key, Attempt: a.attempt, End: end, Given: c.given(), Pause: a.timing.meanPause()})
 }
 
-// ended describes how the response ended, from the error of its last read and the number of
-// bytes after the last complete event of a stream.
-func (a *answer) ended(err error, leftover int) router.AnswerEnd {
-	return router.AnswerEnd{
-		Framing: a.framing, End: framing.EndOf(a.framing, err), Events: a.timing.events, Leftover: leftover,
-	}
+// ended describes how the response ended, from the error of its last read.
+func (a *answer) ended(err error) router.AnswerEnd {
+	return router.AnswerEnd{Framing: a.framing, End: framing.EndOf(a.framing, err), Events: a.timing.events}
 }
 
 // given returns the framing of the response that the caller gets, Unknown if none was started.
@@ -249,74 +222,12 @@
 	}
 }
 
-// relayStream forwards complete events as they arrive. It sends the head with the first
-// event, so that until then the request can still get a different response.
-func (c *call) relayStream(a *answer) (ended bool) {
-	s := eventScanner{}
-	chunk := make([]byte, streamChunk)
-	stall := c.newStallTimer(a)
-	defer stall.Stop()
-	for first := true; ; {
-		n, err := a.response.Body.Read(chunk)
-		if events := s.feed(chunk[:n]); len(events) > 0 {
-			a.timing.add(s.count, time.Now())
-			c.writeEvents(a, events, &first)
-			c.lastEvent = s.lastID
-			if d := a.send.StallAfter; d > 0 {
-				stall.Reset(d)
-			}
-		}
-		switch {
-		case err == nil:
-		case errors.Is(err, io.EOF):
-			return c.endStream(a, &s)
-		default:
-			return c.reportBrokenStream(a, &s, err)
-		}
-	}
-}
-
-// newStallTimer returns a stopped timer that reports to the reducer that no event has arrived
-// for too long. Each event starts it again if the attempt has a limit.
-func (c *call) newStallTimer(a *answer) *time.Timer {
-	timer := time.AfterFunc(time.Hour, func() {
-		c.gateway.Step(router.Stalled{Key: c.key, Attempt: a.attempt})
-	})
-	timer.Stop()
-	return timer
-}
-
-func (c *call) writeEvents(a *answer, events []byte, first *bool) {
-	c.writeHead(a)
-	c.writeToCaller(events)
-	if err := http.NewResponseController(c.writer).Flush(); err != nil {
-		c.abortCallerGone()
-	}
-	if *first {
-		*first = false
-		c.gateway.Step(router.FirstEvent{Key: c.key, Attempt: a.attempt})
-	}
-}
-
-// endStream forwards the bytes after the last event and completes the request.
-func (c *call) endStream(a *answer, s *eventScanner) bool {
-	c.writeHead(a)
-	rest := s.remainder()
-	if len(rest) > 0 {
-		c.writeToCaller(rest)
-	}
-	c.complete(a, a.ended(io.EOF, len(rest)))
-	return true
-}
-
 // reportBroken reports that a response broke off. It returns false: the request continues.
 func (c *call) reportBroken(a *answer, err error) (ended bool) {
-	return c.reportBrokenStream(a, &eventScanner{}, err)
+	c.reportBrokenAs(a, a.ended(err), err)
+	return false
 }
 
-// reportBrokenStream is reportBroken for a stream whose events s has split.
-func (c *call) reportBrokenStream(a *answer, s *eventScanner, err error) (ended bool) {
-	failed := router.AttemptFailed{Attempt: a.attempt, Failure: router.Broken, End: a.ended(err, len(s.remainder()))}
-	c.abortAndReport(a.conn, failed, err)
-	return false
+func (c *call) reportBrokenAs(a *answer, end router.AnswerEnd, cause error) {
+	c.abortAndReport(a.conn, router.AttemptFailed{Attempt: a.attempt, Failure: router.Broken, End: end}, cause)
 }
--- a/internal/gateway/brokenoff_test.go
+++ b/internal/gateway/brokenoff_test.go
@@ -116,3 +116,63 @@
 		})
 	}
 }
+
+// Guards against a stream that ends with its connection and reaches its caller as complete where
+// the bytes before that show a break: inside a line, or before any event.
+func TestStreamUntilCloseIsCompleteBetweenEventsOnly(t *testing.T) {
+	tests := []struct {
+		name, body string
+		whole      bool
+	}{
+		{"between events", event(1) + event(2), true},
+		{"after a comment", event(1) + ": end\n", true},
+		{"after an empty line", event(1) + "\n", true},
+		{"CR as line end", "id: 1\rdata: a\r\r", true},
+		{"inside a comment", event(1) + ": en", false},
+		{"inside the CRLF of an empty line", "id: 1\r\ndata: a\r\n\r", false},
+		{"before any event", "", false},
+		{"after comments only", ": hello\n\n", false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := newFixture(t, serveOnce(answerHead("r1", closeHead)+test.body))
+			raw, err := s.rawCall("HTTP/1.1", "/once-stream/x")
+			got, err := parseAnswer(raw, err)
+			success := strings.HasPrefix(raw, "HTTP/1.1 200")
+			if whole := success && err == nil; whole != test.whole {
+				t.Errorf("complete %t, want %t: %q, %v", whole, test.whole, raw, err)
+			}
+			if test.whole && got != test.body {
+				t.Errorf("body %q, want %q", got, test.body)
+			}
+		})
+	}
+}
+
+// Guards against a router that makes up for a server's missing mark: a reset is a break in each
+// framing, also between two events.
+func TestResetIsABreakInEachFraming(t *testing.T) {
+	body := event(1) + event(2)
+	heads := map[string]string{
+		"until close": closeHead + "\r\n", "length": lengthHead(body+body) + "\r\n", "chunked": chunkedHead + "\r\n",
+	}
+	for framing := range heads {
+		t.Run(framing, func(t *testing.T) {
+			head, sent := strings.TrimSuffix(heads[framing], "\r\n"), body
+			if framing == "chunked" {
+				sent = chunk(body)
+			}
+			s := newFixture(t, func(conn net.Conn) {
+				readRequest(conn)
+				_, _ = io.WriteString(conn, answerHead("r1", head)+sent)
+				_ = conn.(*net.TCPConn).SetLinger(0)
+				_ = conn.Close()
+			})
+			if raw, err := s.rawCall("HTTP/1.1", "/once-stream/x"); strings.HasPrefix(raw, "HTTP/1.1 200") {
+				if got, err := parseAnswer(raw, err); err == nil {
+					t.Errorf("the caller got it as complete: %q", got)
+				}
+			}
+		})
+	}
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -16,6 +16,7 @@
 	"nutmeglane.example/nutmeglane/internal/code"
 	"nutmeglane.example/nutmeglane/internal/fleet"
 	"nutmeglane.example/nutmeglane/internal/router"
+	"nutmeglane.example/nutmeglane/internal/sse"
 	"nutmeglane.example/nutmeglane/platform"
 )
 
@@ -45,9 +46,9 @@
 	writer  http.ResponseWriter
 	answer  *answer
 	started bool
-	// lastEvent is the id of the last event that was forwarded. Further attempts resume
-	// after it.
-	lastEvent string
+	// position is the position after the last event that was forwarded. Further attempts
+	// resume there.
+	position sse.Position
 }
 
 // ServeHTTP implements http.Handler. It serves one request of a caller.
@@ -186,7 +187,7 @@
 	}
 	_ = conn.SetDeadline(deadline)
 	header := platform.RequestHeader(c.request.Header, platform.RequestOptions{
-		Instance: d.Instance, Remaining: limit, Priority: d.Priority, LastEvent: c.lastEvent,
+		Instance: d.Instance, Remaining: limit, Priority: d.Priority, LastEvent: c.position.ID,
 		HideCredentials: d.HideCredentials, Account: d.Account,
 	})
 	wrote, err := c.write(conn, header)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -212,28 +212,3 @@
 		t.Fatalf("status %d, %v, body %q, want 502", status, err, body)
 	}
 }
-
-// FuzzEventScanner splits events at any byte, with either line ending. Only complete events may
-// be returned, and no byte may be lost.
-func FuzzEventScanner(f *testing.F) {
-	f.Add([]byte("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3"), 3)
-	f.Add([]byte("\n\n\r\n\r\n"), 1)
-	f.Fuzz(func(t *testing.T, data []byte, step int) {
-		if step <= 0 {
-			return
-		}
-		var s eventScanner
-		var got []byte
-		for rest := data; len(rest) > 0; {
-			n := min(step, len(rest))
-			got = append(got, s.feed(rest[:n])...)
-			rest = rest[n:]
-		}
-		if all := append(got, s.remainder()...); !bytes.Equal(all, data) {
-			t.Fatalf("bytes were lost or added: %q of %q", all, data)
-		}
-		if eventSize(s.remainder()) != 0 {
-			t.Fatalf("a complete event was not returned: %q", s.remainder())
-		}
-	})
-}
--- /dev/null
+++ b/internal/gateway/stream.go
@@ -0,0 +1,143 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"nutmeglane.example/nutmeglane/internal/framing"
+	"nutmeglane.example/nutmeglane/internal/router"
+	"nutmeglane.example/nutmeglane/internal/sse"
+)
+
+// streamChunk is the size of reads from a stream, in bytes.
+const streamChunk = 4 << 10
+
+// Why a stream is not complete although its framing ends.
+var (
+	errInsideEvent = errors.New("the stream ended inside an event")
+	errInsideLine  = errors.New("the connection was closed inside a line of the stream")
+	errNoEvent     = errors.New("the connection was closed before an event")
+)
+
+// eventTiming measures the intervals between the events of a stream.
+type eventTiming struct {
+	events      int
+	first, last time.Time
+}
+
+// add records that, in total, the given number of events have arrived by now.
+func (t *eventTiming) add(events int, now time.Time) {
+	if t.events == 0 {
+		t.first = now
+	}
+	t.events, t.last = events, now
+}
+
+// meanPause returns the mean interval between events, 0 for fewer than two.
+func (t *eventTiming) meanPause() time.Duration {
+	if t.events < 2 {
+		return 0
+	}
+	return t.last.Sub(t.first) / time.Duration(t.events-1)
+}
+
+// relayStream forwards complete events as they arrive. It sends the head with the first
+// event, so that until then the request can still get a different response.
+func (c *call) relayStream(a *answer) (ended bool) {
+	s := sse.Resume(c.position)
+	chunk := make([]byte, streamChunk)
+	stall := c.newStallTimer(a)
+	defer stall.Stop()
+	for {
+		n, err := a.response.Body.Read(chunk)
+		if blocks := s.Feed(chunk[:n]); len(blocks) > 0 {
+			c.relayBlocks(a, s, blocks)
+			resetStall(stall, a)
+		}
+		if err != nil {
+			return c.endStream(a, s, err)
+		}
+	}
+}
+
+// relayBlocks forwards complete blocks of a stream and reports its first event.
+func (c *call) relayBlocks(a *answer, s *sse.Scanner, blocks []byte) {
+	first := a.timing.events == 0 && s.Events() > 0
+	a.timing.add(s.Events(), time.Now())
+	c.writeHead(a)
+	c.writeToCaller(blocks)
+	if err := http.NewResponseController(c.writer).Flush(); err != nil {
+		c.abortCallerGone()
+	}
+	c.position = s.Position()
+	if first {
+		c.gateway.Step(router.FirstEvent{Key: c.key, Attempt: a.attempt})
+	}
+}
+
+// newStallTimer returns a stopped timer that reports to the reducer that no event has arrived
+// for too long.
+func (c *call) newStallTimer(a *answer) *time.Timer {
+	timer := time.AfterFunc(time.Hour, func() {
+		c.gateway.Step(router.Stalled{Key: c.key, Attempt: a.attempt})
+	})
+	timer.Stop()
+	return timer
+}
+
+// resetStall starts the timer anew if the attempt has a limit on pauses.
+func resetStall(stall *time.Timer, a *answer) {
+	if a.send.StallAfter > 0 {
+		stall.Reset(a.send.StallAfter)
+	}
+}
+
+// endStream decides whether a stream whose last read returned err is complete, and completes
+// the request or reports that the stream broke off.
+func (c *call) endStream(a *answer, s *sse.Scanner, err error) (ended bool) {
+	end := a.ended(err)
+	end.Leftover = len(s.Remainder())
+	if cause := streamBreak(end, s, err); cause != nil {
+		c.reportBrokenAs(a, end, cause)
+		return false
+	}
+	c.writeHead(a)
+	if rest := s.Remainder(); len(rest) > 0 {
+		c.writeToCaller(rest)
+	}
+	c.complete(a, end)
+	return true
+}
+
+// streamBreak returns why a stream that ended is not complete, nil if it is.
+//
+// The framing alone does not tell: a server that fails may end its response as usual, and if
+// the response ends with its connection, each end looks like that. Therefore a stream that
+// stops inside an event is never complete. If the connection marks the end, neither is one
+// that stops inside a line, or that has no event.
+func streamBreak(end router.AnswerEnd, s *sse.Scanner, err error) error {
+	switch {
+	case !framing.Complete(end.Framing, end.End):
+		return err
+	case s.InsideEvent():
+		return closedEarly(end, errInsideEvent)
+	case end.Framing == framing.UntilClose && s.InsideLine():
+		return closedEarly(end, errInsideLine)
+	case end.Framing == framing.UntilClose && s.Events() == 0:
+		return closedEarly(end, errNoEvent)
+	default:
+		return nil
+	}
+}
+
+// closedEarly marks a cause as the end of the connection, if that ended the response: it may be
+// a sign that the server's process ended.
+func closedEarly(end router.AnswerEnd, cause error) error {
+	if end.End == framing.Closed {
+		return errors.Mark(cause, io.ErrUnexpectedEOF)
+	}
+	return cause
+}
