A stream whose last events have no id isn't resumed

What callers would see: events twice. A stream that broke off after an event without an id was resumed after the last id before it, or from its start where no event had one, and the second server sent again what the caller had.

Cause: the id of the last event stood for the position in the stream.

Where there are any, a stream is neither resumed nor moved as stalled; it is broken off visibly (3004).

Test: TestStreamWithoutAnIDIsNotResumed failed before (the events came twice, both cases), passes.

--- a/internal/gateway/brokenoff_test.go
+++ b/internal/gateway/brokenoff_test.go
@@ -176,3 +176,18 @@
 		})
 	}
 }
+
+// Guards against events that come twice: a stream whose last events have no id can't be resumed
+// exactly after them.
+func TestStreamWithoutAnIDIsNotResumed(t *testing.T) {
+	const anonymous = "data: b\n\n"
+	for name, body := range map[string]string{"no event has one": anonymous, "the last one has none": event(1) + anonymous} {
+		t.Run(name, func(t *testing.T) {
+			serve := serveOnce(answerHead("r1", chunkedHead) + chunk(body))
+			got, err := parseAnswer(newFixture(t, serve, serve).rawCall("HTTP/1.1", "/stream/x"))
+			if got != body || err == nil {
+				t.Errorf("body %q, error %v, want %q and an error", got, err, body)
+			}
+		})
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -55,7 +55,7 @@
 		n, err := a.response.Body.Read(chunk)
 		if blocks := s.Feed(chunk[:n]); len(blocks) > 0 {
 			c.relayBlocks(a, s, blocks)
-			resetStall(stall, a)
+			c.resetStall(stall, a)
 		}
 		if err != nil {
 			return c.endStream(a, s, err)
@@ -88,11 +88,14 @@
 	return timer
 }
 
-// resetStall starts the timer anew if the attempt has a limit on pauses.
-func resetStall(stall *time.Timer, a *answer) {
-	if a.send.StallAfter > 0 {
+// resetStall starts the timer anew if the attempt has a limit on pauses and its stream can be
+// resumed where it is.
+func (c *call) resetStall(stall *time.Timer, a *answer) {
+	if a.send.StallAfter > 0 && c.position.Exact() {
 		stall.Reset(a.send.StallAfter)
+		return
 	}
+	stall.Stop()
 }
 
 // endStream decides whether a stream whose last read returned err is complete, and completes
@@ -101,6 +104,7 @@
 	end := a.ended(err)
 	end.Leftover = len(s.Remainder())
 	if cause := streamBreak(end, s, err); cause != nil {
+		end.Unresumable = !c.position.Exact()
 		c.reportBrokenAs(a, end, cause)
 		return false
 	}
--- a/internal/router/answerend.go
+++ b/internal/router/answerend.go
@@ -20,6 +20,9 @@
 	// Events is the number of complete events of a stream, Leftover the number of bytes after
 	// the last one.
 	Events, Leftover int
+	// Unresumable is set if a stream can't be resumed exactly after the events that the caller
+	// has, as the last ones have no id.
+	Unresumable bool
 }
 
 func (e AnswerEnd) logAttrs() []any {
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -48,6 +48,10 @@
 	}
 	req.arrivals++
 	req.mayHaveRun = true
+	if e.End.Unresumable {
+		r.giveUp(req, code.AnswerCut, "the stream broke off after an event without an id")
+		return
+	}
 	r.retry(req, "the attempt failed: "+e.Failure.String())
 }
 
