A break is seen by callers of HTTP/1.0

What callers saw: over HTTP/1.0 a stream that broke off ended as a whole one does, by an orderly close, as net/http knows no other way to abort there.

Change: where a response that was started ends with its connection, a break resets that connection; tracked connections of the daemon can be reset.

Tests: TestBreakIsSeenOverHTTP10 (raw socket) failed before (end of file in place of a reset), passes; TestTrackedConnCanBeReset. Open: a router that is killed closes such connections in an orderly way.

--- a/internal/daemon/callerconns.go
+++ b/internal/daemon/callerconns.go
@@ -261,6 +261,16 @@
 	return nil
 }
 
+// SetLinger sets what Close does with data that has not been sent, as for a TCP connection. The
+// gateway uses it to reset a connection.
+func (c *callerConn) SetLinger(seconds int) error {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return errors.Newf("connection of type %T has no linger option", c.Conn)
+	}
+	return tcp.SetLinger(seconds)
+}
+
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
 	c.conns.remove(c)
--- a/internal/daemon/callerconns_test.go
+++ b/internal/daemon/callerconns_test.go
@@ -7,7 +7,10 @@
 	"net"
 	"net/http"
 	"runtime"
+	"syscall"
 	"testing"
+
+	"github.com/cockroachdb/errors"
 )
 
 // watchedConn is a caller's connection that signals each read of the server.
@@ -197,6 +200,41 @@
 	}
 }
 
+// Guards against a break that a caller can't see: an answer that ends with its connection is
+// complete for a caller unless the tracked connection can be reset.
+func TestTrackedConnCanBeReset(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	conns := newCallerConns()
+	server := &http.Server{ConnState: conns.state, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Errorf("hijack: %v", err)
+			return
+		}
+		if err := conn.(interface{ SetLinger(int) error }).SetLinger(0); err != nil {
+			t.Errorf("set linger: %v", err)
+		}
+		_ = conn.Close()
+	})}
+	go func() { _ = server.Serve(conns.wrap(listener)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	writeText(t, conn, "GET / HTTP/1.0\r\n\r\n")
+	if _, err := io.ReadAll(conn); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the connection ended with %v, want a reset", err)
+	}
+	if left := conns.closeIdle(); left != 0 {
+		t.Errorf("%d connections are still tracked", left)
+	}
+}
+
 // gatedListener accepts nothing before its gate is open.
 type gatedListener struct {
 	net.Listener
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -208,20 +208,6 @@
 	return router.AnswerEnd{Framing: a.framing, End: framing.EndOf(a.framing, err), Events: a.timing.events}
 }
 
-// given returns the framing of the response that the caller gets, Unknown if none was started.
-func (c *call) given() framing.Kind {
-	switch {
-	case !c.started:
-		return framing.Unknown
-	case c.writer.Header().Get("Content-Length") != "":
-		return framing.Length
-	case c.request.ProtoAtLeast(1, 1):
-		return framing.Chunked
-	default:
-		return framing.UntilClose
-	}
-}
-
 // reportBroken reports that a response broke off. It returns false: the request continues.
 func (c *call) reportBroken(a *answer, err error) (ended bool) {
 	c.reportBrokenAs(a, a.ended(err), err)
--- a/internal/gateway/brokenoff_test.go
+++ b/internal/gateway/brokenoff_test.go
@@ -7,7 +7,10 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
+
+	"github.com/cockroachdb/errors"
 )
 
 // The headers of streams by the way in which they mark their end.
@@ -191,3 +194,18 @@
 		})
 	}
 }
+
+// Guards against a break that a caller of HTTP/1.0 can't see: its answers end with the
+// connection, so that only a reset tells a break from the end.
+func TestBreakIsSeenOverHTTP10(t *testing.T) {
+	whole := chunk(event(1)) + chunk(event(2))
+	for name, last := range map[string]string{"whole": "0\r\n\r\n", "broken off": ""} {
+		t.Run(name, func(t *testing.T) {
+			s := newFixture(t, serveOnce(answerHead("r1", chunkedHead)+whole+last))
+			raw, err := s.rawCall("HTTP/1.0", "/once-stream/x")
+			if broken := errors.Is(err, syscall.ECONNRESET); broken == (name == "whole") {
+				t.Errorf("got %q, then %v", raw, err)
+			}
+		})
+	}
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -132,7 +132,7 @@
 // does not look complete.
 func (c *call) finish(d router.Finish) {
 	if c.started {
-		panic(http.ErrAbortHandler)
+		c.breakOff()
 	}
 	if d.Code == code.Starved || c.gateway.stopping.Load() {
 		// Makes the caller's next try use a new connection, which may reach another host.
