--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -63,7 +63,8 @@
 		if isConnError(err) {
 			failure = router.NoAnswer
 		}
-		c.abortAndReport(conn, router.AttemptFailed{Attempt: d.Attempt, Failure: failure}, errors.CombineErrors(err, sent))
+		end := router.AnswerEnd{End: framing.EndOf(framing.Unknown, err)}
+		c.abortAndReport(conn, router.AttemptFailed{Attempt: d.Attempt, Failure: failure, End: end}, errors.CombineErrors(err, sent))
 		return
 	}
 	a.requestSent = sent == nil
