Routers know the release of each backend server's software

It belongs to an incarnation: a restart clears it until an entry tells it anew. Routers pass it on to each other; an older build does not, and then what is known of the same incarnation stays. It is in the dump and in the log of found servers.

--- a/internal/core/loading.go
+++ b/internal/core/loading.go
@@ -252,6 +252,9 @@
 	Draining   bool          `cbor:"7,keyasint,omitempty"`
 	SlowFor    time.Duration `cbor:"8,keyasint,omitempty"`
 	Registered int64         `cbor:"9,keyasint,omitempty"`
+	// Release is the version of the server's software, nil from a router that does not know
+	// it or, being older, does not tell it.
+	Release *string `cbor:"10,keyasint,omitempty"`
 }
 
 func (Demand) message()       {}
--- a/internal/fleet/backend.go
+++ b/internal/fleet/backend.go
@@ -43,26 +43,62 @@
 	SlowFor time.Duration
 	// Models are the models loaded at the last heartbeat; empty for plain services.
 	Models []LoadedModel
+	// Release is the version of the server's software.
+	Release Release
 	// Registered increases with each registration: of two instances with the same address,
 	// the one that registered later has it. It is 0 if the registry does not report it.
 	Registered int64
 }
 
+// Release is the version of a backend server's software. It belongs to an incarnation.
+//
+// Releases have no order. What two of them write does not fit together, so that a stream may
+// only continue at the release that began it.
+type Release struct {
+	// Name is opaque. It is "" where the platform tells no versions.
+	Name string
+	// Known is set unless nobody has told the release of this incarnation yet.
+	Known bool
+}
+
+// Same reports whether two servers are known to run the same software.
+func (r Release) Same(other Release) bool { return r.Known && other.Known && r.Name == other.Name }
+
+// String returns the release for logs.
+func (r Release) String() string {
+	switch {
+	case !r.Known:
+		return "unknown"
+	case r.Name == "":
+		return "unnamed"
+	default:
+		return r.Name
+	}
+}
+
 // Listed returns the entry in the form in which routers send it to each other.
 func (b Backend) Listed() core.ListedBackend {
-	return core.ListedBackend{
+	entry := core.ListedBackend{
 		Instance: b.Instance, Born: b.Born, Service: b.Service, Address: b.Address, Zone: b.Zone,
 		Slots: b.Slots, Draining: b.Draining, SlowFor: b.SlowFor, Registered: b.Registered,
 	}
+	if b.Release.Known {
+		entry.Release = &b.Release.Name
+	}
+	return entry
 }
 
 // Listed returns the backend server of an entry received from a router.
 func Listed(entry core.ListedBackend) Backend {
-	return Backend{
+	b := Backend{
 		Incarnation: Incarnation{Instance: entry.Instance, Born: entry.Born},
 		Service:     entry.Service, Address: entry.Address, Zone: entry.Zone,
 		Slots: entry.Slots, Draining: entry.Draining, SlowFor: entry.SlowFor, Registered: entry.Registered,
 	}
+	if entry.Release != nil {
+		b.Release = Release{Name: *entry.Release, Known: true}
+	}
+	return b
 }
 
 // LoadedModel is a model in an engine's memory, with its loaded adapters.
--- a/internal/router/dump.go
+++ b/internal/router/dump.go
@@ -32,8 +32,10 @@
 type BackendState struct {
 	Instance, Service, Address string
 	Zone                       core.Zone
-	Listed, Draining, LeftOut  bool
-	Requests                   int
+	// Release is the version of its software.
+	Release                   string
+	Listed, Draining, LeftOut bool
+	Requests                  int
 	// Latency is the average latency of a plain service, Ahead the predicted queueing time
 	// at an engine.
 	Latency, Ahead time.Duration
@@ -67,7 +69,7 @@
 		b := r.backends[instance]
 		perSecond, knownFor := r.limitState(b)
 		state.Backends = append(state.Backends, BackendState{
-			Instance: instance, Service: b.Service, Address: b.Address, Zone: b.Zone,
+			Instance: instance, Service: b.Service, Address: b.Address, Zone: b.Zone, Release: b.Release.String(),
 			Listed: b.unlistedAt == 0, Draining: r.draining(b), LeftOut: r.now < b.ejectedUntil,
 			Requests: len(b.sent), Latency: b.latency, Ahead: b.queue.Delay(r.now), Pace: b.pace, Failing: b.failureRate, Holdings: r.holdings(b),
 			LimitPerSecond: perSecond, LimitKnownFor: knownFor,
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -75,7 +75,7 @@
 		b := r.backends[entry.Instance]
 		same := b != nil && b.unlistedAt == 0 && !b.lapsed && !entry.Draining && b.Draining == entry.Draining &&
 			b.Incarnation == entry.Incarnation && b.Service == entry.Service && b.Address == entry.Address &&
-			b.Zone == entry.Zone && b.Slots == entry.Slots && (b.SlowFor > 0) == (entry.SlowFor > 0)
+			b.Zone == entry.Zone && b.Slots == entry.Slots && b.Release == entry.Release && (b.SlowFor > 0) == (entry.SlowFor > 0)
 		if !same {
 			news = append(news, entry.Listed())
 		}
@@ -105,7 +105,7 @@
 		b.Backend = entry
 		r.restoreDeparted(b)
 		r.replaceInstances(b)
-		r.log(StateChange, "backend server found", b.attrs("slots", entry.Slots, "draining", entry.Draining)...)
+		r.log(StateChange, "backend server found", b.attrs("slots", entry.Slots, "draining", entry.Draining, "release", entry.Release.String())...)
 	} else if !r.observeIncarnation(b, entry.Incarnation) {
 		return
 	} else if entry.Draining != b.Draining {
@@ -121,6 +121,9 @@
 	if entry.Born == 0 {
 		entry.Born = b.Born
 	}
+	if !entry.Release.Known {
+		entry.Release = b.Release
+	}
 	r.setAddress(b, entry.Address)
 	b.Backend, b.lapsed, b.aliveAt = entry, false, r.now
 	if !b.replaced {
