A stream continues at the release that began it

Replicas of several versions may serve side by side, what they write does not fit together, and they do not check.

Cause: nothing read a server's version; a stream that broke off went to any server that has its model.

Change: the first event that is about to be forwarded binds the request to the release of the server it was sent to. One question (mayTry) decides for first tries, retries, stalled streams, waits and loads; a bound request waits in a queue of its own, and its model is loaded at a server of its release.

The first event is reported before it is written: the reducer could have moved the request in between, which would have left the caller with events of both.

Counter router_stream_resumptions_total, log line "stream resumes" with the releases that serve.

Not yet: a client's next try, at another router (Resumes).

--- a/internal/gateway/brokenoff_test.go
+++ b/internal/gateway/brokenoff_test.go
@@ -6,11 +6,14 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"syscall"
 	"testing"
 
 	"github.com/cockroachdb/errors"
+
+	"nutmeglane.example/nutmeglane/internal/sse"
 )
 
 // The headers of streams by the way in which they mark their end.
@@ -209,3 +212,20 @@
 		})
 	}
 }
+
+// Guards against events of two servers in one answer: the router has moved a request to another
+// server when the first event of the one before arrives.
+func TestEventsOfAMovedAttemptAreNotForwarded(t *testing.T) {
+	s := newFixture(t)
+	recorder := httptest.NewRecorder()
+	c := s.gateway.register(httptest.NewRequest(http.MethodPost, "/stream/x", nil), nil)
+	defer s.gateway.unregister(c)
+	c.writer = recorder
+	c.abandon(1)
+	a := &answer{attempt: 1, response: &http.Response{StatusCode: http.StatusOK, Header: http.Header{}}}
+	scanner := sse.Resume(c.position)
+	c.relayBlocks(a, scanner, scanner.Feed([]byte(event(1))))
+	if c.started || recorder.Body.Len() > 0 || c.position != (sse.Position{}) {
+		t.Errorf("started %t, body %q, position %+v", c.started, recorder.Body, c.position)
+	}
+}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -59,7 +59,7 @@
 			}
 		}()
 		id := fmt.Sprintf("i-%d", i)
-		list[id] = fleet.Backend{Incarnation: fleet.Incarnation{Instance: id}, Service: "s", Address: address, Slots: 4}
+		list[id] = fleet.Backend{Incarnation: fleet.Incarnation{Instance: id}, Service: "s", Address: address, Slots: 4, Release: fleet.Release{Name: "v1", Known: true}}
 	}
 	log := slog.New(slog.DiscardHandler)
 	g := New(router.New(router.Options{Host: "r", Bounds: fleet.Bounds{RetrySlack: 100, RetryWindow: 10 * time.Second}}),
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -67,15 +67,26 @@
 func (c *call) relayBlocks(a *answer, s *sse.Scanner, blocks []byte) {
 	first := a.timing.events == 0 && s.Events() > 0
 	a.timing.add(s.Events(), time.Now())
+	if first && !c.mayBegin(a.attempt) {
+		return
+	}
 	c.writeHead(a)
 	c.writeToCaller(blocks)
 	if err := http.NewResponseController(c.writer).Flush(); err != nil {
 		c.abortCallerGone()
 	}
 	c.position = s.Position()
-	if first {
-		c.gateway.Step(router.FirstEvent{Key: c.key, Attempt: a.attempt})
-	}
+}
+
+// mayBegin reports the first event of an attempt's stream, and whether it may be forwarded.
+//
+// The event decides which servers may resume the stream. If it were reported once it is
+// forwarded, the reducer could have moved the request to another server in between.
+func (c *call) mayBegin(attempt int) bool {
+	c.gateway.Step(router.FirstEvent{Key: c.key, Attempt: attempt})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.abandoned < attempt
 }
 
 // newStallTimer returns a stopped timer that reports to the reducer that no event has arrived
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -154,6 +154,7 @@
 
 func (r *Router) firstEvent(e FirstEvent) {
 	if req := r.current(e.Key, e.Attempt); req != nil {
+		r.bind(req)
 		r.answerBegan(req)
 	}
 }
@@ -198,7 +199,7 @@
 	delete(r.requests, req.key)
 	r.emit(Count{core.Count{Name: metricRequests, Labels: []string{req.service, code.OK.String()}, Add: 1}})
 	r.countAnswerEnd(req.service, e.End, givenWhole)
-	r.log(SingleRequest, "request served", req.attrs(append([]any{"instance", b.Instance, "attempts", req.number,
+	r.log(SingleRequest, "request served", req.attrs(append([]any{"instance", b.Instance, "release", req.attempt.release.String(), "attempts", req.number,
 		"waited", req.waited.String(), "cold", req.cold, "predicted", req.attempt.forecast.first.String(),
 		"ahead", req.attempt.forecast.ahead.String(), "first", req.first.String(), "took", r.now.Sub(req.arrived).String(),
 		"given", e.Given.String()}, e.End.logAttrs()...)...)...)
--- a/internal/router/backend.go
+++ b/internal/router/backend.go
@@ -99,6 +99,8 @@
 	at core.Time
 	// incarnation is the server's when the request was sent.
 	incarnation fleet.Incarnation
+	// release is the server's at that time.
+	release fleet.Release
 	// answered is set at the first byte that counts: the response head, or the first event
 	// of a stream.
 	answered bool
--- a/internal/router/backoff.go
+++ b/internal/router/backoff.go
@@ -130,7 +130,7 @@
 	if req.prompt == nil || r.engine(req.service) == nil {
 		return 0, false
 	}
-	w := &wait{key: waitKey{req.service, modelKey{model: req.prompt.Model}}, requests: []*request{req}}
+	w := &wait{key: waitKey{service: req.service, modelKey: modelKey{model: req.prompt.Model}, release: req.boundRelease()}, requests: []*request{req}}
 	home, eta := r.bestHome(w)
 	return eta, home != nil
 }
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -179,7 +179,8 @@
 	Answer fleet.Answer
 }
 
-// FirstEvent reports that the first event of a stream was forwarded.
+// FirstEvent reports that the first event of an attempt's stream is about to be forwarded. It
+// is forwarded only if Abandon does not follow or precede for this attempt.
 type FirstEvent struct {
 	Key     Key
 	Attempt int
--- a/internal/router/fixture_test.go
+++ b/internal/router/fixture_test.go
@@ -159,10 +159,13 @@
 	}
 	return fleet.Backend{
 		Incarnation: fleet.Incarnation{Instance: fmt.Sprintf("s%d", i)}, Service: service, Zone: "a", Slots: slots,
-		Address: string(loaderName(i)) + ":8000",
+		Address: string(loaderName(i)) + ":8000", Release: v1,
 	}
 }
 
+// v1 and v2 are releases of the servers' software.
+var v1, v2 = fleet.Release{Name: "v1", Known: true}, fleet.Release{Name: "v2", Known: true}
+
 func loaderName(i int) core.HostID { return core.HostID(fmt.Sprintf("10.1.%d.%d", i/200, i%200+1)) }
 
 // reportHoldings connects the loader of an engine and delivers its holdings.
--- a/internal/router/home.go
+++ b/internal/router/home.go
@@ -28,7 +28,7 @@
 
 // canLoad reports whether an engine may be asked to load a model or adapter.
 func (r *Router) canLoad(b *backend, key waitKey) bool {
-	if r.holdings(b) == nil {
+	if r.holdings(b) == nil || !key.fits(b) {
 		return false
 	}
 	e := r.exclusion(b)
--- /dev/null
+++ b/internal/router/release.go
@@ -0,0 +1,61 @@
+package router
+
+import (
+	"nutmeglane.example/nutmeglane/internal/core"
+	"nutmeglane.example/nutmeglane/internal/fleet"
+)
+
+// This file keeps a stream at the release of its server's software that began it.
+//
+// Events of two releases do not fit together, and servers do not check which release began
+// the stream that they resume. Joined, such events reach the caller as one answer, and nothing
+// shows that it is wrong. Therefore a stream is bound to the release whose first event is
+// about to be forwarded. Without a server of that release, or if the release is not known, the
+// answer is broken off.
+
+// bind binds a request to the release that it was sent to, before its first event is
+// forwarded.
+func (r *Router) bind(req *request) {
+	if req.bound || req.route.Kind != fleet.Stream {
+		return
+	}
+	req.bound, req.release = true, req.attempt.release
+	if b := req.backend; !req.release.Known && b.Incarnation == req.attempt.incarnation {
+		req.release = b.Release // told after the request was sent
+	}
+}
+
+// fits reports whether a request's stream may begin, or continue, at a server.
+func (req *request) fits(b *backend) bool { return !req.bound || req.release.Same(b.Release) }
+
+// boundRelease returns the release that a request is bound to, the unknown one if it is not.
+func (req *request) boundRelease() fleet.Release {
+	if !req.bound {
+		return fleet.Release{}
+	}
+	return req.release
+}
+
+// Outcomes of the attempt to resume a stream at another server.
+const (
+	resumedAtRelease  = "sent to its release"
+	noServerOfRelease = "no server of its release"
+)
+
+// noteResumption counts and logs where a stream continues that has broken off.
+func (r *Router) noteResumption(req *request, outcome string) {
+	r.emit(Count{core.Count{Name: metricResumptions, Labels: []string{req.service, outcome}, Add: 1}})
+	r.log(SingleRequest, "stream resumes", req.attrs("release", req.release.String(), "outcome", outcome,
+		"releases", r.releasesOf(req.service))...)
+}
+
+// releasesOf counts the servers of a service that take requests, by release.
+func (r *Router) releasesOf(service string) map[string]int {
+	counts := map[string]int{}
+	for _, b := range r.serversOf(service) {
+		if r.accepts(b) {
+			counts[b.Release.String()]++
+		}
+	}
+	return counts
+}
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -85,6 +85,10 @@
 	number  int
 	backend *backend
 	attempt *attempt
+	// bound is set once an event of its stream is forwarded. From then on only servers of
+	// release may get it.
+	bound   bool
+	release fleet.Release
 	// forwarded is set once part of an answer has been passed on.
 	forwarded bool
 	// mayHaveRun is set unless every server that received the request proved that it did
@@ -173,6 +177,9 @@
 		return
 	}
 	if !r.anyCandidate(req) {
+		if req.bound {
+			r.noteResumption(req, noServerOfRelease)
+		}
 		r.refuseExcluded(req)
 		return
 	}
@@ -193,13 +200,19 @@
 func (r *Router) anyCandidate(req *request) bool {
 	waits := req.prompt != nil && r.engine(req.service) != nil
 	return slices.ContainsFunc(r.serversOf(req.service), func(b *backend) bool {
-		return r.eligible(b, req) || waits && r.exclusion(b) == excludedBackoff && !slices.Contains(req.tried, b.Instance)
+		return r.eligible(b, req) || waits && r.exclusion(b) == excludedBackoff && req.mayTry(b)
 	})
 }
 
 // eligible reports whether a server may get a request, ignoring ejection for failures.
 func (r *Router) eligible(b *backend, req *request) bool {
-	return r.accepts(b) && !slices.Contains(req.tried, b.Instance)
+	return r.accepts(b) && req.mayTry(b)
+}
+
+// mayTry reports whether a request may be sent to a server, as far as that depends on the
+// request alone.
+func (req *request) mayTry(b *backend) bool {
+	return !slices.Contains(req.tried, b.Instance) && req.fits(b)
 }
 
 // candidatesOf returns those of the servers that may get a request and have room for it.
@@ -207,7 +220,7 @@
 func (r *Router) candidatesOf(req *request, servers []*backend) []*backend {
 	var usable, ejected []*backend
 	for _, b := range servers {
-		if slices.Contains(req.tried, b.Instance) || !r.hasRoom(b) {
+		if !req.mayTry(b) || !r.hasRoom(b) {
 			continue
 		}
 		switch r.exclusion(b) {
@@ -245,7 +258,7 @@
 	req.number++
 	req.backend = b
 	req.tried = append(req.tried, b.Instance)
-	req.attempt = &attempt{at: r.now, incarnation: b.Incarnation, slowdown: r.slowdown(b), forecast: c.forecast}
+	req.attempt = &attempt{at: r.now, incarnation: b.Incarnation, release: b.Release, slowdown: r.slowdown(b), forecast: c.forecast}
 	b.sent[req.key] = req.attempt
 	if req.prompt != nil && r.engine(req.service) != nil {
 		r.promptSent(req)
@@ -261,8 +274,11 @@
 	}
 	r.emit(send)
 	r.countLimited(b)
+	if req.bound {
+		r.noteResumption(req, resumedAtRelease)
+	}
 	if req.number > 1 {
-		r.log(SingleRequest, "request sent again", req.attrs("instance", b.Instance,
+		r.log(SingleRequest, "request sent again", req.attrs("instance", b.Instance, "release", b.Release.String(),
 			"attempt", req.number, "predicted", c.cost.String())...)
 	}
 }
--- a/internal/router/spread.go
+++ b/internal/router/spread.go
@@ -229,7 +229,7 @@
 			if b == nil || !r.near(b, model.Name) && r.storeCopyRequested(s, model.Name) {
 				break
 			}
-			ready := r.readyIn(b, waitKey{s.name, modelKey{model: model.Name}})
+			ready := r.readyIn(b, waitKey{service: s.name, modelKey: modelKey{model: model.Name}})
 			s.store.planned[grantKey{b.loader.name, model.Name}] = plannedLoad{
 				since: r.now, until: r.now.Add(ready + spreadLife), spread: true, store: !r.near(b, model.Name),
 			}
@@ -302,7 +302,7 @@
 		}
 		// Seconds until it is loaded, and the engine's load, which affects a busy model's
 		// callers for as long as the copy stays.
-		cost := r.readyIn(b, waitKey{s.name, modelKey{model: model.Name}}).Seconds() + spreadLoadPenalty*r.utilization(b)
+		cost := r.readyIn(b, waitKey{service: s.name, modelKey: modelKey{model: model.Name}}).Seconds() + spreadLoadPenalty*r.utilization(b)
 		options = append(options, option{b, cost})
 	}
 	if len(options) == 0 {
--- a/internal/router/wait.go
+++ b/internal/router/wait.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"nutmeglane.example/nutmeglane/internal/code"
+	"nutmeglane.example/nutmeglane/internal/fleet"
 )
 
 const (
@@ -24,8 +25,16 @@
 type waitKey struct {
 	service string
 	modelKey
+	// release is the one that the requests are bound to, the unknown one if they are not.
+	release fleet.Release
 }
 
+// bound reports whether the requests of a queue are bound to a release.
+func (w *wait) bound() bool { return w.key.release.Known }
+
+// fits reports whether what waits may be served by a server, as far as its release matters.
+func (k waitKey) fits(b *backend) bool { return !k.release.Known || k.release.Same(b.Release) }
+
 // wait is the queue of requests for one model or adapter that is not loaded.
 type wait struct {
 	key      waitKey
@@ -51,7 +60,7 @@
 	if modelLoaded {
 		adapter = p.Adapter
 	}
-	key := waitKey{req.service, modelKey{p.Model, adapter}}
+	key := waitKey{req.service, modelKey{p.Model, adapter}, req.boundRelease()}
 	if req.waiting != nil && req.waiting.key == key {
 		return
 	}
@@ -64,9 +73,11 @@
 //
 // It guards against a wait for a model that is already loaded: the engine that has it has
 // refused the request, the queue for the model appears to be served by that engine, and the
-// request, which may not go there again, is held until its caller's deadline.
+// request, which may not go there again, is held until its caller's deadline. Requests that
+// are bound to a release have queues of their own, in which the engines that all of them tried
+// do not count.
 func (r *Router) onlyTriedHave(req *request) bool {
-	if len(req.tried) == 0 {
+	if len(req.tried) == 0 || req.bound {
 		return false
 	}
 	tried := false
@@ -194,22 +205,30 @@
 }
 
 func compareWaitKeys(a, b waitKey) int {
-	return cmp.Or(cmp.Compare(a.service, b.service), cmp.Compare(a.model, b.model), cmp.Compare(a.adapter, b.adapter))
+	return cmp.Or(cmp.Compare(a.service, b.service), cmp.Compare(a.model, b.model), cmp.Compare(a.adapter, b.adapter),
+		cmp.Compare(a.release.Name, b.release.Name), cmp.Compare(a.release.String(), b.release.String()))
 }
 
 func (r *Router) recheckWait(w *wait) {
-	if r.isLoaded(w.key) {
+	if r.isLoaded(w) {
 		for _, req := range slices.Clone(w.requests) {
 			r.dispatch(req)
 		}
-		return
+		if !w.bound() {
+			return
+		}
+	}
+	if len(w.requests) > 0 {
+		r.place(w)
 	}
-	r.place(w)
 }
 
-func (r *Router) isLoaded(key waitKey) bool {
+// isLoaded reports whether what a queue waits for is loaded at an engine to which one of its
+// requests may be sent.
+func (r *Router) isLoaded(w *wait) bool {
+	key := w.key
 	for _, b := range r.holders(key.service, key.model) {
-		if !r.usable(b) || !r.hasRoom(b) {
+		if !r.usable(b) || !r.hasRoom(b) || !key.fits(b) || w.bound() && w.triedByAll(b) {
 			continue
 		}
 		if hasModel, hasAdapter := r.loaded(b, key.model, key.adapter); hasModel && hasAdapter {
