A permit doesn't outlast the release that a stream is bound to

A permit for a server may be answered once that server has restarted with another release; the stream would have gone there. Found on reading; test TestPermitDoesNotOutlastTheRelease.

--- a/internal/router/permit.go
+++ b/internal/router/permit.go
@@ -105,7 +105,7 @@
 
 // serves reports whether a server takes requests and has what this one needs loaded.
 func (r *Router) serves(b *backend, req *request) bool {
-	if !r.accepts(b) {
+	if !r.accepts(b) || !req.fits(b) {
 		return false
 	}
 	if req.prompt == nil || r.engine(b.Service) == nil {
--- a/internal/router/release_test.go
+++ b/internal/router/release_test.go
@@ -166,3 +166,24 @@
 		t.Errorf("news %+v", news)
 	}
 }
+
+// Guards against a stream that is sent to another release by a permit that was requested before
+// its server restarted with it.
+func TestPermitDoesNotOutlastTheRelease(t *testing.T) {
+	w := newFixture(t)
+	w.releases(nil, v1, v1)
+	key, first := w.begin("patient")
+	w.step(FirstEvent{Key: key, Attempt: first.Attempt})
+	req := w.router.requests[key]
+	other := w.router.backends["s0"]
+	if first.Instance == "s0" {
+		other = w.router.backends["s1"]
+	}
+	if !w.router.serves(other, req) {
+		t.Fatal("a server of the same release does not serve it")
+	}
+	other.Release = v2
+	if w.router.serves(other, req) {
+		t.Error("a server of another release serves it")
+	}
+}
