A stream that a caller takes up at another router continues at its release

Nothing read `Resumes`.

Ways weighed: two loaders are told each stream's release, chosen by the request id; new streams choose their release by a hash of what a caller repeats; asked for on demand from all; the store. Built: the first, only while a service has several releases (no cost otherwise), with the store for one thing: a note, with a lease, that says so to routers that start later.

Change: package origin (a bounded table of records); routers record each stream that may be resumed and tell two loaders before its first event is forwarded; all of their records once a second release appears, or a loader connects. A try that takes a stream up asks three loaders, for 150 ms at most, also where this router knows one release only, as its view may be old. Unknown: refused at once as not run (2018); no server of the release: 2019. Malformed statements: 1011. A release counts for twice the longest timeout after its last server has left. A caller's tries go to the service that its first one went to, also on routes with several. Loaders of an older build are neither told nor asked.

--- a/internal/code/code.go
+++ b/internal/code/code.go
@@ -21,6 +21,7 @@
 	BadField       Code = 1008 // a field has an invalid type or value
 	BadMethod      Code = 1009 // method not allowed on this path
 	UnknownPath    Code = 1010 // no such path
+	BadResumption  Code = 1011 // malformed statement of the stream to take up
 
 	// 2xxx: the request was refused and did not run.
 	DeadlineUnmet   Code = 2001 // predicted start is after the deadline
@@ -40,6 +41,8 @@
 	OverQuota       Code = 2015 // the client account exceeds its rate
 	AtLimit         Code = 2016 // the limits of all servers are reached
 	BackingOff      Code = 2017 // all servers want no requests for some time
+	UnknownOrigin   Code = 2018 // the release that began the stream is not known
+	ReleaseGone     Code = 2019 // no server of the release that began the stream
 
 	// 3xxx: the request may have run.
 	OutcomeUnknown Code = 3001 // the connection or process was lost
--- a/internal/code/table.go
+++ b/internal/code/table.go
@@ -30,6 +30,7 @@
 	{BadField, "BadField", 400, "a field has a wrong type or value"},
 	{BadMethod, "BadMethod", 405, "the method is not allowed on this path"},
 	{UnknownPath, "UnknownPath", 404, "there is no such path"},
+	{BadResumption, "BadResumption", 400, "the headers that name the stream to take up are malformed, or the route's streams can't be taken up"},
 
 	{DeadlineUnmet, "DeadlineUnmet", 503, "the predicted start is past the deadline"},
 	{QueueFull, "QueueFull", 503, "the bounded queue is full"},
@@ -48,6 +49,8 @@
 	{OverQuota, "OverQuota", 429, "the client account asks for more than its rate and burst allow; Retry-After tells when it has room again"},
 	{AtLimit, "AtLimit", 503, "each server of the service takes no more requests now, by the limit that it names; Retry-After tells when the first has room"},
 	{BackingOff, "BackingOff", 503, "each server of the service has turned a request away and wants none for some time; Retry-After tells when the first takes some again"},
+	{UnknownOrigin, "UnknownOrigin", 503, "the stream to take up was begun by servers of one of several software versions, and it isn't known which"},
+	{ReleaseGone, "ReleaseGone", 503, "no server of the software version that began the stream takes requests; a new stream would be served"},
 
 	{OutcomeUnknown, "OutcomeUnknown", 502, "a connection or process was lost; the request may have run"},
 	{BackendFailed, "BackendFailed", 502, "the backend server failed during the run"},
--- a/internal/core/codec.go
+++ b/internal/core/codec.go
@@ -82,6 +82,7 @@
 		21: Demand{}, 22: Holdings{}, 23: Counts{}, 24: RegistryNews{}, 25: PoisonNews{},
 		28: ConfigWanted{}, 29: ConfigPassed{}, 30: SpecWanted{}, 31: LimitRequest{}, 32: LimitReply{},
 		33: QuotaRequest{}, 34: QuotaReply{}, 35: LoadDigest{}, 36: ConfigSpread{}, 37: ServerDraining{},
+		38: OriginNews{}, 39: OriginQuery{}, 40: OriginReply{}, 41: ReleaseNote{},
 	})
 	events = newCatalog(map[uint16]any{
 		1: Tick{}, 2: Received{}, 3: PeerUp{}, 4: PeerDown{}, 5: HostList{},
--- a/internal/core/loading.go
+++ b/internal/core/loading.go
@@ -164,6 +164,8 @@
 	Digested bool `cbor:"19,keyasint,omitempty"`
 	// Leaving is set once the engine has announced that it is about to shut down.
 	Leaving bool `cbor:"20,keyasint,omitempty"`
+	// KeepsOrigins is set by loaders that understand OriginNews and OriginQuery.
+	KeepsOrigins bool `cbor:"21,keyasint,omitempty"`
 }
 
 // Counts is sent by a loader to routers if nothing else has changed since its last
--- a/internal/daemon/loader.go
+++ b/internal/daemon/loader.go
@@ -157,6 +157,10 @@
 			p.step(loader.QuotaRequested{Router: e.From, Request: m})
 		case core.LimitRequest:
 			p.step(loader.LimitRequested{Router: e.From, Request: m})
+		case core.OriginNews:
+			p.step(loader.OriginsTold{News: m})
+		case core.OriginQuery:
+			p.step(loader.OriginAsked{Router: e.From, Query: m})
 		case core.ServerDraining:
 			p.step(loader.DrainingReceived{Router: e.From, News: m})
 		case core.PoisonNews:
--- a/internal/daemon/notes_test.go
+++ b/internal/daemon/notes_test.go
@@ -64,8 +64,8 @@
 	for i := range 2 * maxPendingNotes {
 		k.put(router.Publish{Name: fmt.Sprint(i)})
 	}
-	if len(k.pending) != maxPendingNotes || k.pending[0].Name != fmt.Sprint(maxPendingNotes) {
-		t.Errorf("%d pending, the first is %s", len(k.pending), k.pending[0].Name)
+	if len(k.pending) != maxPendingNotes || k.pending[0].name != fmt.Sprint(maxPendingNotes) {
+		t.Errorf("%d pending, the first is %s", len(k.pending), k.pending[0].name)
 	}
 }
 
@@ -79,3 +79,25 @@
 		t.Errorf("decoded %+v, want nothing", news)
 	}
 }
+
+// Guards against a note on several releases that a starting router does not find, or that an error
+// hides.
+func TestReleaseNotesAreFoundAmongOthers(t *testing.T) {
+	store := &flakyStore{}
+	k := newNoteWriter(store, slog.New(slog.DiscardHandler))
+	k.putReleases(router.PublishReleases{Note: core.ReleaseNote{Service: "s", Lasts: time.Second}})
+	if n, ok := k.take(); !ok || n.name != "releases-s" || n.lasts != time.Second {
+		t.Fatalf("queued %+v", n)
+	}
+	value, err := core.EncodeMessage(core.ReleaseNote{Service: "s", Lasts: time.Second})
+	if err != nil {
+		t.Fatal(err)
+	}
+	notes := [][]byte{[]byte("x"), value}
+	if found := releaseNotes(notes); len(found) != 1 || found[0].Service != "s" {
+		t.Errorf("found %+v", found)
+	}
+	if news := decodeNotes(notes, slog.New(slog.DiscardHandler)); len(news.Ends)+len(news.Cleared) != 0 {
+		t.Errorf("news %+v", news)
+	}
+}
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -87,7 +87,7 @@
 	p.gateway = gateway.New(router.New(router.Options{
 		Host: core.HostID(p.settings.Address), Zone: p.settings.Zone, LoaderPort: p.settings.LoaderPort, Processor: p.settings.Processor,
 		Bounds: p.settings.FleetBounds(), Seed: randomUint64(),
-	}), gateway.Options{Links: p.links, Publish: notes.put, RequestStoreRead: p.readStoreNow, Metrics: p.metrics, Log: p.log, Requests: p.requests})
+	}), gateway.Options{Links: p.links, Publish: notes.put, PublishReleases: notes.putReleases, RequestStoreRead: p.readStoreNow, Metrics: p.metrics, Log: p.log, Requests: p.requests})
 	p.reader = newStoreReader(store, p.gateway, maxReadInterval(p.settings.Bounds), p.log)
 	p.reader.spreadConfig = p.spreadConfig
 	p.reader.send = func(to []core.HostID, news core.Message) { p.links.SendAll(to, news) }
@@ -245,6 +245,8 @@
 			p.applyPassedConfig(m)
 		case core.QuotaReply:
 			p.gateway.Step(router.LoaderAnsweredQuota{Loader: e.From, Answer: m})
+		case core.OriginReply:
+			p.gateway.Step(router.LoaderAnsweredOrigin{Loader: e.From, Answer: m})
 		case core.LimitReply:
 			p.gateway.Step(router.LoaderAnsweredLimit{Loader: e.From, Answer: m})
 		case core.RegistryNews:
--- a/internal/daemon/storereader.go
+++ b/internal/daemon/storereader.go
@@ -223,6 +223,7 @@
 		s.gateway.Step(router.BackendsRestored{Backends: snapshot.Backends})
 	} else {
 		s.gateway.Step(router.PoisonReported{News: decodeNotes(snapshot.Notes, s.log)})
+		s.gateway.Step(router.ReleasesNoted{Notes: releaseNotes(snapshot.Notes)})
 		s.gateway.Step(router.BackendsRead{Backends: snapshot.Backends})
 	}
 	if snapshot.Config == nil {
--- a/internal/fleet/backend.go
+++ b/internal/fleet/backend.go
@@ -126,8 +126,41 @@
 	Deadline time.Duration
 	// Prompt is nil for requests to plain services.
 	Prompt *Prompt
+	// Resumption is the stream that the request takes up.
+	Resumption Resumption
 }
 
+// StreamID is the id of the request that began the stream: the request's own unless it takes
+// one up.
+func (r Request) StreamID() string {
+	if r.Resumption.State == ResumptionValid && r.Resumption.Stream != "" {
+		return r.Resumption.Stream
+	}
+	return r.ID
+}
+
+// Resumption is the stream that a request takes up after its caller lost the connection.
+type Resumption struct {
+	State ResumptionState
+	// Stream is the id of the request that brought the stream's first event, "" if the
+	// caller does not tell.
+	Stream string
+	// Problem says what is malformed, if State is ResumptionMalformed.
+	Problem string
+}
+
+// ResumptionState states whether a request takes up a stream.
+type ResumptionState uint8
+
+const (
+	// ResumptionNone: the request begins anew.
+	ResumptionNone ResumptionState = iota
+	// ResumptionValid: it takes up a stream.
+	ResumptionValid
+	// ResumptionMalformed: it seems to take up a stream, but can't be understood.
+	ResumptionMalformed
+)
+
 // Prompt describes a generation as its caller requests it.
 type Prompt struct {
 	Model string
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,9 +17,10 @@
 type Options struct {
 	// Links connects to loaders and sends them messages. It must not call the gateway.
 	Links interface{ Do(core.Effect) bool }
-	// Publish executes the effect of that name. It must not call the gateway. Nil if there
-	// is no store.
-	Publish func(router.Publish)
+	// Publish and PublishReleases execute the effects of those names. They must not call the
+	// gateway. Nil if there is no store.
+	Publish         func(router.Publish)
+	PublishReleases func(router.PublishReleases)
 	// RequestStoreRead requests a read of the platform's store soon. It must not call the
 	// gateway. Nil if there is no store.
 	RequestStoreRead func()
@@ -107,6 +108,14 @@
 		g.opts.Links.Do(core.Send{To: e.Loader, Message: e.Request})
 	case router.SendLimitRequest:
 		g.opts.Links.Do(core.Send{To: e.Loader, Message: e.Request})
+	case router.TellOrigins:
+		g.opts.Links.Do(core.Send{To: e.Loader, Message: e.News})
+	case router.AskOrigin:
+		g.opts.Links.Do(core.Send{To: e.Loader, Message: e.Query})
+	case router.PublishReleases:
+		if g.opts.PublishReleases != nil {
+			g.opts.PublishReleases(e)
+		}
 	case router.Publish:
 		if g.opts.Publish != nil {
 			g.opts.Publish(e)
--- a/internal/loader/announce.go
+++ b/internal/loader/announce.go
@@ -281,7 +281,7 @@
 func (l *Loader) holdings() core.Holdings {
 	h := core.Holdings{
 		Instance: l.engine.life.Instance, Born: l.engine.life.Born, Coordinator: l.coordinator(), Routers: len(l.routers), StoreLoad: l.lastStore,
-		Ended: l.engine.ended, Leaving: l.engine.draining, Config: l.configs.newestVersion, Digested: l.digested,
+		Ended: l.engine.ended, Leaving: l.engine.draining, Config: l.configs.newestVersion, Digested: l.digested, KeepsOrigins: true,
 	}
 	report := l.engine.report
 	if report == nil || l.spec == nil {
--- a/internal/loader/dump.go
+++ b/internal/loader/dump.go
@@ -24,6 +24,9 @@
 	// loader, from 0 to 1. Quotas are the accounts that it grants tokens of.
 	QuotaShare float64
 	Quotas     []quota.GranterState
+	// Origins is the number of streams whose release is remembered, OriginsDropped that of
+	// those that were dropped before their time.
+	Origins, OriginsDropped int
 }
 
 // Dump returns the state between two steps.
@@ -32,6 +35,7 @@
 		Life: l.engine.life, Report: l.engine.report, Ordering: l.orderPending,
 		Routers: slices.Clone(l.names), Told: l.announced.holdings,
 		Limits: l.limits.Dump(l.now), QuotaShare: l.quotas.Share(l.now), Quotas: l.quotas.Dump(l.now),
+		Origins: l.origins.Len(), OriginsDropped: l.origins.Dropped(),
 	}
 	if l.task != nil {
 		state.Task = l.task.order.Kind.String() + " " + l.task.order.Model
--- a/internal/loader/event.go
+++ b/internal/loader/event.go
@@ -38,6 +38,15 @@
 	Demand core.Demand
 }
 
+// OriginsTold delivers the releases that began streams of a router.
+type OriginsTold struct{ News core.OriginNews }
+
+// OriginAsked delivers a router's question which release began a stream.
+type OriginAsked struct {
+	Router core.HostID
+	Query  core.OriginQuery
+}
+
 // RegistryNewsReceived is a change of the registry that a router wants forwarded to the
 // others.
 type RegistryNewsReceived struct {
@@ -104,6 +113,8 @@
 func (DrainingReceived) event()     {}
 func (PoisonNewsReceived) event()   {}
 func (RegistryNewsReceived) event() {}
+func (OriginsTold) event()          {}
+func (OriginAsked) event()          {}
 func (Tick) event()                 {}
 func (ReportRead) event()           {}
 func (OrderDone) event()            {}
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -8,6 +8,7 @@
 	"nutmeglane.example/nutmeglane/internal/core"
 	"nutmeglane.example/nutmeglane/internal/fleet"
 	"nutmeglane.example/nutmeglane/internal/limit"
+	"nutmeglane.example/nutmeglane/internal/origin"
 	"nutmeglane.example/nutmeglane/internal/poison"
 	"nutmeglane.example/nutmeglane/internal/quota"
 )
@@ -105,7 +106,9 @@
 	// quotas grants routers tokens of client accounts.
 	quotas *quota.Granter
 	// limits enforces the limits of servers that announce one.
-	limits  *limit.Limiter
+	limits *limit.Limiter
+	// origins are the releases that began streams.
+	origins *origin.Table
 	configs configRelay
 	usage   usage
 	merged  mergeCache
@@ -139,7 +142,7 @@
 
 // New returns a loader without any state of the engine or routers.
 func New(opts Options) *Loader {
-	return &Loader{opts: opts, routers: map[core.HostID]*router{}, loadedAt: map[string]core.Time{}, retiring: map[string]core.Time{}, ledger: poison.New(), quotas: quota.NewGranter(), limits: limit.NewLimiter(), configs: configRelay{waiting: map[core.HostID]int64{}}, useSums: map[modelKey]*useSum{}}
+	return &Loader{opts: opts, routers: map[core.HostID]*router{}, loadedAt: map[string]core.Time{}, retiring: map[string]core.Time{}, ledger: poison.New(), quotas: quota.NewGranter(), limits: limit.NewLimiter(), origins: origin.NewTable(maxOrigins), configs: configRelay{waiting: map[core.HostID]int64{}}, useSums: map[modelKey]*useSum{}}
 }
 
 // Step handles an event. The effects are valid until the next step.
@@ -191,6 +194,12 @@
 	case LimitRequested:
 		l.handleLimitRequest(e)
 		return l.out
+	case OriginsTold:
+		l.originsTold(e.News)
+		return l.out
+	case OriginAsked:
+		l.originAsked(e.Router, e.Query)
+		return l.out
 	case DemandReceived:
 		if before := l.handleDemand(e); !l.needsAction(before, e.Demand) {
 			return l.out
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -155,6 +155,9 @@
 func (r *Router) firstEvent(e FirstEvent) {
 	if req := r.current(e.Key, e.Attempt); req != nil {
 		r.bind(req)
+		if !req.attempt.answered {
+			r.recordOrigin(req)
+		}
 		r.answerBegan(req)
 	}
 }
--- a/internal/router/backoff.go
+++ b/internal/router/backoff.go
@@ -92,9 +92,13 @@
 // refuseExcluded refuses a request that no server takes now: with the time at which the first
 // backoff ends, if that is why.
 func (r *Router) refuseExcluded(req *request) {
-	first := r.firstAfterBackoff(req.service)
+	first := r.firstAfterBackoff(req)
+	if req.bound && !req.mayHaveRun && first == nil {
+		r.finish(req, code.ReleaseGone, r.retryAfterIn(defaultRetryAfter), "no backend server of release "+req.release.String()+" takes requests")
+		return
+	}
 	if first == nil || req.mayHaveRun || slices.ContainsFunc(r.serversOf(req.service), r.accepts) {
-		r.giveUp(req, code.NoBackend, "no backend server of the service takes requests")
+		r.giveUp(req, code.NoBackend, "no backend server "+req.ofRelease()+"takes requests")
 		return
 	}
 	reason := fmt.Sprintf("each backend server wants no requests; the first is %s, for another %v",
@@ -113,11 +117,11 @@
 	r.finish(req, code.BackingOff, r.retryAfterIn(quickRetryAfter), "its backend server wants no requests; its next try can wait for another")
 }
 
-// firstAfterBackoff returns the server of a service whose backoff ends first, nil if none has
+// firstAfterBackoff returns the server for a request whose backoff ends first, nil if none has
 // one.
-func (r *Router) firstAfterBackoff(service string) (first *backend) {
-	for _, b := range r.serversOf(service) {
-		if r.exclusion(b) == excludedBackoff && (first == nil || b.announced.backoff.until < first.announced.backoff.until) {
+func (r *Router) firstAfterBackoff(req *request) (first *backend) {
+	for _, b := range r.serversOf(req.service) {
+		if r.exclusion(b) == excludedBackoff && req.fits(b) && (first == nil || b.announced.backoff.until < first.announced.backoff.until) {
 			first = b
 		}
 	}
--- a/internal/router/dump.go
+++ b/internal/router/dump.go
@@ -26,6 +26,23 @@
 	Suspects []poison.Entry
 	// AnswerEnds counts the ways in which servers' answers ended since this process started.
 	AnswerEnds []AnswerEndCount
+	// Origins is the number of streams whose release is remembered, OriginsDropped that of
+	// those that were dropped before their time. Releases are the releases of services whose
+	// streams may be resumed.
+	Origins, OriginsDropped int
+	Releases                []ReleasesState
+}
+
+// ReleasesState is the dump of the releases of one service.
+type ReleasesState struct {
+	Service string
+	// Servers counts the servers that take requests, by release.
+	Servers map[string]int
+	// Gone are the releases that no server has any more although callers may still take up
+	// their streams.
+	Gone []string
+	// Several is set while the release of a stream must be known to take it up.
+	Several bool
 }
 
 // BackendState is the dump of a backend server.
@@ -64,7 +81,7 @@
 
 // Dump returns the router's state. It must not be called during a step.
 func (r *Router) Dump() State {
-	state := State{Version: r.ConfigVersion(), Ready: r.Ready(), Requests: len(r.requests), Accounts: r.gate.Dump(r.now), QuotaShare: r.gate.Share(), Suspects: r.ledger.Dump(r.now), AnswerEnds: r.dumpAnswerEnds()}
+	state := State{Version: r.ConfigVersion(), Ready: r.Ready(), Requests: len(r.requests), Accounts: r.gate.Dump(r.now), QuotaShare: r.gate.Share(), Suspects: r.ledger.Dump(r.now), AnswerEnds: r.dumpAnswerEnds(), Origins: r.origins.Len(), OriginsDropped: r.origins.Dropped(), Releases: r.dumpReleases()}
 	for _, instance := range slices.Sorted(maps.Keys(r.backends)) {
 		b := r.backends[instance]
 		perSecond, knownFor := r.limitState(b)
--- a/internal/router/effect.go
+++ b/internal/router/effect.go
@@ -144,6 +144,22 @@
 	Request core.LimitRequest
 }
 
+// TellOrigins tells a loader which releases began streams.
+type TellOrigins struct {
+	Loader core.HostID
+	News   core.OriginNews
+}
+
+// AskOrigin asks a loader which release began a stream. LoaderAnsweredOrigin follows.
+type AskOrigin struct {
+	Loader core.HostID
+	Query  core.OriginQuery
+}
+
+// PublishReleases writes a note to the platform's store that a service has several releases.
+// It lasts as long as the note says.
+type PublishReleases struct{ Note core.ReleaseNote }
+
 // Publish writes news of poison requests to the platform's store under a name, replacing
 // what is stored there.
 type Publish struct {
@@ -156,6 +172,9 @@
 type ReadStore struct{}
 
 func (ReadStore) effect()        {}
+func (TellOrigins) effect()      {}
+func (AskOrigin) effect()        {}
+func (PublishReleases) effect()  {}
 func (RequestConfig) effect()    {}
 func (SendQuotaRequest) effect() {}
 func (SendLimitRequest) effect() {}
--- a/internal/router/ending.go
+++ b/internal/router/ending.go
@@ -95,6 +95,8 @@
 			r.refuseAtStop(req)
 		case req.permitServer != nil && r.now.Sub(req.permitRequestedAt) >= limit.PermitTimeout:
 			r.permitTimedOut(req)
+		case r.originOverdue(req):
+			r.decideUnknownOrigin(req, originUnanswered)
 		case req.awaitingQuota && r.now >= req.firstEventDeadline:
 			r.giveUp(req, code.DeadlineUnmet, "no loader told in time whether its account has room")
 		case req.backend == nil && r.now >= req.firstEventDeadline:
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -90,6 +90,16 @@
 	Answer core.LimitReply
 }
 
+// LoaderAnsweredOrigin delivers a loader's answer to AskOrigin.
+type LoaderAnsweredOrigin struct {
+	Loader core.HostID
+	Answer core.OriginReply
+}
+
+// ReleasesNoted delivers the notes on services with several releases that were in the
+// platform's store when this router read it.
+type ReleasesNoted struct{ Notes []core.ReleaseNote }
+
 // Arrived reports a new request whose body has been read.
 type Arrived struct {
 	Key     Key
@@ -214,6 +224,8 @@
 type LiftPoison struct{ Fingerprint core.Fingerprint }
 
 func (ConfigAnnounced) event()      {}
+func (LoaderAnsweredOrigin) event() {}
+func (ReleasesNoted) event()        {}
 func (DigestReceived) event()       {}
 func (ConfigConfirmed) event()      {}
 func (PoisonReported) event()       {}
--- a/internal/router/fixture_test.go
+++ b/internal/router/fixture_test.go
@@ -27,6 +27,11 @@
 	published []Publish
 	// drainingRelayed are the news of draining servers that were sent.
 	drainingRelayed []RelayDraining
+	// origins and originQueries are the origins that loaders were told, and the questions to
+	// them. releaseNotes are the notes for the store.
+	origins       []TellOrigins
+	originQueries []AskOrigin
+	releaseNotes  []core.ReleaseNote
 	// storeReads counts the reads of the store that were requested.
 	storeReads int
 	// limitRequests are the reports of servers' limits and the permit requests.
@@ -118,6 +123,12 @@
 			w.drainingRelayed = append(w.drainingRelayed, e)
 		case Publish:
 			w.published = append(w.published, e)
+		case TellOrigins:
+			w.origins = append(w.origins, e)
+		case AskOrigin:
+			w.originQueries = append(w.originQueries, e)
+		case PublishReleases:
+			w.releaseNotes = append(w.releaseNotes, e.Note)
 		case SendLimitRequest:
 			w.limitRequests = append(w.limitRequests, e)
 		case RequestConfig:
--- a/internal/router/loaders.go
+++ b/internal/router/loaders.go
@@ -197,6 +197,7 @@
 	if b := r.engineAt(l); b != nil {
 		r.recountStoreLoads(b.Service, l.holdings, &holdings)
 	}
+	keptOrigins := l.keepsOrigins()
 	l.holdings, l.lastMessageAt, l.holdingsAt, l.countedAt, l.directAt = &holdings, r.now, r.now, r.now, r.now
 	for _, b := range l.engines {
 		if b.unlistedAt == 0 && b.Instance == holdings.Instance && r.observeIncarnation(b, l.incarnation()) {
@@ -210,6 +211,9 @@
 		}
 		r.reindex(b)
 	}
+	if !keptOrigins && l.keepsOrigins() && r.anySeveral() {
+		r.tellOrigins(l)
+	}
 	if b := r.engineAt(l); b != nil {
 		l.ownRequests, l.ownUnread = len(b.sent), b.queue.Len()
 		b.cache.RetainModels(func(model string) bool { has, _ := r.loaded(b, model, ""); return has })
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -13,6 +13,7 @@
 	metricLimitPermits core.Counter = "router_limit_permits_total"
 	metricLimitedSends core.Counter = "router_limited_sends_total"
 	metricAnnounced    core.Counter = "router_server_announcements_total"
+	metricOrigins      core.Counter = "router_stream_origins_total"
 	metricResumptions  core.Counter = "router_stream_resumptions_total"
 	metricAnswerEnds   core.Counter = "router_answer_ends_total"
 	metricFirstByte    core.Counter = "router_first_byte_seconds"
@@ -28,6 +29,7 @@
 	{Name: metricLimitPermits, Help: "Requests that needed a permit of a server with a limit, by service and outcome.", Labels: []string{"service", "outcome"}},
 	{Name: metricLimitedSends, Help: "Requests sent to backend servers while they named a limit, by service.", Labels: []string{"service"}},
 	{Name: metricAnnounced, Help: "Backend servers that were found to be draining, backoffs that they want, and backoffs that can't be read (malformed), by service.", Labels: []string{"service", "what"}},
+	{Name: metricOrigins, Help: "Requests that take up a stream, by service and how the release that began it was found.", Labels: []string{"service", "outcome"}},
 	{Name: metricResumptions, Help: "Streams that broke off after an event, by service and whether a server of the same release could resume them.", Labels: []string{"service", "outcome"}},
 	{Name: metricAnswerEnds, Help: "Answers of backend servers that ended, by service, how they mark their end, how it came, whether bytes followed the last complete event of a stream, and what callers were given.", Labels: []string{"service", "framing", "end", "leftover", "outcome"}},
 	{Name: metricColdStart, Help: "Time from a request's arrival to its first event, of requests that waited for a load, by where the nearest copy lay.", Labels: []string{"tier"}},
--- a/internal/router/release.go
+++ b/internal/router/release.go
@@ -36,6 +36,14 @@
 	return req.release
 }
 
+// ofRelease says in a reason for logs which servers a request may be sent to.
+func (req *request) ofRelease() string {
+	if req.bound {
+		return "of release " + req.release.String() + " "
+	}
+	return ""
+}
+
 // Outcomes of the attempt to resume a stream at another server.
 const (
 	resumedAtRelease  = "sent to its release"
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -89,6 +89,8 @@
 	// release may get it.
 	bound   bool
 	release fleet.Release
+	// origin is the search for the release that began a stream that the request takes up.
+	origin originSearch
 	// forwarded is set once part of an answer has been passed on.
 	forwarded bool
 	// mayHaveRun is set unless every server that received the request proved that it did
@@ -123,8 +125,8 @@
 		r.finish(req, code.UnknownPath, 0, "no route for host "+in.Host)
 		return
 	}
-	req.service = target(req.route, in.ID)
-	if !r.identify(req, in) {
+	req.service = target(req.route, in.StreamID())
+	if !r.identify(req, in) || !r.takesUp(req, in.Resumption) {
 		return
 	}
 	if r.ledger.Poison(req.fingerprint) {
@@ -154,7 +156,9 @@
 		service.meanReading = average(service.meanReading, service.work.ReadTime(req.prompt.Model, req.prompt.Tokens))
 	}
 	r.requests[req.key] = req
-	r.dispatch(req)
+	if r.findOrigin(req) {
+		r.dispatch(req)
+	}
 }
 
 // firstEventTimeout is how long a stream's caller waits for the first event.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -10,6 +10,7 @@
 	"nutmeglane.example/nutmeglane/internal/core"
 	"nutmeglane.example/nutmeglane/internal/fleet"
 	"nutmeglane.example/nutmeglane/internal/limit"
+	"nutmeglane.example/nutmeglane/internal/origin"
 	"nutmeglane.example/nutmeglane/internal/poison"
 	"nutmeglane.example/nutmeglane/internal/quota"
 	"nutmeglane.example/nutmeglane/internal/work"
@@ -109,6 +110,9 @@
 	// platform's store.
 	published map[core.Fingerprint]core.Time
 
+	// origins are the streams that this router began, with their releases.
+	origins *origin.Table
+
 	// stopAt is when the process ends, Never unless it is stopping.
 	stopAt   core.Time
 	nextTick core.Time
@@ -140,6 +144,8 @@
 	withoutLoader bool
 	// busyUntil is the time until which each model counts as busy.
 	busyUntil map[string]core.Time
+	// releases is what is known of its servers' releases.
+	releases releaseHistory
 	// spec is the configuration of its engines that loaders receive, nil for a plain
 	// service.
 	spec *core.EngineSpec
@@ -166,7 +172,8 @@
 		callers: newCallers(),
 		gate:    quota.NewGate(quotaBounds(opts.Bounds)),
 		ledger:  poison.New(), published: map[core.Fingerprint]core.Time{}, departed: map[string]departed{},
-		stopAt: core.Never,
+		origins: origin.NewTable(maxOrigins),
+		stopAt:  core.Never,
 	}
 }
 
@@ -216,6 +223,10 @@
 		r.gate.HandleAnswer(now, e.Loader, e.Answer)
 	case LoaderAnsweredLimit:
 		r.limitAnswered(e)
+	case LoaderAnsweredOrigin:
+		r.originAnswered(e)
+	case ReleasesNoted:
+		r.releasesNoted(e.Notes)
 	case Arrived:
 		r.admit(e.Key, e.Request, now)
 	case AttemptFailed:
@@ -333,6 +344,7 @@
 	r.sendDigest()
 	r.requestConfig()
 	r.checkHeld()
+	r.checkReleases()
 	r.tickQuotas()
 	r.checkRequests()
 	r.logLimitedSends()
