Nothing of an abandoned attempt is forwarded

What callers would see: an empty 200 framed as whole, or a stream without its first events. A request is moved to another server, or its deadline comes, while the events of its first attempt are already read from the connection with the head.

Cause: only the first block asked whether the attempt is still the current one.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -166,6 +166,11 @@
 // attempt sends the request to a backend server, reads the response up to its head or, if it
 // is not a stream, its body, and reports the result to the reducer.
 func (c *call) attempt(d router.Send) {
+	if !c.position.Exact() {
+		end := router.AnswerEnd{Unresumable: true}
+		c.reportFailure(router.AttemptFailed{Attempt: d.Attempt, Failure: router.Withdrawn, End: end}, errInexact)
+		return
+	}
 	limit := d.Until.Sub(c.now())
 	deadline := time.Now().Add(limit + attemptSlack)
 	conn, err := c.connect(d, limit)
@@ -266,6 +271,13 @@
 	}
 }
 
+// isAbandoned reports whether the reducer has abandoned an attempt.
+func (c *call) isAbandoned(attempt int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.abandoned >= attempt
+}
+
 // abortConn resets the current connection, if any.
 func (c *call) abortConn() {
 	c.mu.Lock()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -20,6 +20,8 @@
 	errInsideEvent = errors.New("the stream ended inside an event")
 	errInsideLine  = errors.New("the connection was closed inside a line of the stream")
 	errNoEvent     = errors.New("the connection was closed before an event")
+	// errInexact means that an attempt can't continue a stream where it is.
+	errInexact = errors.New("the last event has no id")
 )
 
 // eventTiming measures the intervals between the events of a stream.
@@ -53,6 +55,9 @@
 	defer stall.Stop()
 	for {
 		n, err := a.response.Body.Read(chunk)
+		if c.isAbandoned(a.attempt) {
+			return false
+		}
 		if blocks := s.Feed(chunk[:n]); len(blocks) > 0 {
 			c.relayBlocks(a, s, blocks)
 			c.resetStall(stall, a)
@@ -63,11 +68,15 @@
 	}
 }
 
-// relayBlocks forwards complete blocks of a stream and reports its first event.
+// relayBlocks forwards complete blocks of a stream and reports its first event. It forwards
+// nothing of an attempt that was abandoned: closing its connection does not take back what was
+// read from it before, and the attempt that follows sends the same events.
 func (c *call) relayBlocks(a *answer, s *sse.Scanner, blocks []byte) {
-	first := a.timing.events == 0 && s.Events() > 0
+	if a.timing.events == 0 && s.Events() > 0 {
+		c.gateway.Step(router.FirstEvent{Key: c.key, Attempt: a.attempt})
+	}
 	a.timing.add(s.Events(), time.Now())
-	if first && !c.mayBegin(a.attempt) {
+	if c.isAbandoned(a.attempt) {
 		return
 	}
 	c.writeHead(a)
@@ -78,17 +87,6 @@
 	c.position = s.Position()
 }
 
-// mayBegin reports the first event of an attempt's stream, and whether it may be forwarded.
-//
-// The event decides which servers may resume the stream. If it were reported once it is
-// forwarded, the reducer could have moved the request to another server in between.
-func (c *call) mayBegin(attempt int) bool {
-	c.gateway.Step(router.FirstEvent{Key: c.key, Attempt: attempt})
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.abandoned < attempt
-}
-
 // newStallTimer returns a stopped timer that reports to the reducer that no event has arrived
 // for too long.
 func (c *call) newStallTimer(a *answer) *time.Timer {
@@ -124,6 +122,11 @@
 		c.writeToCaller(rest)
 	}
 	c.complete(a, end)
+	if c.isAbandoned(a.attempt) {
+		// The reducer moved the request after the last event was read, and expects another
+		// attempt of it.
+		c.gateway.Step(router.CallerLeft{Key: c.key})
+	}
 	return true
 }
 
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -41,6 +41,10 @@
 	r.log(SingleRequest, "attempt failed", req.attrs(append([]any{"instance", b.Instance, "attempt", e.Attempt,
 		"failure", e.Failure.String(), "cause", e.Cause, "fingerprint", req.fingerprint.String()}, e.End.logAttrs()...)...)...)
 	r.noteConnection(b, req, e)
+	if e.End.Unresumable {
+		r.giveUp(req, code.AnswerCut, "the answer broke off where no other can continue it")
+		return
+	}
 	if !e.Failure.sent() {
 		req.sends--
 		r.dispatch(req)
@@ -48,10 +52,6 @@
 	}
 	req.arrivals++
 	req.mayHaveRun = true
-	if e.End.Unresumable {
-		r.giveUp(req, code.AnswerCut, "the stream broke off after an event without an id")
-		return
-	}
 	r.retry(req, "the attempt failed: "+e.Failure.String())
 }
 
