Breaks that a caller could not see, and answers begun too early

And an event that never ends was held without a bound, at a cost that grew with its square: it is broken off at 1 MB (TestEventWithoutEndIsBrokenOff).

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -13,6 +13,7 @@
 	"nutmeglane.example/nutmeglane/internal/core"
 	"nutmeglane.example/nutmeglane/internal/framing"
 	"nutmeglane.example/nutmeglane/internal/router"
+	"nutmeglane.example/nutmeglane/internal/sse"
 	"nutmeglane.example/nutmeglane/platform"
 )
 
@@ -42,6 +43,10 @@
 	body     []byte
 	complete bool
 	timing   eventTiming
+	// heldBlocks are comments and empty lines of a stream before its first event, which begins
+	// the answer. streamBegan is set once a part of this stream was forwarded.
+	heldBlocks  []byte
+	streamBegan bool
 	// requestSent is set if the complete request was written.
 	requestSent bool
 }
@@ -209,9 +214,12 @@
 	return router.AnswerEnd{Framing: a.framing, End: framing.EndOf(a.framing, err), Events: a.timing.events}
 }
 
-// reportBroken reports that a response broke off. It returns false: the request continues.
+// reportBroken reports that a response other than a stream broke off. No other response can
+// continue it. It returns false: the reducer decides how the request goes on.
 func (c *call) reportBroken(a *answer, err error) (ended bool) {
-	c.reportBrokenAs(a, a.ended(err), err)
+	end := a.ended(err)
+	end.Unresumable = c.started && !a.stream && c.position == sse.Position{}
+	c.reportBrokenAs(a, end, err)
 	return false
 }
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -100,7 +100,7 @@
 		select {
 		case <-c.request.Context().Done():
 			c.abortConn()
-			panic(http.ErrAbortHandler)
+			c.breakOff() // a caller that has closed its side for writing only still reads
 		case decision := <-c.decisions:
 			if c.execute(decision) {
 				return
@@ -317,6 +317,7 @@
 // reportFailure reports a failed attempt with its cause.
 func (c *call) reportFailure(failed router.AttemptFailed, cause error) {
 	failed.Key, failed.Peer, failed.Cause = c.key, peerState(cause), cause.Error()
+	failed.NothingGiven = !c.started
 	c.gateway.Step(failed)
 }
 
--- a/internal/gateway/edges_test.go
+++ b/internal/gateway/edges_test.go
@@ -112,3 +112,39 @@
 		t.Errorf("body %q, %v", got, err)
 	}
 }
+
+// Guards against a router that runs out of memory because a server never ends an event.
+func TestEventWithoutEndIsBrokenOff(t *testing.T) {
+	s := newFixture(t, func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		readRequest(conn)
+		_, _ = io.WriteString(conn, answerHead("r1", closeHead)+event(1)+"data: ")
+		_, _ = io.CopyN(conn, neverEnding('x'), 64*maxEventBytes) // ends when the gateway closes the connection
+	})
+	got, err := parseAnswer(s.rawCall("HTTP/1.1", "/once-stream/x"))
+	if got != event(1) || err == nil {
+		t.Errorf("%d bytes, %v", len(got), err)
+	}
+}
+
+// neverEnding reads as an endless sequence of one byte.
+type neverEnding byte
+
+// Read implements io.Reader.
+func (b neverEnding) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = byte(b)
+	}
+	return len(p), nil
+}
+
+// Comments before the first event are forwarded with it, and those of a whole stream without events
+// at its end.
+func TestCommentsBeforeTheFirstEventAreForwarded(t *testing.T) {
+	for _, body := range []string{": hello\n\n" + event(1), ": hello\n\n", "\n" + event(1) + ": bye\n\n"} {
+		got, err := parseAnswer(newFixture(t, serveOnce(answerHead("r1", chunkedHead)+chunk(body)+"0\r\n\r\n")).rawCall("HTTP/1.1", "/once-stream/x"))
+		if got != body || err != nil {
+			t.Errorf("body %q, %v, want %q", got, err, body)
+		}
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"time"
@@ -12,14 +13,21 @@
 	"nutmeglane.example/nutmeglane/internal/sse"
 )
 
-// streamChunk is the size of reads from a stream, in bytes.
-const streamChunk = 4 << 10
+const (
+	// streamChunk is the size of reads from a stream, in bytes.
+	streamChunk = 4 << 10
+	// maxEventBytes is the size of the largest event that is forwarded. An event is held
+	// until it is complete; events have some hundred bytes.
+	maxEventBytes = 1 << 20
+)
 
 // Why a stream is not complete although its framing ends.
 var (
 	errInsideEvent = errors.New("the stream ended inside an event")
 	errInsideLine  = errors.New("the connection was closed inside a line of the stream")
 	errNoEvent     = errors.New("the connection was closed before an event")
+	// errEventTooLarge means that an event exceeds maxEventBytes.
+	errEventTooLarge = errors.New("an event is too large")
 	// errInexact means that an attempt can't continue a stream where it is.
 	errInexact = errors.New("the last event has no id")
 )
@@ -62,6 +70,9 @@
 			c.relayBlocks(a, s, blocks)
 			c.resetStall(stall, a)
 		}
+		if len(s.Remainder())+len(a.heldBlocks) > maxEventBytes {
+			err = errEventTooLarge
+		}
 		if err != nil {
 			return c.endStream(a, s, err)
 		}
@@ -79,14 +90,32 @@
 	if c.isAbandoned(a.attempt) {
 		return
 	}
-	c.writeHead(a)
-	c.writeToCaller(blocks)
+	if a.timing.events == 0 {
+		a.heldBlocks = append(a.heldBlocks, blocks...)
+		return
+	}
+	if len(a.heldBlocks) > 0 {
+		blocks = append(a.heldBlocks, blocks...)
+		a.heldBlocks = nil
+	}
+	c.writeStream(a, blocks)
 	if err := http.NewResponseController(c.writer).Flush(); err != nil {
 		c.abortCallerGone()
 	}
 	c.position = s.Position()
 }
 
+// writeStream writes a part of a stream. A byte order mark has a meaning only at the start of
+// the caller's stream.
+func (c *call) writeStream(a *answer, part []byte) {
+	if c.started && !a.streamBegan {
+		part = bytes.TrimPrefix(part, sse.ByteOrderMark)
+	}
+	a.streamBegan = true
+	c.writeHead(a)
+	c.writeToCaller(part)
+}
+
 // newStallTimer returns a stopped timer that reports to the reducer that no event has arrived
 // for too long.
 func (c *call) newStallTimer(a *answer) *time.Timer {
@@ -100,7 +129,7 @@
 // resetStall starts the timer anew if the attempt has a limit on pauses and its stream can be
 // resumed where it is.
 func (c *call) resetStall(stall *time.Timer, a *answer) {
-	if a.send.StallAfter > 0 && c.position.Exact() {
+	if a.send.StallAfter > 0 && a.timing.events > 0 && c.position.Exact() {
 		stall.Reset(a.send.StallAfter)
 		return
 	}
@@ -117,10 +146,7 @@
 		c.reportBrokenAs(a, end, cause)
 		return false
 	}
-	c.writeHead(a)
-	if rest := s.Remainder(); len(rest) > 0 {
-		c.writeToCaller(rest)
-	}
+	c.writeStream(a, append(a.heldBlocks, s.Remainder()...))
 	c.complete(a, end)
 	if c.isAbandoned(a.attempt) {
 		// The reducer moved the request after the last event was read, and expects another
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -52,6 +52,7 @@
 	}
 	req.arrivals++
 	req.mayHaveRun = true
+	req.forwarded = req.forwarded && !e.NothingGiven
 	r.retry(req, "the attempt failed: "+e.Failure.String())
 }
 
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -159,6 +159,8 @@
 	Key     Key
 	Attempt int
 	Failure Failure
+	// NothingGiven is set if no part of the answer has been given to the caller.
+	NothingGiven bool
 	// Peer is PeerUnknown unless the connection itself failed.
 	Peer Peer
 	// End is how the answer ended, its zero value if none began.
--- a/internal/sse/scanner.go
+++ b/internal/sse/scanner.go
@@ -43,7 +43,8 @@
 // Exact reports whether a stream that is resumed there continues after its last event.
 func (p Position) Exact() bool { return p.After == 0 }
 
-var byteOrderMark = []byte("\xef\xbb\xbf")
+// ByteOrderMark may precede a stream. It is not part of the first line.
+var ByteOrderMark = []byte("\xef\xbb\xbf")
 
 // Feed adds data and returns all complete blocks that were not returned yet. The result is
 // valid until the next call.
@@ -70,6 +71,9 @@
 
 // drop removes the blocks that the last Feed returned.
 func (s *Scanner) drop() {
+	if s.returned == 0 {
+		return
+	}
 	s.buffer = append(s.buffer[:0], s.buffer[s.returned:]...)
 	s.lineStart -= s.returned
 	s.scanned -= s.returned
@@ -110,7 +114,7 @@
 func (s *Scanner) endLine(line []byte) {
 	if !s.begun {
 		s.begun = true
-		line = bytes.TrimPrefix(line, byteOrderMark)
+		line = bytes.TrimPrefix(line, ByteOrderMark)
 	}
 	switch {
 	case len(line) == 0:
