--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
@@ -86,7 +87,7 @@
 		return Closed
 	case errors.Is(err, io.EOF):
 		return Marked
-	case errors.Is(err, io.ErrUnexpectedEOF):
+	case errors.Is(err, io.ErrUnexpectedEOF), isTrailerEOF(err):
 		return Closed
 	case errors.IsAny(err, syscall.ECONNRESET, syscall.EPIPE):
 		return Reset
@@ -99,6 +100,14 @@
 	}
 }
 
+// isTrailerEOF reports whether a connection was closed between the last chunk of a response and
+// the line that ends it. net/http has no error values for that; the second text is also that of
+// a trailer which exceeds its buffer.
+func isTrailerEOF(err error) bool {
+	text := err.Error()
+	return strings.Contains(text, "unexpected EOF reading trailer") || strings.Contains(text, "suspiciously long trailer")
+}
+
 // Complete reports whether a body that ended is complete as far as its framing tells. A body
 // that ends with its connection is complete if the connection was closed in an orderly way:
 // then a server that failed can't be told from one that had sent everything.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -15,6 +15,7 @@
 
 	"nutmeglane.example/nutmeglane/internal/code"
 	"nutmeglane.example/nutmeglane/internal/fleet"
+	"nutmeglane.example/nutmeglane/internal/framing"
 	"nutmeglane.example/nutmeglane/internal/router"
 	"nutmeglane.example/nutmeglane/internal/sse"
 	"nutmeglane.example/nutmeglane/platform"
@@ -316,15 +317,17 @@
 
 // reportFailure reports a failed attempt with its cause.
 func (c *call) reportFailure(failed router.AttemptFailed, cause error) {
-	failed.Key, failed.Peer, failed.Cause = c.key, peerState(cause), cause.Error()
+	failed.Key, failed.Peer, failed.Cause = c.key, peerState(failed.End, cause), cause.Error()
 	failed.NothingGiven = !c.started
 	c.gateway.Step(failed)
 }
 
 // peerState derives the state of the server's process from a connection error. A timeout does
 // not indicate the state, and neither does a connection that the gateway itself closed.
-func peerState(err error) router.Peer {
+func peerState(end router.AnswerEnd, err error) router.Peer {
 	switch {
+	case end.End == framing.Closed:
+		return router.PeerClosed
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return router.PeerRefused
 	case errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE):
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -154,7 +154,7 @@
 }
 
 func (r *Router) firstEvent(e FirstEvent) {
-	if req := r.current(e.Key, e.Attempt); req != nil {
+	if req := r.current(e.Key, e.Attempt); req != nil && !r.leaveOtherRelease(req) {
 		r.bind(req)
 		if !req.attempt.answered {
 			r.recordOrigin(req)
--- a/internal/router/budget.go
+++ b/internal/router/budget.go
@@ -44,15 +44,20 @@
 
 // take takes one retry from the budget, or reports false if the budget is used up.
 func (b *budget) take(now core.Time, window time.Duration, ratio, slack float64) bool {
+	if !b.has(now, window, ratio, slack) {
+		return false
+	}
+	b.retries[b.current%budgetBuckets]++
+	return true
+}
+
+// has reports whether the budget has a retry left.
+func (b *budget) has(now core.Time, window time.Duration, ratio, slack float64) bool {
 	b.advance(now, window)
 	requests, repeats := 0, 0
 	for i := range budgetBuckets {
 		requests += b.requests[i]
 		repeats += b.retries[i]
 	}
-	if float64(repeats+1) > ratio*float64(requests)+slack {
-		return false
-	}
-	b.retries[b.current%budgetBuckets]++
-	return true
+	return float64(repeats+1) <= ratio*float64(requests)+slack
 }
--- a/internal/router/ending.go
+++ b/internal/router/ending.go
@@ -120,7 +120,7 @@
 
 // overdue reports whether an idempotent request should be tried on another server.
 func (r *Router) overdue(req *request) bool {
-	if req.attempt.answered || !r.mayRetry(req) {
+	if req.attempt.answered || !r.mayRetry(req) || !r.mayLeave(req) {
 		return false
 	}
 	wait := r.now.Sub(req.attempt.at)
@@ -131,6 +131,13 @@
 	return wait >= threshold && r.servedElsewhere(req)
 }
 
+// mayLeave reports whether a request whose server only is silent may be sent to another one.
+// Otherwise it stays: a server under load may be silent for seconds, and an attempt that is
+// abandoned without another one is an answer that the router broke off.
+func (r *Router) mayLeave(req *request) bool {
+	return r.hasRetry(req.service) && r.endsInTime(req, 0)
+}
+
 // promptOverdue reports whether a generation should be moved from an engine that has not
 // made any event of it.
 //
@@ -173,7 +180,7 @@
 // be silent for seconds and still complete the answer.
 func (r *Router) stalled(e Stalled) {
 	req := r.current(e.Key, e.Attempt)
-	if req == nil || !req.route.Repeatable() || req.sends >= req.route.MaxAttempts || !r.loadedElsewhere(req) {
+	if req == nil || !req.route.Repeatable() || req.sends >= req.route.MaxAttempts || !r.mayLeave(req) || !r.loadedElsewhere(req) {
 		return
 	}
 	r.hedge(req)
--- a/internal/router/release.go
+++ b/internal/router/release.go
@@ -1,6 +1,9 @@
 package router
 
 import (
+	"slices"
+	"strings"
+
 	"nutmeglane.example/nutmeglane/internal/core"
 	"nutmeglane.example/nutmeglane/internal/fleet"
 )
@@ -19,12 +22,40 @@
 	if req.bound || req.route.Kind != fleet.Stream {
 		return
 	}
-	req.bound, req.release = true, req.attempt.release
-	if b := req.backend; !req.release.Known && b.Incarnation == req.attempt.incarnation {
-		req.release = b.Release // told after the request was sent
+	req.bound, req.release = true, req.attemptRelease()
+}
+
+// attemptRelease returns the release of the server at which a request is. If the server has
+// restarted since the request was sent, it is not known which incarnation runs it.
+func (req *request) attemptRelease() fleet.Release {
+	b, a := req.backend, req.attempt
+	switch {
+	case a.incarnation.Compare(b.Incarnation) != 0:
+		return fleet.Release{}
+	case !a.release.Known:
+		return b.Release // told after the request was sent
+	default:
+		return a.release
 	}
 }
 
+// leaveOtherRelease moves a request away from a server that turns out to have another release
+// than the one that its stream is bound to, before an event of it is forwarded. It reports
+// whether it did.
+func (r *Router) leaveOtherRelease(req *request) bool {
+	if !req.bound || req.release.Same(req.attemptRelease()) {
+		return false
+	}
+	r.emit(Abandon{Key: req.key, Attempt: req.number})
+	r.log(SingleRequest, "server restarted with another release; its answer is left", req.attrs("instance", req.backend.Instance,
+		"release", req.release.String(), "now", req.backend.Release.String())...)
+	r.release(req)
+	req.arrivals++
+	req.mayHaveRun = true
+	r.retry(req, "its server restarted with another release")
+	return true
+}
+
 // fits reports whether a request's stream may begin, or continue, at a server.
 func (req *request) fits(b *backend) bool { return !req.bound || req.release.Same(b.Release) }
 
@@ -44,6 +75,14 @@
 	return ""
 }
 
+// boundTried names the servers that a bound request was sent to.
+func (req *request) boundTried() string {
+	if !req.bound {
+		return ""
+	}
+	return strings.Join(slices.Sorted(slices.Values(req.tried)), " ")
+}
+
 // Outcomes of the attempt to resume a stream at another server.
 const (
 	resumedAtRelease  = "sent to its release"
--- a/internal/router/wait.go
+++ b/internal/router/wait.go
@@ -25,8 +25,12 @@
 type waitKey struct {
 	service string
 	modelKey
-	// release is the one that the requests are bound to, the unknown one if they are not.
+	// release is the one that the requests are bound to, the unknown one if they are not. A
+	// request that is bound to the unknown release fits no server and does not wait.
 	release fleet.Release
+	// tried are the instances that requests which are bound were sent to: only those with the
+	// same ones can wait for the same engine.
+	tried string
 }
 
 // bound reports whether the requests of a queue are bound to a release.
@@ -60,7 +64,7 @@
 	if modelLoaded {
 		adapter = p.Adapter
 	}
-	key := waitKey{req.service, modelKey{p.Model, adapter}, req.boundRelease()}
+	key := waitKey{req.service, modelKey{p.Model, adapter}, req.boundRelease(), req.boundTried()}
 	if req.waiting != nil && req.waiting.key == key {
 		return
 	}
@@ -206,7 +210,7 @@
 
 func compareWaitKeys(a, b waitKey) int {
 	return cmp.Or(cmp.Compare(a.service, b.service), cmp.Compare(a.model, b.model), cmp.Compare(a.adapter, b.adapter),
-		cmp.Compare(a.release.Name, b.release.Name), cmp.Compare(a.release.String(), b.release.String()))
+		cmp.Compare(a.release.Name, b.release.Name), cmp.Compare(a.release.String(), b.release.String()), cmp.Compare(a.tried, b.tried))
 }
 
 func (r *Router) recheckWait(w *wait) {
--- a/internal/sse/scanner_test.go
+++ b/internal/sse/scanner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -73,6 +74,13 @@
 	}
 }
 
+// hasWholeBlock reports whether data contains an empty line, by a way that is independent of the
+// scanner's.
+func hasWholeBlock(data []byte) bool {
+	text := strings.NewReplacer("\r\n", "\n", "\r", "\n").Replace(string(data))
+	return strings.HasPrefix(text, "\n") || strings.Contains(text, "\n\n")
+}
+
 // Each event must be returned as soon as its last byte has come, and no byte may be lost.
 func FuzzScanner(f *testing.F) {
 	f.Add([]byte("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3"), 3)
@@ -88,6 +96,9 @@
 			n := min(step, len(rest))
 			got = append(got, s.Feed(rest[:n])...)
 			rest = rest[n:]
+			if hasWholeBlock(s.Remainder()) {
+				t.Fatalf("a complete block was not returned: %q", s.Remainder())
+			}
 		}
 		if all := append(bytes.Clone(got), s.Remainder()...); !bytes.Equal(all, data) {
 			t.Fatalf("bytes were lost or added: %q of %q", all, data)
