--- a/internal/router/choose_bench_test.go
+++ b/internal/router/choose_bench_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"nutmeglane.example/nutmeglane/internal/core"
+	"nutmeglane.example/nutmeglane/internal/fleet"
 	"nutmeglane.example/nutmeglane/internal/work"
 )
 
@@ -34,3 +35,39 @@
 		})
 	}
 }
+
+// BenchmarkHolders measures the search for the engines that may get a generation and have its
+// model, with the choice among them: of a new stream with one release, of one with three, and of
+// one that is bound to one of three.
+func BenchmarkHolders(b *testing.B) {
+	releases := []fleet.Release{v1, v2, {Name: "v3", Known: true}}
+	for _, c := range []struct {
+		name     string
+		releases int
+		bound    bool
+	}{{"one", 1, false}, {"three", 3, false}, {"bound", 3, true}} {
+		for _, engines := range []int{12, 300} {
+			b.Run(fmt.Sprintf("releases=%s/engines=%d", c.name, engines), func(b *testing.B) {
+				w := newFixture(b)
+				list := map[string]fleet.Backend{}
+				for i := range engines {
+					server := w.server(engineService, i)
+					server.Release = releases[i%c.releases]
+					list[server.Instance] = server
+				}
+				w.step(BackendsRead{Backends: list})
+				for i := range engines {
+					w.reportHoldings(i, core.Holdings{Models: loadedModels("m1"), Running: 6})
+				}
+				long := longPrompt("m1", 7)
+				req := &request{id: "r", prompt: long, prefix: work.NewPrefix(long), service: engineService, bound: c.bound, release: v1}
+				b.ReportAllocs()
+				b.ResetTimer()
+				for range b.N {
+					holders, _ := w.router.holdersFor(req)
+					w.router.choose(req, holders)
+				}
+			})
+		}
+	}
+}
