A plain service's event stream is complete between events only

What a caller would see: a plain service's stream of events (text/event-stream) breaks off inside an event, its connection closed in an orderly way and neither a length nor chunks to tell. The caller of the entry gets 200, the part of the event, and the last chunk: an answer framed as whole.

Cause: the agent's executor (copyService) took io.EOF for the end of the answer whatever its content, the run ended with code OK, and the entry framed anew what it had.

Why it holds: the executor posts complete events only, found by sse.Scanner, and asks Scanner.Incomplete, the decision of the gateway's streamBreak in a place that both paths can use, before it ends the run. A stream that isn't complete ends with BackendFailed, and the entry aborts the caller's connection without the last chunk. With a length it can't be reached, as the bytes of the unfinished event are withheld; otherwise rawAnswer.complete would count the answer as whole before the end of the run is known.

Other bodies stay as they were: complete as their framing says. An unfinished event over 4 MiB fails its stream.

--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -25,9 +24,6 @@
 	errNotRun = errors.New("request did not run")
 )
 
-// maxChunk is the maximum size in bytes of one chunk of a service's answer.
-const maxChunk = 32 << 10
-
 // run is one request sent to the backend server.
 type run struct {
 	effect core.Run
@@ -147,28 +143,3 @@
 	header.Set(engineapi.HeaderResumeFrom, strconv.FormatUint(r.effect.ResumeFrom, 10))
 	header.Set("Content-Type", "application/json")
 }
-
-// copyService posts a service's answer in chunks. While the run is paused, the
-// answer is not read, so that at most one chunk and the socket buffers hold data
-// of it.
-func (r *run) copyService(ctx context.Context, response *http.Response) error {
-	head := core.RunProgress{Kind: core.FrameHead, Status: response.StatusCode}
-	head.Header = endToEnd(response.Header)
-	r.post(head)
-	buffer := make([]byte, maxChunk)
-	for {
-		n, err := response.Body.Read(buffer)
-		if waitErr := r.gate.wait(ctx); waitErr != nil {
-			return waitErr
-		}
-		if n > 0 {
-			r.post(core.RunProgress{Kind: core.FrameData, Count: 1, Payload: bytes.Clone(buffer[:n])})
-		}
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return errors.Wrap(err, "read answer")
-		}
-	}
-}
