Tests: answers of an engine that break off at any byte

framingtest.Server sends given bytes to each request and closes the connection; EachCut breaks one response off at each byte before its body's end, in each framing. The executor's readers stand it unchanged: the completion's lines (only the line with Done ends one), a refusal, an inventory, the answer to an order.

--- a/internal/engine/brokenoff_test.go
+++ b/internal/engine/brokenoff_test.go
@@ -1,10 +1,7 @@
 package engine_test
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -12,107 +9,39 @@
 	"nutmeglane.example/nutmeglane/internal/code"
 	"nutmeglane.example/nutmeglane/internal/core"
 	"nutmeglane.example/nutmeglane/internal/engine"
+	"nutmeglane.example/nutmeglane/internal/framing"
+	"nutmeglane.example/nutmeglane/internal/framing/framingtest"
 )
 
-// rawServer is a backend server that sends the same bytes to each request and then closes the
-// connection, in an orderly way or, if reset is set, by a reset.
-type rawServer struct {
-	net.Listener
-	answer string
-	reset  bool
-}
-
-func newRawServer(t *testing.T, answer string, reset bool) *rawServer {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	s := &rawServer{listener, answer, reset}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		s.serve()
-	}()
-	t.Cleanup(func() {
-		_ = listener.Close()
-		<-done
-	})
-	return s
-}
-
-func (s *rawServer) serve() {
-	for {
-		conn, err := s.Accept()
-		if err != nil {
-			return
-		}
-		s.respond(conn)
-	}
-}
-
-func (s *rawServer) respond(conn net.Conn) {
-	defer func() { _ = conn.Close() }()
-	request, err := http.ReadRequest(bufio.NewReader(conn))
-	if err != nil {
-		return
-	}
-	_, _ = io.Copy(io.Discard, request.Body)
-	_, _ = io.WriteString(conn, s.answer)
-	if s.reset {
-		_ = conn.(*net.TCPConn).SetLinger(0)
-	}
-}
-
-// startRaw returns an Executor whose backend server is a rawServer.
-func startRaw(t *testing.T, kind core.BackendKind, s *rawServer) *fixture {
+// startRaw returns an Executor whose backend server is the given one.
+func startRaw(t *testing.T, kind core.BackendKind, s *framingtest.Server) *fixture {
 	return start(t, http.NotFoundHandler(), func(o *engine.Options) {
-		o.URL, o.Kind = "http://"+s.Addr().String(), kind
+		o.URL, o.Kind = s.URL(), kind
 	})
 }
 
-// The framings in which a raw answer marks its end.
-const (
-	byLength = "length"
-	byChunks = "chunks"
-	byClose  = "until close"
-)
-
-// framed returns a complete response with the body in a framing.
-func framed(framing, contentType, body string) string {
-	head := "HTTP/1.1 200 OK\r\nContent-Type: " + contentType + "\r\n"
-	switch framing {
-	case byLength:
-		return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
-	case byChunks:
-		return head + "Transfer-Encoding: chunked\r\n\r\n" + chunkOf(body) + "0\r\n\r\n"
-	default:
-		return head + "\r\n" + body
-	}
+// startAnswer returns an Executor whose backend server sends an answer and then closes the
+// connection.
+func startAnswer(t *testing.T, answer string, reset bool) *fixture {
+	s := framingtest.NewServer(t)
+	s.Respond(answer, reset)
+	return startRaw(t, core.BackendService, s)
 }
 
-func chunkOf(body string) string {
-	if body == "" {
-		return ""
-	}
-	return fmt.Sprintf("%x\r\n%s\r\n", len(body), body)
+// streamOf returns a complete response with an event stream.
+func streamOf(kind framing.Kind, body string) string {
+	return framingtest.Response(kind, http.StatusOK, "Content-Type: text/event-stream; charset=utf-8\r\n", body)
 }
 
-var framings = []string{byLength, byChunks, byClose}
-
-const (
-	twoEvents   = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
-	eventStream = "text/event-stream"
-)
+const twoEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
 
 // Guards against a service's event stream that stops inside an event and reaches its caller as
 // complete, or with a part of that event, however its end is marked.
 func TestServiceStreamEndingInsideAnEventFailsRun(t *testing.T) {
-	for _, framing := range framings {
+	for _, kind := range framingtest.Kinds {
 		for _, part := range []string{"i", "id: 3", "id: 3\nda", "id: 3\ndata: c\n", "id: 3\r\ndata: c\r", "data: c\n: note\n"} {
-			t.Run(fmt.Sprintf("%s %q", framing, part), func(t *testing.T) {
-				answer := framed(framing, eventStream+"; charset=utf-8", twoEvents+part)
-				f := startRaw(t, core.BackendService, newRawServer(t, answer, false))
+			t.Run(fmt.Sprintf("%v %q", kind, part), func(t *testing.T) {
+				f := startAnswer(t, streamOf(kind, twoEvents+part), false)
 				f.Do(call(1, http.MethodGet))
 				if a := f.collect(); a.Code != code.BackendFailed || a.Body != twoEvents {
 					t.Errorf("code %d, body %q", a.Code, a.Body)
@@ -141,13 +70,12 @@
 		{"after comments only", ": hello\n\n", false},
 	}
 	for _, test := range tests {
-		for _, framing := range framings {
-			t.Run(framing+" "+test.name, func(t *testing.T) {
-				answer := framed(framing, eventStream, test.body)
-				f := startRaw(t, core.BackendService, newRawServer(t, answer, false))
+		for _, kind := range framingtest.Kinds {
+			t.Run(kind.String()+" "+test.name, func(t *testing.T) {
+				f := startAnswer(t, streamOf(kind, test.body), false)
 				f.Do(call(1, http.MethodGet))
 				a := f.collect()
-				if whole := a.Code == code.OK; whole != (framing != byClose || test.wholeUntilClose) {
+				if whole := a.Code == code.OK; whole != (kind != framing.UntilClose || test.wholeUntilClose) {
 					t.Errorf("code %d, body %q", a.Code, a.Body)
 				}
 				if a.Code == code.OK && a.Body != test.body {
@@ -162,7 +90,7 @@
 func TestServiceStreamWithLargeEvent(t *testing.T) {
 	const maxFrame = 32 << 10
 	body := twoEvents + "data: " + strings.Repeat("x", 100<<10) + "\n\n"
-	f := startRaw(t, core.BackendService, newRawServer(t, framed(byClose, eventStream, body), false))
+	f := startAnswer(t, streamOf(framing.UntilClose, body), false)
 	f.Do(call(1, http.MethodGet))
 	var got strings.Builder
 	for {
@@ -183,7 +111,7 @@
 // Guards against an event without end that takes the agent's memory.
 func TestServiceStreamWithEndlessEvent(t *testing.T) {
 	body := twoEvents + "data: " + strings.Repeat("x", 5<<20) + "\n\n"
-	f := startRaw(t, core.BackendService, newRawServer(t, framed(byLength, eventStream, body), false))
+	f := startAnswer(t, streamOf(framing.Length, body), false)
 	f.Do(call(1, http.MethodGet))
 	if a := f.collect(); a.Code != code.BackendFailed || a.Body != twoEvents {
 		t.Errorf("code %d, %d bytes, want %d", a.Code, len(a.Body), len(twoEvents))
@@ -194,7 +122,7 @@
 // before its first event.
 func TestHeadOfServiceStreamIsComplete(t *testing.T) {
 	answer := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
-	f := startRaw(t, core.BackendService, newRawServer(t, answer, false))
+	f := startAnswer(t, answer, false)
 	f.Do(call(1, http.MethodHead))
 	if a := f.collect(); a.Code != code.OK {
 		t.Errorf("code %d", a.Code)
@@ -204,12 +132,12 @@
 // Guards against a service's answer that broke off, by an orderly close or by a reset, and counts
 // as complete. Only where the connection marks the end can't a close tell that.
 func TestBrokenServiceAnswerFailsRun(t *testing.T) {
-	const plain = "text/plain"
-	heads := map[string]string{
-		byLength: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n",
-		byChunks: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
-		byClose:  "HTTP/1.1 200 OK\r\n\r\n",
-	}
+	const (
+		length     = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n"
+		chunked    = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		untilClose = "HTTP/1.1 200 OK\r\n\r\n"
+		chunk      = "4\r\npart\r\n"
+	)
 	tests := []struct {
 		name, answer string
 		reset        bool
@@ -219,20 +147,20 @@
 		{"inside the status line", "HTTP/1.1 200 O", false, code.BackendFailed},
 		{"inside the head", "HTTP/1.1 200 OK\r\nContent-Le", false, code.BackendFailed},
 		{"after a header line", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n", false, code.BackendFailed},
-		{"length closed", heads[byLength] + "part", false, code.BackendFailed},
-		{"length reset", heads[byLength] + "part", true, code.BackendFailed},
-		{"chunks closed between chunks", heads[byChunks] + chunkOf("part"), false, code.BackendFailed},
-		{"chunks closed inside a chunk", heads[byChunks] + "9\r\npart", false, code.BackendFailed},
-		{"chunks closed inside the last one", heads[byChunks] + chunkOf("part") + "0\r\n", false, code.BackendFailed},
-		{"chunks reset", heads[byChunks] + chunkOf("part"), true, code.BackendFailed},
-		{"until close, reset", heads[byClose] + "part", true, code.BackendFailed},
-		{"until close, closed", heads[byClose] + "whole", false, code.OK},
-		{"length reached", framed(byLength, plain, "whole"), false, code.OK},
-		{"last chunk reached", framed(byChunks, plain, "whole"), false, code.OK},
+		{"length closed", length + "part", false, code.BackendFailed},
+		{"length reset", length + "part", true, code.BackendFailed},
+		{"chunks closed between chunks", chunked + chunk, false, code.BackendFailed},
+		{"chunks closed inside a chunk", chunked + "9\r\npart", false, code.BackendFailed},
+		{"chunks closed inside the last one", chunked + chunk + "0\r\n", false, code.BackendFailed},
+		{"chunks reset", chunked + chunk, true, code.BackendFailed},
+		{"until close, reset", untilClose + "part", true, code.BackendFailed},
+		{"until close, closed", untilClose + "whole", false, code.OK},
+		{"length reached", length + "all of it", false, code.OK},
+		{"last chunk reached", chunked + chunk + "0\r\n\r\n", false, code.OK},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			f := startRaw(t, core.BackendService, newRawServer(t, test.answer, test.reset))
+			f := startAnswer(t, test.answer, test.reset)
 			f.Do(call(1, http.MethodGet))
 			if a := f.collect(); a.Code != test.want {
 				t.Errorf("code %d, want %d: %q", a.Code, test.want, a.Body)
@@ -240,3 +168,60 @@
 		})
 	}
 }
+
+// Guards against a completion that broke off and counts as complete: only the line with Done ends
+// one.
+func TestBrokenCompletionFailsRun(t *testing.T) {
+	const tokens = `{"index":0,"text":"a"}` + "\n" + `{"index":1,"text":"b"}` + "\n" + `{"index":2,"done":true}`
+	framingtest.EachCut(t, http.StatusOK, "", tokens, func(t *testing.T, s *framingtest.Server, whole bool) {
+		f := startRaw(t, core.BackendService, s) // reads no load reports
+		f.Do(completion(1, 2))
+		if a := f.collect(); (a.Code == code.OK) != whole || a.Code == code.EngineNotLoaded {
+			t.Errorf("code %d, tokens %q", a.Code, a.Tokens)
+		}
+	})
+}
+
+// Guards against a refusal that broke off and counts as a proof that a completion did not run.
+func TestBrokenRefusalIsNoProof(t *testing.T) {
+	framingtest.EachCut(t, http.StatusConflict, "", `{"reason":"not-loaded"}`, func(t *testing.T, s *framingtest.Server, whole bool) {
+		f := startRaw(t, core.BackendService, s)
+		f.Do(completion(1, 2))
+		want := code.BackendFailed
+		if whole {
+			want = code.EngineNotLoaded
+		}
+		if a := f.collect(); a.Code != want {
+			t.Errorf("code %d, want %d", a.Code, want)
+		}
+	})
+}
+
+// Guards against an inventory that broke off and counts as one of an engine with less, or
+// nothing, loaded.
+func TestBrokenInventoryFails(t *testing.T) {
+	const inventory = `{"items":[{"key":"line@1","memoryMiB":5}],"memoryMiB":9}`
+	framingtest.EachCut(t, http.StatusOK, "", inventory, func(t *testing.T, s *framingtest.Server, whole bool) {
+		f := startRaw(t, core.BackendEngine, s)
+		f.Do(core.TakeInventory{})
+		got := await[core.Inventory](f)
+		if (got.Code == code.OK) != whole || (len(got.Items) == 1) != whole {
+			t.Errorf("%+v", got)
+		}
+	})
+}
+
+// Guards against an order whose answer broke off and that counts as refused: it may have taken
+// effect.
+func TestBrokenAnswerToOrderIsUnknown(t *testing.T) {
+	framingtest.EachCut(t, http.StatusPreconditionFailed, "", `{"reason":"fenced"}`, func(t *testing.T, s *framingtest.Server, whole bool) {
+		f := startRaw(t, core.BackendEngine, s)
+		want := code.EngineUnknown
+		if whole {
+			want = code.FencedOut
+		}
+		if got := f.order(core.Order{ID: 1, Kind: core.OrderLoad, Key: key}); got != want {
+			t.Errorf("code %d, want %d", got, want)
+		}
+	})
+}
