An engine's report without a body is a failed one

What would be seen: an engine answers the request for its inventory with 200 and "Content-Length: 0". The agent takes it for an engine without memory and with nothing loaded, and for a load report without load; the models at it count as gone.

Cause: sling decodes no response whose Content-Length is 0 and returns no error, so the zero value passed as the report.

Test: TestEmptyInventoryFails; before the fix: {Code:OK Items:[] MemoryMiB:0 ChecksFencing:false Cached:[] Role:0 RoleFence:0}

Why it holds: Executor.get, which reads both reports, fails on a response without a body. Chunked and until-close responses without content failed before already, in the decoder (TestBrokenInventoryFails).

--- a/internal/engine/brokenoff_test.go
+++ b/internal/engine/brokenoff_test.go
@@ -225,3 +225,15 @@
 		}
 	})
 }
+
+// Guards against a response without a body that counts as the inventory of an engine with nothing
+// loaded.
+func TestEmptyInventoryFails(t *testing.T) {
+	s := framingtest.NewServer(t)
+	s.Respond(framingtest.Response(framing.Length, http.StatusOK, "", ""), false)
+	f := startRaw(t, core.BackendEngine, s)
+	f.Do(core.TakeInventory{})
+	if got := await[core.Inventory](f); got.Code != code.EngineFailed {
+		t.Errorf("%+v", got)
+	}
+}
--- a/internal/engine/report.go
+++ b/internal/engine/report.go
@@ -32,6 +32,9 @@
 	if response.StatusCode != http.StatusOK {
 		return errors.Newf("get %s: status %d", path, response.StatusCode)
 	}
+	if response.ContentLength == 0 { // not decoded by sling
+		return errors.Newf("get %s: answer without a body", path)
+	}
 	return nil
 }
 
