A response of the operators' API without a body is an error

What would be seen: `nutmeglane get` prints an empty list, with success, where the response had 200, "Content-Length: 0" and no list.

Cause: sling decodes no response whose Content-Length is 0 and returns no error.

Test: TestBrokenListFails/empty; before the fix: {Revision:0 Items:[]}, <nil>. The other cases, a list and a watch broken off at each byte in each framing, passed before.

Why it holds: call fails on a successful response without a body; each response of the API has one.

--- a/internal/operator/client/client.go
+++ b/internal/operator/client/client.go
@@ -160,5 +160,8 @@
 	if response.StatusCode/100 != 2 {
 		return answer, &Error{Status: response.StatusCode, Failure: failure}
 	}
+	if response.ContentLength == 0 { // not decoded by sling
+		return answer, errors.Newf("%s %s: response without a body", request.Method, request.URL.Path)
+	}
 	return answer, nil
 }
