--- a/internal/hostlist/hostlist_test.go
+++ b/internal/hostlist/hostlist_test.go
@@ -108,6 +108,11 @@
 			w.Header().Set("Content-Length", fmt.Sprint(2*len(line)))
 			fmt.Fprint(w, line)
 		},
+		"cut between chunks": func(w http.ResponseWriter, _ *http.Request) {
+			fmt.Fprint(w, line)
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		},
 		"cut without a length": func(w http.ResponseWriter, _ *http.Request) {
 			conn, _, err := w.(http.Hijacker).Hijack()
 			if err == nil {
