The load tool finds a refusal that broke off

What would be seen: an entry breaks off inside the body of a refusal; the load tool's summary counts "2002 QueueFull" like any other and reports no fault, though the caller got no whole answer.

Cause: readRefusal dropped the error of reading the body, and the outcome came from the header alone.

Test: TestCutRefusalIsFound; before the fix in all four cases no fault, e.g. closed: map[crossed:0 cut:0 doubled:0 late refusal:0 lost:0 no retry-after:0 untrue refusal:0], []

Why it holds: the error ends the request as that of any other answer does; what the refusal's head claims is still held against the referees.

TestCutAnswersAreFound, completions and service answers cut by 0 to 39 bytes at their end and closed in an orderly way, passed before: [DONE] as a whole event, or a JSON document.

--- a/internal/load/send.go
+++ b/internal/load/send.go
@@ -108,7 +108,10 @@
 // read reads and checks an answer whose headers have arrived.
 func (s *sender) read(ctx context.Context, r *result, response *http.Response) {
 	if response.Header.Get(headerCode) != "" {
-		s.readRefusal(r, response)
+		if err := s.readRefusal(r, response); err != nil {
+			r.end = s.now()
+			s.classifyEnd(ctx, r, FaultCut, err)
+		}
 		return
 	}
 	if response.StatusCode != http.StatusOK {
@@ -143,19 +146,21 @@
 	}
 }
 
-func (s *sender) readRefusal(r *result, response *http.Response) {
+// readRefusal returns an error if the refusal broke off.
+func (s *sender) readRefusal(r *result, response *http.Response) error {
 	number, err := strconv.Atoi(response.Header.Get(headerCode))
 	if err != nil {
 		r.fault(FaultCrossed, "malformed %s", headerCode)
-		return
+		return nil
 	}
-	body, _ := io.ReadAll(io.LimitReader(response.Body, maxRefusalBytes))
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxRefusalBytes))
 	r.outcome = codeOutcome(code.Code(number))
 	r.checkBodyID(body)
 	r.refused = response.Header.Get(headerNotRun) == "true"
 	if r.refused && wantsRetryAfter(code.Code(number)) && response.Header.Get(headerRetryAfter) == "" {
 		r.fault(FaultNoRetryAfter, "%s", codeOutcome(code.Code(number)))
 	}
+	return err
 }
 
 // wantsRetryAfter reports whether the same request may succeed later.
