--- a/internal/api/parse_test.go
+++ b/internal/api/parse_test.go
@@ -27,6 +27,22 @@
 	return strings.Split(bad.Error(), "\n")[1:]
 }
 
+// Guards against a file of declarations that was cut and counts as one without the rest: an apply
+// that prunes would delete what is missing.
+func TestCutDeclarationsAreRefused(t *testing.T) {
+	one := declare("Model", "m", `{"version": "1", "memoryMiB": 7}`)
+	for _, text := range []string{one, "[" + one + ", " + one + "]"} {
+		for cut := range text {
+			if resources, err := ParseFile("f", []byte(text[:cut])); err == nil {
+				t.Errorf("%q gives %d resources", text[:cut], len(resources))
+			}
+		}
+		if _, err := ParseFile("f", []byte(text)); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
 func TestParseFileMessages(t *testing.T) {
 	const name63 = "1 to 63 lower-case letters, digits, '-' and '.', beginning and ending with a letter or digit"
 	for _, test := range []struct {
--- a/internal/fleet/encode_test.go
+++ b/internal/fleet/encode_test.go
@@ -51,6 +51,21 @@
 	t.Logf("%d bytes", len(data))
 }
 
+// Guards against a configuration that broke off and counts as one without the rest of its routes.
+func TestCutConfigIsRefused(t *testing.T) {
+	config := largeConfig()
+	config.Routes = config.Routes[:3]
+	data, err := EncodeConfig(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for cut := range data {
+		if got, err := DecodeConfig(data[:cut]); err == nil {
+			t.Fatalf("the first %d of %d bytes give %+v", cut, len(data), got)
+		}
+	}
+}
+
 // A process of another release, or a faulty one, sends data that is not a configuration.
 // Decoding must return an error and must not use up the process's memory.
 func FuzzDecodeConfig(f *testing.F) {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -121,6 +121,26 @@
 	return fields
 }
 
+// Guards against a settings file that was cut while it was written and that counts as one with
+// the defaults for the rest.
+func TestCutSettingsAreRefused(t *testing.T) {
+	for _, file := range []string{entryExample, agentExample} {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		data = data[:strings.LastIndex(string(data), "}")+1]
+		for cut := range data {
+			if _, err := Parse(file, data[:cut]); err == nil {
+				t.Fatalf("%s: its first %d of %d bytes are accepted", file, cut, len(data))
+			}
+		}
+		if _, err := Parse(file, data); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
 // A settings file contains a malformed token, and the process writes the problem to
 // a log that many can read. The token must not be part of the message.
 func TestTokenIsNotShown(t *testing.T) {
