--- a/internal/dev/up.go
+++ b/internal/dev/up.go
@@ -71,6 +71,11 @@
 	if err := u.start(); err != nil {
 		return err
 	}
+	return u.run(ctx)
+}
+
+// run runs the entry and the agents until ctx ends.
+func (u *up) run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	// The entry stops after the agents. As the steward, it records the slots
 	// that they release; without it, they would wait for another steward.
