One decision on the end of a stream for both paths

The gateway and the agent's executor ask sse.Scanner.Incomplete; the content type of a stream is read in one place. No behaviour changes but that the gateway reads the type without regard to case.

--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -23,8 +23,6 @@
 	maxEvent = 4 << 20
 )
 
-const eventStream = "text/event-stream"
-
 // errEventTooLarge ends a run whose stream has an event larger than maxEvent.
 var errEventTooLarge = errors.New("the stream has an event that is too large")
 
@@ -44,11 +42,10 @@
 // isEventStream reports whether a successful answer consists of server-sent
 // events that can be read here.
 func isEventStream(response *http.Response) bool {
-	mediaType, _, _ := strings.Cut(response.Header.Get("Content-Type"), ";")
 	success := response.StatusCode >= 200 && response.StatusCode < 300
 	encoding := response.Header.Get("Content-Encoding")
 	return success && (encoding == "" || strings.EqualFold(encoding, "identity")) &&
-		strings.EqualFold(strings.TrimSpace(mediaType), eventStream)
+		sse.IsMediaType(response.Header.Get("Content-Type"))
 }
 
 // copyBody posts an answer that is complete if its framing says so.
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"io"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -118,7 +117,7 @@
 			return nil, errors.Newf("success response not from the backend server: status %d, sealed %t, encoded %t, id %q",
 				head.Status, head.Sealed, head.Encoded, head.RequestID)
 		}
-		stream := success && strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
+		stream := success && sse.IsMediaType(response.Header.Get("Content-Type"))
 		return &answer{attempt: d.Attempt, send: d, conn: conn, response: response, head: head, framing: framing.Of(response), stream: stream}, nil
 	}
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"io"
 	"net/http"
 	"time"
 
@@ -21,11 +20,7 @@
 	maxEventBytes = 1 << 20
 )
 
-// Why a stream is not complete although its framing ends.
 var (
-	errInsideEvent = errors.New("the stream ended inside an event")
-	errInsideLine  = errors.New("the connection was closed inside a line of the stream")
-	errNoEvent     = errors.New("the connection was closed before an event")
 	// errEventTooLarge means that an event exceeds maxEventBytes.
 	errEventTooLarge = errors.New("an event is too large")
 	// errInexact means that an attempt can't continue a stream where it is.
@@ -156,32 +151,10 @@
 	return true
 }
 
-// streamBreak returns why a stream that ended is not complete, nil if it is.
-//
-// The framing alone does not tell: a server that fails may end its response as usual, and if
-// the response ends with its connection, each end looks like that. Therefore a stream that
-// stops inside an event is never complete. If the connection marks the end, neither is one
-// that stops inside a line, or that has no event.
+// streamBreak returns why a stream whose last read returned err is not complete, nil if it is.
 func streamBreak(end router.AnswerEnd, s *sse.Scanner, err error) error {
-	switch {
-	case !framing.Complete(end.Framing, end.End):
+	if !framing.Complete(end.Framing, end.End) {
 		return err
-	case s.InsideEvent():
-		return closedEarly(end, errInsideEvent)
-	case end.Framing == framing.UntilClose && s.InsideLine():
-		return closedEarly(end, errInsideLine)
-	case end.Framing == framing.UntilClose && s.Events() == 0:
-		return closedEarly(end, errNoEvent)
-	default:
-		return nil
 	}
-}
-
-// closedEarly marks a cause as the end of the connection, if that ended the response: it may be
-// a sign that the server's process ended.
-func closedEarly(end router.AnswerEnd, cause error) error {
-	if end.End == framing.Closed {
-		return errors.Mark(cause, io.ErrUnexpectedEOF)
-	}
-	return cause
+	return s.Incomplete(end.Framing)
 }
--- a/internal/sse/complete.go
+++ b/internal/sse/complete.go
@@ -1,6 +1,8 @@
 package sse
 
 import (
+	"strings"
+
 	"github.com/cockroachdb/errors"
 
 	"nutmeglane.example/nutmeglane/internal/framing"
@@ -13,6 +15,15 @@
 	ErrNoEvent     = errors.New("the connection was closed before an event")
 )
 
+// mediaType is the content type of a stream of server-sent events.
+const mediaType = "text/event-stream"
+
+// IsMediaType reports whether a Content-Type is that of a stream of server-sent events.
+func IsMediaType(contentType string) bool {
+	name, _, _ := strings.Cut(contentType, ";")
+	return strings.EqualFold(strings.TrimSpace(name), mediaType)
+}
+
 // Incomplete returns why a stream is not complete that ended as its framing says, nil if it is.
 //
 // The framing alone does not tell: a server that fails may end its response as usual, and if
--- a/internal/sse/scanner.go
+++ b/internal/sse/scanner.go
@@ -6,6 +6,8 @@
 
 // Scanner splits a stream into blocks. A block ends with an empty line; it is an event if it
 // has a field, and otherwise consists of comments. Lines end with LF, CRLF or CR.
+//
+// The zero value is at the start of a stream.
 type Scanner struct {
 	// buffer holds the bytes from the start of the first block that is not complete. Its
 	// first returned bytes were returned by the last Feed and are dropped by the next one.
