Soak: answers in each framing, broken off anywhere, and callers on raw sockets

Missing: the stand-ins for backend servers answered only as net/http frames answers, and broke them off in two ways, both between events and by an orderly close. Callers used net/http only.

Changed, in internal/soak only: - each answer of a run draws its framing: length, chunks, or neither; - breaksOff breaks answers off inside the head, before, between, inside and after events and before an event's empty line, by an orderly close, a reset, or the mark of the framing's end inside an event. Cuts that no client can tell from an end are not drawn. Until an answer that ends with its connection is whole, a close by its server's crash is a reset, for the same reason; - half of the answers that losesAnswers affects now break off anywhere. An end by an orderly close over HTTP/1.0 tells nothing if the router got SIGKILL meanwhile: it counts as a break; - an answer that reaches its caller as complete must have been completed by a server, and no caller may get a part of an event.

--- a/internal/soak/backend_test.go
+++ b/internal/soak/backend_test.go
@@ -40,7 +40,8 @@
 	losesAnswers
 	// answersTwice sends an extra answer, which belongs to no request, after each answer.
 	answersTwice
-	serverFaults
+	// breaksOff breaks answers off at any place.
+	breaksOff
 )
 
 // backend is a stand-in for a backend server: it registers itself, runs requests
@@ -91,7 +92,7 @@
 	if b.engine != nil {
 		b.engine.restart()
 	}
-	server, instance := &http.Server{Handler: b}, b.instance
+	server, instance := &http.Server{Handler: b, ConnContext: withConn}, b.instance
 	b.server = server
 	b.tasks.Go(func() { _ = server.Serve(l) }) // ends when the server is closed
 	b.tasks.Go(func() { b.register(instance) })
@@ -217,9 +218,14 @@
 	return b.instance
 }
 
+// state returns the instance and the fault of the next answer. Half of the answers that are lost
+// break off at any place instead.
 func (b *backend) state() (instance string, m serverFault) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.fault == losesAnswers && rand.IntN(2) == 0 {
+		return b.instance, breaksOff
+	}
 	return b.instance, b.fault
 }
 
@@ -266,7 +272,7 @@
 		return
 	}
 	time.Sleep(plainWork)
-	b.answer(w, id, current)
+	b.answer(w, r, id, current)
 }
 
 func refuseRun(w http.ResponseWriter, status int) {
@@ -275,7 +281,7 @@
 }
 
 // answer answers a request of a plain service.
-func (b *backend) answer(w http.ResponseWriter, id string, m serverFault) {
+func (b *backend) answer(w http.ResponseWriter, r *http.Request, id string, m serverFault) {
 	if m != noFault && rand.IntN(2) == 0 {
 		m = noFault // half of the requests are not affected
 	}
@@ -287,8 +293,21 @@
 	case answersTwice:
 		b.answerTwice(w, id)
 	default:
-		_, _ = io.WriteString(w, plainBody(id))
+		b.reply(id, m).send(w, r)
+	}
+}
+
+// reply returns the answer of a plain service.
+func (b *backend) reply(id string, m serverFault) reply {
+	p := reply{
+		pieces: []string{plainBody(id)}, framing: framing(rand.IntN(int(framings))),
+		completes: func() { b.checker.answerCompleted(id) },
+	}
+	if m == breaksOff {
+		p.cut = drawCut(p)
+		b.checker.answerCut()
 	}
+	return p
 }
 
 // plainBody returns the answer of a plain service to a request.
@@ -302,6 +321,7 @@
 		panic(err) // every connection of an HTTP/1.1 server can be hijacked
 	}
 	defer func() { _ = conn.Close() }()
+	b.checker.answerCompleted(id)
 	for _, to := range []string{id, "stray-" + id} {
 		writeAnswer(buffer.Writer, to)
 	}
--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -111,14 +111,10 @@
 	}
 	c.world.checker.requestSent(id, a)
 	mustAnswer := c.planned.Load() && !leaves
-	response, err := c.client.Do(request)
-	if err != nil {
-		c.connectionLost(mustAnswer, id, kind, err)
-		return
+	response, body, err := c.send(request)
+	if response != nil {
+		c.checkResponse(id, kind, a, response, body, err)
 	}
-	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
-	c.checkResponse(id, kind, a, response, string(body), err)
 	if err != nil {
 		c.connectionLost(mustAnswer, id, kind, err)
 	}
@@ -182,6 +178,9 @@
 	if response.Header.Get("Server-Leaving") != "" {
 		r.announcements.drainingForwarded(path{a.router, server})
 	}
+	if status == http.StatusOK && cut == nil && !r.hasCompleted(id) {
+		r.reportViolation("%s got an answer as complete, but each answer of a server broke off: %q", id, body)
+	}
 	switch {
 	case body != "" && strings.Contains(body, code.PoisonRequest.String()) && !strings.HasPrefix(id, "poison"):
 		r.reportViolation("%s is a healthy request and was refused as poison: %s", id, body)
@@ -218,6 +217,8 @@
 	switch {
 	case cut == nil && body != whole.String():
 		c.world.checker.reportViolation("%s got a stream that ended as complete: %q", id, body)
+	case body != "" && !strings.HasSuffix(body, "\n\n"):
+		c.world.checker.reportViolation("%s got a part of an event: %q", id, body)
 	case !strings.HasPrefix(whole.String(), body):
 		c.world.checker.reportViolation("%s got other events: %q", id, body)
 	case cut == nil:
--- a/internal/soak/engine_test.go
+++ b/internal/soak/engine_test.go
@@ -3,7 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
-	"io"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
@@ -171,19 +171,29 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	w.Header().Set("Content-Type", "text/event-stream")
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	e.reply(id, last, m).send(w, r)
+}
+
+// reply returns the rest of a stream after the event last.
+func (e *engine) reply(id string, last int, m serverFault) reply {
+	p := reply{
+		pause: eventPause, stream: true, framing: framing(rand.IntN(int(framings))),
+		completes: func() { e.checker.answerCompleted(id) },
+	}
 	for n := last + 1; n <= events; n++ {
-		if r.Context().Err() != nil {
-			return
-		}
-		if m == losesAnswers && n == events/2 {
-			panic(http.ErrAbortHandler)
-		}
-		_, _ = io.WriteString(w, event(id, n)) // a caller that left ends the run
-		_ = http.NewResponseController(w).Flush()
-		time.Sleep(eventPause)
+		p.pieces = append(p.pieces, event(id, n))
+	}
+	switch {
+	case m == losesAnswers && last < events/2:
+		p.framing = byChunks
+		p.cut = &cut{place: betweenPieces, pieces: events/2 - 1 - last}
+	case m == breaksOff:
+		p.cut = drawCut(p)
+		e.checker.answerCut()
 	}
+	return p
 }
 
 func (e *engine) count(n int) {
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -154,9 +154,11 @@
 	})
 }
 
+// misbehave draws none of the faults after answersTwice: a new one would change what earlier
+// seeds play.
 func (f *faults) misbehave(lasts time.Duration) {
 	b := pick(f, f.world.backends())
-	b.setFault(serverFault(1 + f.rand.IntN(int(serverFaults)-1)))
+	b.setFault(serverFault(1 + f.rand.IntN(int(answersTwice))))
 	f.tasks.Go(func() {
 		time.Sleep(lasts)
 		b.setFault(noFault)
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -33,6 +33,8 @@
 	crashes []string
 	// disturbed holds the times of starts and signals.
 	disturbed []time.Time
+	// killed holds the times of SIGKILL.
+	killed []time.Time
 }
 
 func (p *process) start() error {
@@ -108,12 +110,18 @@
 	}
 	p.down = true
 	p.disturbed = append(p.disturbed, time.Now())
+	if s == syscall.SIGKILL {
+		p.killed = append(p.killed, time.Now())
+	}
 	cmd, ended := p.cmd, p.ended
 	_ = cmd.Process.Signal(s)
 	p.mu.Unlock()
 	select {
 	case <-ended:
 	case <-time.After(stopLimit + time.Second):
+		p.mu.Lock()
+		p.killed = append(p.killed, time.Now())
+		p.mu.Unlock()
 		_ = cmd.Process.Signal(syscall.SIGCONT)
 		_ = cmd.Process.Kill()
 		<-ended
@@ -129,6 +137,13 @@
 	return slices.ContainsFunc(p.disturbed, func(d time.Time) bool { return !d.After(at) && at.Sub(d) < span })
 }
 
+// killedSince reports whether the process got SIGKILL after a time.
+func (p *process) killedSince(t time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.killed, func(k time.Time) bool { return k.After(t) })
+}
+
 func (p *process) unexpectedExits() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/soak/result_checker_test.go
+++ b/internal/soak/result_checker_test.go
@@ -33,7 +33,11 @@
 	sentAt map[string]time.Time
 	runs   map[string]int
 	// notRun holds the statuses of requests that were refused as not run.
-	notRun   map[string]string
+	notRun map[string]string
+	// completed holds the requests to which a server sent a complete answer.
+	completed map[string]bool
+	// cuts is the number of answers that broke off.
+	cuts     int
 	served   map[string]int
 	recorded []string
 	// poison holds the times at which servers started to run the poison request.
@@ -50,7 +54,7 @@
 }
 
 func newChecker() *checker {
-	return &checker{asked: map[string]sentRequest{}, sentAt: map[string]time.Time{}, runs: map[string]int{}, notRun: map[string]string{}, served: map[string]int{}, sent: map[string]time.Time{}, limits: newLimits(), announcements: newAnnouncements()}
+	return &checker{asked: map[string]sentRequest{}, sentAt: map[string]time.Time{}, runs: map[string]int{}, notRun: map[string]string{}, completed: map[string]bool{}, served: map[string]int{}, sent: map[string]time.Time{}, limits: newLimits(), announcements: newAnnouncements()}
 }
 
 func (r *checker) reportViolation(format string, args ...any) {
@@ -118,6 +122,32 @@
 	r.notRun[id] = status
 }
 
+// answerCompleted records that a server sends the last bytes of a complete answer.
+func (r *checker) answerCompleted(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.completed[id] = true
+}
+
+// answerCut records that a server breaks an answer off.
+func (r *checker) answerCut() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cuts++
+}
+
+func (r *checker) cutAnswers() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cuts
+}
+
+func (r *checker) hasCompleted(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.completed[id]
+}
+
 func (r *checker) callServed(kind string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -80,6 +80,16 @@
 	}
 }
 
+// Guards against answers that broke off and reach a caller as complete, with a part of an event,
+// or with events out of order, twice or missing, during the faults of a seed. Servers frame their
+// answers in each way and break them off at any place.
+func TestAnswersBreakOffAmongFaults(t *testing.T) {
+	for i := range *seedCount {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, seed, breakAnswers) })
+	}
+}
+
 // boundSeeds are seeds that exceeded the bound of the busy account by up to 29%: routers and
 // loaders are stopped or killed several times within some seconds.
 var boundSeeds = []uint64{118, 401, 435, 488}
@@ -270,8 +280,8 @@
 	broken = append(broken, w.checker.limits.violations(w.exempt)...)
 	broken = append(broken, w.checker.announcements.violations(w.disturbedBetween)...)
 	served := w.checker.counts()
-	t.Logf("seed %d: %d faults, %d requests, served %v, servers crashed by a poison request: %d, worst window of the busy account: %d of %d",
-		seed, len(f.log), w.checker.requests(), served, w.checker.poisonEnds(), w.checker.busiest(), int(busyBound))
+	t.Logf("seed %d: %d faults, %d requests, served %v, answers broken off: %d, servers crashed by a poison request: %d, worst window of the busy account: %d of %d",
+		seed, len(f.log), w.checker.requests(), served, w.checker.cutAnswers(), w.checker.poisonEnds(), w.checker.busiest(), int(busyBound))
 	if len(broken) == 0 && !*keepLogs {
 		if err := os.RemoveAll(w.dir); err != nil {
 			t.Error(err)
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -110,7 +110,7 @@
 		address: fmt.Sprintf("%s:%d", host, serverPort), store: w.store, checker: w.checker,
 		engine: &engine{name: name, checker: w.checker},
 	}
-	w.link(name, host, serverPort, at)
+	w.resettingLink(name, b.address, at)
 	w.link("loader"+name, host, loaderPort, fmt.Sprintf("%s:%d", host, loaderPort+relayOffset))
 	w.engines = append(w.engines, b)
 	w.check(b.start())
@@ -127,7 +127,7 @@
 		listen:  fmt.Sprintf("%s:%d", host, serverPort+relayOffset),
 		address: fmt.Sprintf("%s:%d", host, serverPort), store: w.store, checker: w.checker,
 	}
-	w.link(b.name, host, serverPort, b.listen)
+	w.resettingLink(b.name, b.address, b.listen)
 	w.plains = append(w.plains, b)
 	w.check(b.start())
 }
