Tests: a server that closes after its answer announces it

TestBrokenWriteResponseFails failed once in five runs with -race, in its cases of a whole answer ("length, whole": Post ".../nutmeglane/kv-txn": EOF): PutNote makes two calls, and framingtest.Server closed the connection without having said so while the client sent the second one over it. Its complete responses now have "Connection: close".

--- a/internal/engine/brokenoff_test.go
+++ b/internal/engine/brokenoff_test.go
@@ -16,7 +16,7 @@
 // startRaw returns an Executor whose backend server is the given one.
 func startRaw(t *testing.T, kind core.BackendKind, s *framingtest.Server) *fixture {
 	return start(t, http.NotFoundHandler(), func(o *engine.Options) {
-		o.URL, o.Kind = s.URL(), kind
+		o.URL, o.Kind, o.InventoryTimeout = s.URL(), kind, testTimeout
 	})
 }
 
--- a/internal/framing/framingtest/framingtest.go
+++ b/internal/framing/framingtest/framingtest.go
@@ -101,9 +101,10 @@
 }
 
 // Response returns a complete response with the status and the body in a framing. Header holds
-// further fields, each with its line end.
+// further fields, each with its line end. It announces the close of the connection: a client
+// could otherwise send its next request just before that.
 func Response(kind framing.Kind, status int, header, body string) string {
-	head := fmt.Sprintf("HTTP/1.1 %d %s\r\n%s", status, http.StatusText(status), header)
+	head := fmt.Sprintf("HTTP/1.1 %d %s\r\nConnection: close\r\n%s", status, http.StatusText(status), header)
 	switch kind {
 	case framing.Length:
 		return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
--- a/internal/kv/brokenoff_test.go
+++ b/internal/kv/brokenoff_test.go
@@ -52,7 +52,7 @@
 				if whole {
 					want = code.OK
 				}
-				err := test.call(t, newClient(t, s.URL(), kv.ClientOptions{}))
+				err := test.call(t, newClient(t, s.URL(), kv.ClientOptions{CallTimeout: testTimeout}))
 				if kv.CodeOf(err) != want {
 					t.Errorf("%v, want code %d", err, want)
 				}
@@ -66,7 +66,7 @@
 func TestBrokenConflict(t *testing.T) {
 	const current = `{"key":"k","value":"dg==","revision":4}`
 	framingtest.EachCut(t, http.StatusConflict, "", current, func(t *testing.T, s *framingtest.Server, whole bool) {
-		item, err := newClient(t, s.URL(), kv.ClientOptions{}).Cas(t.Context(), kv.CasRequest{Key: "k"})
+		item, err := newClient(t, s.URL(), kv.ClientOptions{CallTimeout: testTimeout}).Cas(t.Context(), kv.CasRequest{Key: "k"})
 		var failure *kv.Error
 		if !errors.As(err, &failure) {
 			t.Fatalf("%v", err)
