Soak: callers take up streams at other routers while releases differ

Engines name their release in the registry and in each event; they restart with another one, and break answers off; callers take up what broke off with Resumes, each time at another router; the checker knows a stream of several releases, within an answer and over tries.

--- a/internal/soak/backend_test.go
+++ b/internal/soak/backend_test.go
@@ -72,6 +72,8 @@
 	announcesDraining bool
 	backoff           string
 	backoffEnds       time.Time
+	// severalReleases is set if each new instance draws its release.
+	severalReleases bool
 
 	server *http.Server
 	life   int
@@ -90,7 +92,7 @@
 	b.instance, b.draining, b.left, b.limit = fmt.Sprintf("%s-%d", b.name, b.life), false, false, ""
 	b.announcesDraining, b.backoffEnds = false, time.Time{}
 	if b.engine != nil {
-		b.engine.restart()
+		b.engine.restart(b.drawRelease())
 	}
 	server, instance := &http.Server{Handler: b, ConnContext: withConn}, b.instance
 	b.server = server
@@ -177,6 +179,7 @@
 	Service string      `json:"service"`
 	Address string      `json:"address"`
 	Zone    string      `json:"zone"`
+	Version string      `json:"version"`
 	Slots   int         `json:"slots"`
 	State   string      `json:"state"`
 	Models  []heldModel `json:"models"`
@@ -196,7 +199,7 @@
 		entry.State = "draining"
 	}
 	if b.engine != nil {
-		entry.Models = b.engine.held()
+		entry.Models, entry.Version = b.engine.held(), b.engine.softwareRelease()
 	}
 	b.store.put("servers/"+instance, entry)
 	return true
--- a/internal/soak/breakoff_test.go
+++ b/internal/soak/breakoff_test.go
@@ -115,7 +115,7 @@
 
 // Guards against a break that no client could see, for which the soak would blame a router.
 func TestCutsShow(t *testing.T) {
-	body := []string{event("r", 1), event("r", 2)}
+	body := []string{event("r", 1, firstRelease), event("r", 2, firstRelease)}
 	tests := []struct {
 		name  string
 		reply reply
@@ -149,7 +149,7 @@
 	}
 	// Fewer show if the answer ends with its connection: not an orderly close between two events.
 	for f, want := range map[framing]int{byLength: 18, byChunks: 18, untilClose: 17} {
-		p := reply{pieces: []string{event("r", 1), event("r", 2)}, stream: true, framing: f}
+		p := reply{pieces: []string{event("r", 1, firstRelease), event("r", 2, firstRelease)}, stream: true, framing: f}
 		drawn := map[way]int{}
 		for range draws {
 			c := drawCut(p)
--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -210,11 +210,14 @@
 // checkStream checks that a stream consists of all events in order, or of the first
 // ones if it was interrupted.
 func (c *caller) checkStream(id, body string, cut error, kind string) {
+	release, one := releaseOf(body)
 	var whole strings.Builder
 	for n := 1; n <= events; n++ {
-		whole.WriteString(event(id, n))
+		whole.WriteString(event(id, n, release))
 	}
 	switch {
+	case !one:
+		c.world.checker.reportViolation("%s got events of several releases: %q", id, body)
 	case cut == nil && body != whole.String():
 		c.world.checker.reportViolation("%s got a stream that ended as complete: %q", id, body)
 	case body != "" && !strings.HasSuffix(body, "\n\n"):
--- a/internal/soak/engine_test.go
+++ b/internal/soak/engine_test.go
@@ -42,18 +42,26 @@
 	onDisk []string
 	busy   bool
 	seq    int64
+	// release is the version of its software, which each of its events names.
+	release string
 	// life counts restarts; an order of an earlier life has no effect.
 	life    int
 	running int
 }
 
-func (e *engine) restart() {
+func (e *engine) restart(release string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.loaded, e.busy, e.seq = nil, false, 0
+	e.loaded, e.busy, e.seq, e.release = nil, false, 0, release
 	e.life++
 }
 
+func (e *engine) softwareRelease() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.release
+}
+
 func (e *engine) held() []heldModel {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -160,8 +168,11 @@
 	})
 }
 
-// event returns the event number n of the stream of a request, with n as event id.
-func event(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s/%d\n\n", n, id, n) }
+// event returns the event number n of the stream of a request, with n as event id, as a release
+// of the engine writes it.
+func event(id string, n int, release string) string {
+	return fmt.Sprintf("id: %d\ndata: %s/%d%s%s\n\n", n, id, n, releaseMark, release)
+}
 
 // stream sends the events of a run, starting after Last-Event-Id.
 func (e *engine) stream(w http.ResponseWriter, r *http.Request, id string, m serverFault) {
@@ -182,8 +193,9 @@
 		pause: eventPause, stream: true, framing: framing(rand.IntN(int(framings))),
 		completes: func() { e.checker.answerCompleted(id) },
 	}
+	release := e.softwareRelease()
 	for n := last + 1; n <= events; n++ {
-		p.pieces = append(p.pieces, event(id, n))
+		p.pieces = append(p.pieces, event(id, n, release))
 	}
 	switch {
 	case m == losesAnswers && last < events/2:
--- a/internal/soak/report_test.go
+++ b/internal/soak/report_test.go
@@ -17,7 +17,7 @@
 	e := &engine{name: "engine", checker: newChecker(), onDisk: []string{"m0"}}
 	var torn atomic.Bool
 	for range loads {
-		e.restart()
+		e.restart(firstRelease)
 		e.mu.Lock()
 		e.load("m0")
 		e.mu.Unlock()
