--- a/internal/router/origin.go
+++ b/internal/router/origin.go
@@ -39,6 +39,8 @@
 	// originRetryAfter is the Retry-After of a caller whose stream's release is unknown. By
 	// then the news of it, if there are any, have reached the loaders.
 	originRetryAfter = 100 * time.Millisecond
+	// freshRegistry is the age up to which the registry counts as read just now.
+	freshRegistry = time.Second
 	// maxOrigins bounds the streams that a router remembers, some 120 bytes each. The oldest
 	// are dropped first.
 	maxOrigins = 1 << 16
@@ -118,12 +120,15 @@
 	}
 }
 
-// originsAreKept reports whether any loader keeps origins, as far as known. Without loaders, or
-// with those of an older build, what this router sees of the registry must do.
+// originsAreKept reports whether a loader may know the origin of a stream. Without loaders, or with
+// those of an older build, what this router sees of the registry must do. So must a registry that
+// was read just now while no loader has reported yet, as when all processes start.
 func (r *Router) originsAreKept() bool {
-	reporting := func(l *loader) bool { return l.holdings != nil }
-	return slices.ContainsFunc(r.sortedLoaders(), func(l *loader) bool { return reporting(l) && l.holdings.KeepsOrigins }) ||
-		len(r.loaders) > 0 && !slices.ContainsFunc(r.sortedLoaders(), reporting)
+	reporting := slices.ContainsFunc(r.sortedLoaders(), func(l *loader) bool { return l.holdings != nil })
+	if !reporting {
+		return len(r.loaders) > 0 && r.now.Sub(r.storeAnsweredAt) > freshRegistry
+	}
+	return slices.ContainsFunc(r.sortedLoaders(), func(l *loader) bool { return l.holdings != nil && l.holdings.KeepsOrigins })
 }
 
 // assumeOnlyRelease binds a request to the only release that this router knows. It refuses the
--- a/internal/router/origin_test.go
+++ b/internal/router/origin_test.go
@@ -339,3 +339,24 @@
 		}
 	}
 }
+
+// Guards against callers who lose their streams when all processes start again: while no loader has
+// reported yet, a registry that was read just now tells which releases there are.
+func TestStreamIsTakenUpBeforeLoadersReport(t *testing.T) {
+	for age, want := range map[time.Duration]code.Code{0: code.OK, 2 * freshRegistry: code.UnknownOrigin} {
+		w := newFixture(t)
+		w.step(StoreState{Reachable: true})
+		list := map[string]fleet.Backend{}
+		for i := range 2 {
+			b := w.server(engineService, i)
+			b.Models = []fleet.LoadedModel{{Name: "m0"}}
+			list[b.Instance] = b
+		}
+		w.step(BackendsRead{Backends: list})
+		w.now = w.now.Add(age)
+		key := w.takeUp("patient", "elsewhere")
+		if got := w.refusal(key); got != want {
+			t.Errorf("%v after the registry was read: ended with %v, want %v", age, got, want)
+		}
+	}
+}
