The test's balancer asks the entries once more

Traced by printing the balancer's questions: entry1 was asked before it was ready again, entry2 after its SIGTERM, one after the other; one of them was ready at every moment, as the script sees to. No product code was involved.

The balancer now asks a second time before it gives a caller up.

--- a/internal/scenario/relay_test.go
+++ b/internal/scenario/relay_test.go
@@ -34,8 +34,24 @@
 	return b
 }
 
-// connect dials the targets in rotation.
+// connectRounds is how often connect asks the targets. The targets are asked one after the
+// other, so none of them may report ready in one round although one of them always was: the
+// first became ready after it was asked, the second began to stop before it was. In the next
+// round the first is ready.
+const connectRounds = 2
+
+// connect returns a connection to one of the targets.
 func (b *scriptRelay) connect() (net.Conn, error) {
+	for range connectRounds {
+		if conn := b.connectOnce(); conn != nil {
+			return conn, nil
+		}
+	}
+	return nil, errors.New("no target accepts connections")
+}
+
+// connectOnce dials the targets in rotation. It returns nil if none accepts connections.
+func (b *scriptRelay) connectOnce() net.Conn {
 	b.mu.Lock()
 	targets := slices.Concat(b.targets[b.next:], b.targets[:b.next])
 	b.next = (b.next + 1) % max(1, len(b.targets))
@@ -45,10 +61,10 @@
 			continue
 		}
 		if conn, err := net.Dial("tcp", target); err == nil {
-			return conn, nil
+			return conn
 		}
 	}
-	return nil, errors.New("no target accepts connections")
+	return nil
 }
 
 func isReady(target string) bool {
