Releases are checked after changes and with each plan, not with each tick

With 3,480 routes and 600 engines each tick of 50 ms walked all routes and all servers. The lives of streams are worked out with each configuration.

--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -124,6 +124,7 @@
 	if !entry.Release.Known {
 		entry.Release = b.Release
 	}
+	r.releasesChanged = r.releasesChanged || entry.Release != b.Release || b.unlistedAt != 0 || b.foundAt == r.now
 	r.setAddress(b, entry.Address)
 	b.Backend, b.lapsed, b.aliveAt = entry, false, r.now
 	if !b.replaced {
@@ -200,7 +201,7 @@
 }
 
 func (r *Router) unlist(b *backend, why string) {
-	b.unlistedAt = r.now
+	b.unlistedAt, r.releasesChanged = r.now, true
 	if b.replaced || len(b.lost) > 0 {
 		r.serverEnded(b, why)
 	}
--- a/internal/router/origin.go
+++ b/internal/router/origin.go
@@ -232,7 +232,7 @@
 		return
 	}
 	stream := origin.NewStream(req.id, req.route.Name, req.service, req.accountName())
-	life := r.streamLife(req.service)
+	life := r.streamLives[req.service]
 	r.origins.Put(r.now, stream, req.release.Name, life)
 	if r.service(req.service).releases.several {
 		record := r.originRecord(stream, req.release.Name, life)
--- a/internal/router/origin_test.go
+++ b/internal/router/origin_test.go
@@ -145,7 +145,7 @@
 	w.keepers(2)
 	w.run(100 * time.Millisecond)
 	w.step(BackendsChanged{Removed: map[string]bool{"s0": true}})
-	life := w.router.streamLife(engineService)
+	life := w.router.streamLives[engineService]
 	w.run(life - time.Second)
 	if _, only := w.router.onlyRelease(engineService); only {
 		t.Error("one release counts before the last streams of the other have ended")
--- a/internal/router/releases.go
+++ b/internal/router/releases.go
@@ -38,31 +38,30 @@
 	published core.Time
 }
 
-// streamLife is the longest time from the beginning of a stream of a service to the last try
-// of its caller to take it up, 0 if no route allows that.
-func (r *Router) streamLife(service string) time.Duration {
-	longest := time.Duration(0)
+// setStreamLives determines the longest time from the beginning of a stream of each service to
+// the last try of its caller to take it up. Services without such streams have none.
+func (r *Router) setStreamLives() {
+	r.streamLives = map[string]time.Duration{}
 	for i := range r.config.Routes {
 		route := &r.config.Routes[i]
-		serves := slices.ContainsFunc(route.Targets, func(t fleet.Target) bool { return t.Service == service })
-		if serves && route.Kind == fleet.Stream && route.Resumable {
-			longest = max(longest, route.Timeout)
+		if route.Kind != fleet.Stream || !route.Resumable {
+			continue
+		}
+		for _, t := range route.Targets {
+			r.streamLives[t.Service] = max(r.streamLives[t.Service], tryFactor*route.Timeout)
 		}
 	}
-	return tryFactor * longest
 }
 
 // checkReleases updates the releases of all services, and tells the keepers of origins and the
 // store what they need while a service has several.
 func (r *Router) checkReleases() {
-	if r.config == nil {
+	if !r.releasesChanged && r.now < r.nextPlan {
 		return
 	}
-	for _, name := range slices.Sorted(maps.Keys(r.services)) {
-		life := r.streamLife(name)
-		if life == 0 {
-			continue
-		}
+	r.releasesChanged = false
+	for _, name := range slices.Sorted(maps.Keys(r.streamLives)) {
+		life := r.streamLives[name]
 		h := &r.service(name).releases
 		r.updateReleases(name, h, life)
 		several := len(r.possibleReleases(name)) > 1 || r.now < h.notedUntil
--- a/internal/router/restart.go
+++ b/internal/router/restart.go
@@ -47,7 +47,7 @@
 	r.serverEnded(b, "it started again")
 	b.lost, b.endedAt = nil, 0
 	b.Born, b.Models, b.Draining, b.SlowFor = incarnation.Born, nil, false, 0
-	b.Release = fleet.Release{}
+	b.Release, r.releasesChanged = fleet.Release{}, true
 	b.queue, b.cache, b.pace = work.Queue{}, work.NewCache(r.kvTokens(b.Service)), 1
 	b.latency, b.load = 0, nil
 	r.dropLimit(b)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -110,6 +110,10 @@
 	// platform's store.
 	published map[core.Fingerprint]core.Time
 
+	// streamLives are the longest times within which callers may take up streams, by service.
+	streamLives map[string]time.Duration
+	// releasesChanged is set if servers' releases are to be checked with the next tick.
+	releasesChanged bool
 	// origins are the streams that this router began, with their releases.
 	origins *origin.Table
 
@@ -301,6 +305,7 @@
 	for name := range config.Services {
 		r.service(name)
 	}
+	r.setStreamLives()
 	r.setSpecs()
 	r.setQuotas(config.Accounts)
 	r.setAccounts(config.Accounts)
