Ends of servers count against parts of prompts, as knowledge only

What callers saw: engines crash one after the other under requests that are all different. Cause: not shown yet. The logs do not say which parts the lost requests have, nor which parts were answered well meanwhile. Change: the ledger of package poison holds suspects of two kinds, whole requests and parts of prompts; ends carry the parts of lost requests; an answer that a server wrote and outlived takes earlier ends off its parts. Clearing is by time in place of by a list of server lives, which also covers ends that are reported later. No decision on a request changes: parts are never poison yet. Result: own tests; nothing measured. Conclusion: the hypotheses can be told apart by logs and dump.

--- a/internal/core/poison.go
+++ b/internal/core/poison.go
@@ -11,8 +11,9 @@
 // This file defines the messages between routers about servers that ended while requests
 // ran on them.
 
-// Fingerprint identifies requests for the same work. A caller that sends a request again
-// gives it a new id, but the credentials, the path and the body stay the same.
+// Fingerprint identifies what may crash the servers that run it: the whole of a request, or a
+// part of its prompt. A caller that sends a request again gives it a new id, but the
+// credentials, the path and the body stay the same. Different requests may hold the same part.
 type Fingerprint uint64
 
 // String returns the form that is used in logs and by operators: 16 hexadecimal digits.
@@ -48,6 +49,19 @@
 	Ago time.Duration `cbor:"5,keyasint,omitempty"`
 	// Requests are those that the router lost there.
 	Requests []LostRequest `cbor:"6,keyasint"`
+	// Parts are the parts of these requests' prompts on which the server may have begun to
+	// write when it ended.
+	Parts []LostPart `cbor:"7,keyasint,omitempty"`
+}
+
+// LostPart is a part of prompts that requests held when their server ended.
+type LostPart struct {
+	_    struct{} `cbor:",toarray"`
+	Part Fingerprint
+	// Depth is the position of the part in the prompt, from 0.
+	Depth uint16
+	// Holders are the requests that hold it, as indexes of ServerEnd.Requests.
+	Holders []uint16
 }
 
 // LostRequest is a request that was at a server when the server ended.
@@ -74,9 +88,22 @@
 // the platform's store keeps it when all processes have ended.
 type PoisonNews struct {
 	Ends []ServerEnd `cbor:"1,keyasint,omitempty"`
-	// Cleared are requests that are not poison after all: one was served, or an operator
-	// cleared it.
+	// Cleared are requests and parts that an operator cleared, and requests that were served
+	// completely.
 	Cleared []Fingerprint `cbor:"2,keyasint,omitempty"`
+	// Harmless are suspects that a server answered.
+	Harmless []Harmless `cbor:"3,keyasint,omitempty"`
+}
+
+// Harmless reports that a server began to write an answer on a suspect and continued to run.
+// Servers that ended before count no longer against the suspect.
+type Harmless struct {
+	_       struct{} `cbor:",toarray"`
+	Suspect Fingerprint
+	// Ago is how long before the message was sent the server began to write.
+	Ago time.Duration
+	// Server is the instance of the server, "" if an operator cleared the suspect.
+	Server string
 }
 
 func (PoisonNews) message() {}
--- a/internal/daemon/notes.go
+++ b/internal/daemon/notes.go
@@ -164,6 +164,7 @@
 		}
 		all.Ends = append(all.Ends, news.Ends...)
 		all.Cleared = append(all.Cleared, news.Cleared...)
+		all.Harmless = append(all.Harmless, news.Harmless...)
 	}
 	return all
 }
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -270,13 +270,13 @@
 	}
 }
 
-// sendPoisonEnds sends a router that has just connected the server ends under poison
-// requests that others reported. A router that has just started would otherwise let such
+// sendPoisonEnds sends a router that has just connected the server ends that others
+// reported, and what is known to be harmless. A router that has just started would otherwise let such
 // a request end three more servers before it knew the request.
 func (l *Loader) sendPoisonEnds(router core.HostID) {
 	l.ledger.Expire(l.now)
-	if ends := l.ledger.All(l.now); len(ends) > 0 {
-		l.emit(Forward{Routers: []core.HostID{router}, Message: core.PoisonNews{Ends: ends}})
+	if news := l.ledger.All(l.now); len(news.Ends) > 0 {
+		l.emit(Forward{Routers: []core.HostID{router}, Message: news})
 	}
 }
 
--- a/internal/poison/expire.go
+++ b/internal/poison/expire.go
@@ -11,39 +11,65 @@
 // This file removes data: what was cleared, what has not been seen for long, and what
 // exceeds the size limit.
 
-// RecordArrival records that a request has arrived again.
+// RecordArrival records that a suspect has arrived again.
 func (l *Ledger) RecordArrival(now core.Time, f core.Fingerprint) {
-	if r := l.requests[f]; r != nil {
+	if r := l.suspects[f]; r != nil {
 		r.seen = now
 	}
 }
 
-// Clear removes the ends recorded for a request that is known to be harmless. It reports
+// Clear removes the ends recorded for a suspect that is known to be harmless. It reports
 // whether there were any.
 func (l *Ledger) Clear(now core.Time, f core.Fingerprint) bool {
-	r := l.requests[f]
-	if r == nil {
-		return false
+	return l.clearUntil(f, now, "") > 0
+}
+
+// Served records that a server began to write an answer on a suspect at a time and continued
+// to run. It returns the number of ends that no longer count.
+func (l *Ledger) Served(f core.Fingerprint, at core.Time, server string) int {
+	return l.clearUntil(f, at, server)
+}
+
+// clearUntil makes the ends of a suspect up to a time not count, also those that are reported
+// later. It returns how many of the recorded ones counted before.
+func (l *Ledger) clearUntil(f core.Fingerprint, at core.Time, by string) int {
+	r := l.suspects[f]
+	if r == nil || at <= r.clearedUntil {
+		return 0
 	}
-	lives := l.cleared[f].lives
-	for _, e := range r.ends {
-		lives = append(lives, e.Life)
+	r.clearedUntil, r.clearedBy = at, by
+	before := len(r.ends)
+	r.ends = slices.DeleteFunc(r.ends, func(e *end) bool {
+		if e.at > at {
+			return false
+		}
+		l.dropLost(e, f)
+		return true
+	})
+	if len(r.ends) < Threshold {
+		delete(l.candidates, f)
+		delete(l.found, f)
 	}
-	l.cleared[f] = clearance{now, lives}
-	l.drop(f)
-	return true
+	return before - len(r.ends)
 }
 
-// drop removes a request.
+// drop removes a suspect.
 func (l *Ledger) drop(f core.Fingerprint) {
-	r := l.requests[f]
-	delete(l.requests, f)
+	r := l.suspects[f]
+	delete(l.suspects, f)
+	delete(l.candidates, f)
+	delete(l.found, f)
 	for _, e := range r.ends {
-		delete(e.lost, f)
-		l.dropEmpty(e)
+		l.dropLost(e, f)
 	}
 }
 
+// dropLost removes a suspect from an end, and the end if it was the last one there.
+func (l *Ledger) dropLost(e *end, f core.Fingerprint) {
+	delete(e.lost, f)
+	l.dropEmpty(e)
+}
+
 func (l *Ledger) dropEmpty(e *end) {
 	if len(e.lost) > 0 {
 		return
@@ -57,23 +83,22 @@
 
 // Expire removes what has not been seen for Retention.
 func (l *Ledger) Expire(now core.Time) {
-	for _, f := range slices.Sorted(maps.Keys(l.requests)) {
-		if now.Sub(l.requests[f].seen) >= Retention {
+	for _, f := range slices.Sorted(maps.Keys(l.suspects)) {
+		if now.Sub(l.suspects[f].seen) >= Retention {
 			l.drop(f)
 		}
 	}
-	maps.DeleteFunc(l.cleared, func(_ core.Fingerprint, c clearance) bool { return now.Sub(c.at) >= Retention })
 }
 
-// evictExcess removes the requests with the fewest ends beyond maxRequests.
+// evictExcess removes the suspects with the fewest ends beyond maxSuspects.
 func (l *Ledger) evictExcess() {
-	if len(l.requests) <= maxRequests {
+	if len(l.suspects) <= maxSuspects {
 		return
 	}
-	// Removes more than needed, so that not each new end has to sort all requests.
-	excess := len(l.requests) - maxRequests*7/8
-	byWorth := slices.SortedFunc(maps.Keys(l.requests), func(a, b core.Fingerprint) int {
-		x, y := l.requests[a], l.requests[b]
+	// Removes more than needed, so that not each new end has to sort all suspects.
+	excess := len(l.suspects) - maxSuspects*7/8
+	byWorth := slices.SortedFunc(maps.Keys(l.suspects), func(a, b core.Fingerprint) int {
+		x, y := l.suspects[a], l.suspects[b]
 		return cmp.Or(cmp.Compare(len(x.ends), len(y.ends)), cmp.Compare(x.seen, y.seen), cmp.Compare(a, b))
 	})
 	for _, f := range byWorth[:excess] {
--- a/internal/poison/export.go
+++ b/internal/poison/export.go
@@ -10,66 +10,135 @@
 
 // This file exports the recorded ends to other processes and to operators.
 
-// Evidence returns the ends of servers on which a request ran, without other requests.
+const (
+	// maxEvidence is the largest number of ends that are exported as evidence against one
+	// suspect, the newest ones, and maxEvidenceHolders that of its holders at each.
+	maxEvidence        = 16
+	maxEvidenceHolders = 4
+)
+
+// Evidence returns the ends of servers on which a suspect ran, without other suspects.
 func (l *Ledger) Evidence(now core.Time, f core.Fingerprint) []core.ServerEnd {
-	r := l.requests[f]
+	r := l.suspects[f]
 	if r == nil {
 		return nil
 	}
 	var ends []core.ServerEnd
-	for _, e := range r.ends {
-		ends = append(ends, e.message(now, f))
+	for _, e := range r.ends[max(0, len(r.ends)-maxEvidence):] {
+		ends = append(ends, e.evidence(now, f, r))
 	}
 	return ends
 }
 
-// All returns all recorded ends, for a process that has none yet.
-func (l *Ledger) All(now core.Time) []core.ServerEnd {
-	var all []core.ServerEnd
+func (e *end) evidence(now core.Time, f core.Fingerprint, r *record) core.ServerEnd {
+	message := e.message(now)
+	holders := e.lost[f]
+	message.Requests = slices.Clone(holders[:min(len(holders), maxEvidenceHolders)])
+	if r.kind == Part {
+		message.Parts = []core.LostPart{{Part: f, Depth: r.depth, Holders: indexes(len(message.Requests))}}
+	}
+	return message
+}
+
+// indexes returns the numbers from 0 to n-1.
+func indexes(n int) []uint16 {
+	all := make([]uint16, n)
+	for i := range all {
+		all[i] = uint16(i)
+	}
+	return all
+}
+
+// All returns all that is recorded, for a process that has nothing yet.
+func (l *Ledger) All(now core.Time) core.PoisonNews {
+	var news core.PoisonNews
 	for _, instance := range slices.Sorted(maps.Keys(l.ends)) {
 		for _, e := range l.ends[instance] {
-			all = append(all, e.message(now, slices.Sorted(maps.Keys(e.lost))...))
+			news.Ends = append(news.Ends, l.whole(now, e))
 		}
 	}
-	return all
+	for _, f := range slices.Sorted(maps.Keys(l.suspects)) {
+		if r := l.suspects[f]; r.clearedUntil != always {
+			news.Harmless = append(news.Harmless, core.Harmless{Suspect: f, Ago: now.Sub(r.clearedUntil), Server: r.clearedBy})
+		}
+	}
+	return news
 }
 
-// message returns the end as sent to other processes, with the given requests.
-func (e *end) message(now core.Time, requests ...core.Fingerprint) core.ServerEnd {
-	message := e.ServerEnd
-	message.Ago, message.Requests = now.Sub(e.at), nil
-	for _, f := range requests {
-		message.Requests = append(message.Requests, core.LostRequest{Fingerprint: f, Age: e.lost[f].age, Arrival: e.lost[f].arrival})
+// whole returns an end as sent to other processes, with all suspects.
+func (l *Ledger) whole(now core.Time, e *end) core.ServerEnd {
+	message := e.message(now)
+	index := map[core.Fingerprint]uint16{}
+	add := func(holder core.LostRequest) uint16 {
+		i, known := index[holder.Fingerprint]
+		if !known {
+			i = uint16(len(message.Requests))
+			index[holder.Fingerprint] = i
+			message.Requests = append(message.Requests, holder)
+		}
+		return i
+	}
+	for _, f := range slices.Sorted(maps.Keys(e.lost)) {
+		part := core.LostPart{Part: f, Depth: l.suspects[f].depth}
+		for _, holder := range e.lost[f] {
+			part.Holders = append(part.Holders, add(holder))
+		}
+		if l.suspects[f].kind == Part {
+			message.Parts = append(message.Parts, part)
+		}
 	}
 	return message
 }
 
-// Entry is the dump of one request.
+// message returns the end as sent to other processes, without suspects.
+func (e *end) message(now core.Time) core.ServerEnd {
+	message := e.ServerEnd
+	message.Ago = now.Sub(e.at)
+	return message
+}
+
+// Entry is the dump of one suspect.
 type Entry struct {
-	Request string
-	Poison  bool
-	// Ends is the number of servers that ended under it, Servers their instances.
-	Ends    int
-	Servers []string
-	// FirstEnd is how long ago the first of them ended, Seen how long ago the request
-	// was last seen.
+	// Kind is "request" or "part", Suspect its fingerprint, Name the part as callers call
+	// it, if this process knows it.
+	Kind, Suspect, Name string
+	Poison              bool
+	// Ends is the number of servers that ended under it and count, Servers their instances.
+	// Holders is the number of requests that held it there.
+	Ends, Holders int
+	Servers       []string
+	// FirstEnd is how long ago the first of them ended, Seen how long ago the suspect was
+	// last seen.
 	FirstEnd, Seen time.Duration
+	// HarmlessFor is how long ago the server HarmlessAt wrote on it and continued to run, 0
+	// if none is known to have done so.
+	HarmlessFor time.Duration
+	HarmlessAt  string
 }
 
-// Dump returns the requests under which at least two servers ended.
+// Dump returns the suspects under which at least two servers ended.
 func (l *Ledger) Dump(now core.Time) []Entry {
 	var entries []Entry
-	for _, f := range slices.Sorted(maps.Keys(l.requests)) {
-		r := l.requests[f]
-		if len(r.ends) < 2 {
-			continue
+	for _, f := range slices.Sorted(maps.Keys(l.suspects)) {
+		if r := l.suspects[f]; len(r.ends) >= 2 {
+			entries = append(entries, l.entry(now, f, r))
 		}
-		entry := Entry{Request: f.String(), Poison: l.Poison(f), Ends: len(r.ends), Seen: now.Sub(r.seen)}
-		for _, e := range r.ends {
-			entry.Servers = append(entry.Servers, e.Life.Instance)
-			entry.FirstEnd = max(entry.FirstEnd, now.Sub(e.at))
-		}
-		entries = append(entries, entry)
 	}
 	return entries
 }
+
+func (l *Ledger) entry(now core.Time, f core.Fingerprint, r *record) Entry {
+	entry := Entry{
+		Kind: r.kind.String(), Suspect: f.String(), Name: r.name, Poison: l.Poison(now, f),
+		Ends: len(r.ends), Seen: now.Sub(r.seen),
+	}
+	for _, e := range r.ends {
+		entry.Servers = append(entry.Servers, e.Life.Instance)
+		entry.Holders += len(e.lost[f])
+		entry.FirstEnd = max(entry.FirstEnd, now.Sub(e.at))
+	}
+	if r.clearedUntil != always {
+		entry.HarmlessFor, entry.HarmlessAt = now.Sub(r.clearedUntil), r.clearedBy
+	}
+	return entry
+}
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -31,7 +31,7 @@
 
 func checkPoison(t *testing.T, l *Ledger, f core.Fingerprint, want bool) {
 	t.Helper()
-	if got := l.Poison(f); got != want {
+	if got := l.Poison(start, f); got != want {
 		t.Errorf("request %d with %d ends: poison %t, want %t", f, l.Ends(f), got, want)
 	}
 }
@@ -42,10 +42,12 @@
 	l := New()
 	addAll(l, serverEnd("a", 1, 2), serverEnd("b", 1), serverEnd("b", 1), serverEnd("b", 3))
 	checkPoison(t, l, 1, false)
-	if got := l.Add(start, serverEnd("c", 1, 4)); !cmp.Equal(got, []core.Fingerprint{1}) {
+	l.Add(start, serverEnd("c", 1, 4))
+	if got := l.Found(start); !cmp.Equal(got, []core.Fingerprint{1}) {
 		t.Errorf("returned %v, want request 1", got)
 	}
-	if got := l.Add(start, serverEnd("d", 1)); len(got) != 0 {
+	l.Add(start, serverEnd("d", 1))
+	if got := l.Found(start); len(got) != 0 {
 		t.Errorf("returned %v again", got)
 	}
 	checkPoison(t, l, 1, true)
@@ -125,7 +127,8 @@
 			for i := range 64 {
 				e.Requests = append(e.Requests, core.LostRequest{Fingerprint: core.Fingerprint(1 + (server+5*round)%12*64 + i)})
 			}
-			if got := l.Add(start, e); len(got) > 0 {
+			l.Add(start, e)
+			if got := l.Found(start); len(got) > 0 {
 				t.Fatalf("poison: %v", got)
 			}
 		}
@@ -173,8 +176,8 @@
 		t.Error("request 2, which was not retried, is remembered")
 	}
 	l.Expire(start.Add(2*Retention - time.Second))
-	if len(l.requests)+len(l.ends) != 0 {
-		t.Errorf("%d requests and %d ends are left", len(l.requests), len(l.ends))
+	if len(l.suspects)+len(l.ends) != 0 {
+		t.Errorf("%d requests and %d ends are left", len(l.suspects), len(l.ends))
 	}
 }
 
@@ -190,8 +193,8 @@
 		}
 		l.Add(start.Add(time.Duration(i)), e)
 	}
-	if len(l.requests) > maxRequests || len(l.ends) > maxRequests {
-		t.Errorf("%d requests, %d ends", len(l.requests), len(l.ends))
+	if len(l.suspects) > maxSuspects || len(l.ends) > maxSuspects {
+		t.Errorf("%d requests, %d ends", len(l.suspects), len(l.ends))
 	}
 	checkPoison(t, l, 1, true)
 }
@@ -212,8 +215,8 @@
 		random.Shuffle(len(ends), func(i, j int) { ends[i], ends[j] = ends[j], ends[i] })
 		addAll(b, ends...)
 		for f := core.Fingerprint(1); f <= 6; f++ {
-			if a.Poison(f) != b.Poison(f) {
-				t.Fatalf("request %d: %t and %t, by the order of %+v", f, a.Poison(f), b.Poison(f), ends)
+			if a.Poison(start, f) != b.Poison(start, f) {
+				t.Fatalf("request %d: %t and %t, by the order of %+v", f, a.Poison(start, f), b.Poison(start, f), ends)
 			}
 		}
 	}
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -39,7 +39,7 @@
 		r.countAnswerEnd(req.service, e.End, brokenOff)
 	}
 	r.log(SingleRequest, "attempt failed", req.attrs(append([]any{"instance", b.Instance, "attempt", e.Attempt,
-		"failure", e.Failure.String(), "cause", e.Cause, "fingerprint", req.fingerprint.String()}, e.End.logAttrs()...)...)...)
+		"failure", e.Failure.String(), "cause", e.Cause, "fingerprint", req.fingerprint.String(), "parts", partNames(req.prompt)}, e.End.logAttrs()...)...)...)
 	r.noteConnection(b, req, e)
 	if e.End.Unresumable {
 		r.giveUp(req, code.AnswerCut, "the answer broke off where no other can continue it")
@@ -198,6 +198,7 @@
 			first: req.attempt.first, concurrent: req.attempt.concurrent,
 		})
 	}
+	r.lived(req)
 	r.release(req)
 	r.answeredWhole(req)
 	delete(r.requests, req.key)
--- a/internal/router/backend.go
+++ b/internal/router/backend.go
@@ -110,6 +110,9 @@
 	forecast forecast
 	// first is the time to the first answer, once it has arrived.
 	first time.Duration
+	// lived is set once the server continued to run for liveAfter after that, or completed
+	// the answer.
+	lived bool
 	// concurrent is how many other requests were at the server at its first event.
 	concurrent int
 }
--- a/internal/router/dump.go
+++ b/internal/router/dump.go
@@ -22,7 +22,7 @@
 	// all quotas.
 	Accounts   []quota.State
 	QuotaShare quota.ShareState
-	// Suspects are the requests on which two servers or more ended.
+	// Suspects are the requests, and the parts of prompts, on which two servers or more ended.
 	Suspects []poison.Entry
 	// AnswerEnds counts the ways in which servers' answers ended since this process started.
 	AnswerEnds []AnswerEndCount
--- a/internal/router/ending.go
+++ b/internal/router/ending.go
@@ -88,6 +88,7 @@
 		if req == nil {
 			continue // it ended as a consequence of an earlier one in this loop
 		}
+		r.checkLived(req)
 		switch {
 		case r.now >= r.stopAt:
 			r.endAtStop(req)
--- a/internal/router/poison.go
+++ b/internal/router/poison.go
@@ -41,14 +41,14 @@
 // poisonReported processes news. A server that another router found to have ended has ended
 // for this one too: without a loader, this router would notice only some seconds later.
 func (r *Router) poisonReported(news core.PoisonNews) {
-	found := r.ledger.AddNews(r.now, news)
+	r.ledger.AddNews(r.now, news)
 	for _, end := range news.Ends {
 		b := r.backends[end.Life.Instance]
 		if b != nil && (fleet.Incarnation{Instance: end.Life.Instance, Born: end.Life.Born}).Compare(b.Incarnation) == 0 {
 			r.serverEnded(b, "another router found it gone")
 		}
 	}
-	r.blockPoison(found)
+	r.blockPoison(r.ledger.Found(r.now))
 }
 
 // blockPoison ends this router's requests that were just found to crash servers: those that
@@ -145,7 +145,7 @@
 func (r *Router) clear(f core.Fingerprint, why string) {
 	r.log(StateChange, "evidence against request cleared", append(r.evidenceAttrs(f), slog.String("why", why))...)
 	news := core.PoisonNews{Cleared: []core.Fingerprint{f}}
-	if r.ledger.Poison(f) {
+	if r.ledger.Poison(r.now, f) {
 		r.emit(Publish{Name: f.String(), News: news})
 	}
 	r.ledger.Clear(r.now, f)
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -61,6 +61,8 @@
 	// fingerprint is equal for all requests for the same work.
 	fingerprint core.Fingerprint
 	prompt      *fleet.Prompt
+	// parts caches the result of sharedParts.
+	parts []promptPart
 	// prefix is the prompt in the form in which prefix caches look it up.
 	prefix  work.Prefix
 	route   *fleet.Route
@@ -129,7 +131,7 @@
 	if !r.identify(req, in) || !r.takesUp(req, in.Resumption) {
 		return
 	}
-	if r.ledger.Poison(req.fingerprint) {
+	if r.ledger.Poison(r.now, req.fingerprint) {
 		r.refusePoison(req)
 		return
 	}
@@ -242,7 +244,7 @@
 
 func (r *Router) send(req *request, c *choice) {
 	b := c.backend
-	if r.ledger.Poison(req.fingerprint) {
+	if r.ledger.Poison(r.now, req.fingerprint) {
 		r.refusePoison(req)
 		return
 	}
--- a/internal/router/serverend.go
+++ b/internal/router/serverend.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"log/slog"
 	"slices"
 	"time"
@@ -33,6 +34,8 @@
 type lostRequest struct {
 	core.LostRequest
 	at core.Time
+	// parts are the parts of its prompt on which the server may have begun to write.
+	parts []promptPart
 }
 
 // noteConnection records what a failed attempt reveals about its server.
@@ -56,19 +59,22 @@
 	if req.fingerprint == 0 {
 		return // unknown
 	}
-	lost := core.LostRequest{
-		Fingerprint: req.fingerprint, Age: uint32(r.now.Sub(req.attempt.at).Milliseconds()),
-		Arrival: uint32(xxhash.Sum64String(req.id)),
+	lost := lostRequest{
+		LostRequest: core.LostRequest{
+			Fingerprint: req.fingerprint, Age: uint32(r.now.Sub(req.attempt.at).Milliseconds()),
+			Arrival: uint32(xxhash.Sum64String(req.id)),
+		},
+		at: r.now, parts: r.suspectParts(req),
 	}
 	switch incarnation := req.attempt.incarnation; {
 	case b.announced.draining():
 	case incarnation.Compare(b.Incarnation) < 0:
-		r.recordEnd(r.endOf(b, incarnation, r.now, lost))
+		r.recordEnd(b, incarnation, r.now, lost)
 	case b.endedAt != 0 && r.now.Sub(b.endedAt) < lostWindow:
-		r.recordEnd(r.endOf(b, incarnation, b.endedAt, lost))
+		r.recordEnd(b, incarnation, b.endedAt, lost)
 	case b.unlistedAt == 0:
 		b.endedAt = 0 // a request that still ran there shows that it had not ended
-		b.lost = append(b.lost, lostRequest{lost, r.now})
+		b.lost = append(b.lost, lost)
 	}
 }
 
@@ -79,39 +85,75 @@
 		return
 	}
 	b.endedAt = r.now
-	var lost []core.LostRequest
+	var lost []lostRequest
 	for _, l := range b.lost {
 		if r.now.Sub(l.at) < lostWindow {
-			lost = append(lost, l.LostRequest)
+			lost = append(lost, l)
 		}
 	}
 	b.lost = nil
 	r.emit(Count{core.Count{Name: metricServerEnds, Labels: []string{b.Service}, Add: 1}})
 	r.log(StateChange, "backend server ended by itself", b.attrs("sign", sign, "born", b.Born, "lost", len(lost))...)
 	if len(lost) > 0 {
-		r.recordEnd(r.endOf(b, b.Incarnation, r.now, lost...))
+		// The connections closed as the server ended, the sign of its end came later.
+		r.recordEnd(b, b.Incarnation, lost[0].at, lost...)
 	}
 }
 
-func (r *Router) endOf(b *backend, incarnation fleet.Incarnation, at core.Time, requests ...core.LostRequest) core.ServerEnd {
-	return core.ServerEnd{
+func (r *Router) endOf(b *backend, incarnation fleet.Incarnation, at core.Time, lost []lostRequest) core.ServerEnd {
+	end := core.ServerEnd{
 		Life: serverLife(incarnation), Service: b.Service, Address: b.Address, Sole: r.soleAddress(b),
-		Ago: r.now.Sub(at), Requests: requests,
+		Ago: r.now.Sub(at),
 	}
+	index := map[core.Fingerprint]int{}
+	for i, l := range lost {
+		end.Requests = append(end.Requests, l.LostRequest)
+		for _, part := range l.parts {
+			at, known := index[part.fingerprint]
+			if !known {
+				at = len(end.Parts)
+				index[part.fingerprint] = at
+				end.Parts = append(end.Parts, core.LostPart{Part: part.fingerprint, Depth: part.depth})
+			}
+			end.Parts[at].Depth = min(end.Parts[at].Depth, part.depth)
+			end.Parts[at].Holders = append(end.Parts[at].Holders, uint16(i))
+		}
+	}
+	return end
 }
 
 // recordEnd adds an end to the ledger, reports it to the other routers, and logs on how
-// many servers' ends its requests ran.
-func (r *Router) recordEnd(end core.ServerEnd) {
-	found := r.ledger.Add(r.now, end)
+// many servers' ends its requests, and the parts of their prompts, ran.
+func (r *Router) recordEnd(b *backend, incarnation fleet.Incarnation, at core.Time, lost ...lostRequest) {
+	end := r.endOf(b, incarnation, at, lost)
+	r.ledger.Add(r.now, end)
+	for _, l := range lost {
+		for _, part := range l.parts {
+			r.ledger.SetName(part.fingerprint, part.name)
+		}
+	}
 	r.relayPoison("end-"+end.Life.Instance+"-"+string(r.opts.Host), core.PoisonNews{Ends: []core.ServerEnd{end}})
+	r.logEnd(end)
+	r.blockPoison(r.ledger.Found(r.now))
+}
+
+func (r *Router) logEnd(end core.ServerEnd) {
 	most := slices.MaxFunc(end.Requests, func(a, b core.LostRequest) int {
 		return r.ledger.Ends(a.Fingerprint) - r.ledger.Ends(b.Fingerprint)
 	}).Fingerprint
-	r.log(StateChange, "requests ran on a server that ended", slog.String("instance", end.Life.Instance), slog.Int64("born", end.Life.Born),
+	attrs := []slog.Attr{
+		slog.String("instance", end.Life.Instance), slog.Int64("born", end.Life.Born),
 		slog.String("address", end.Address), slog.String("ended_ago", end.Ago.String()), slog.Int("requests", len(end.Requests)),
-		slog.String("most_often", most.String()), slog.Int("ends", r.ledger.Ends(most)))
-	r.blockPoison(found)
+		slog.String("most_often", most.String()), slog.Int("ends", r.ledger.Ends(most)),
+	}
+	if len(end.Parts) > 0 {
+		part := slices.MaxFunc(end.Parts, func(a, b core.LostPart) int {
+			return cmp.Or(r.ledger.Ends(a.Part)-r.ledger.Ends(b.Part), len(b.Holders)-len(a.Holders))
+		})
+		attrs = append(attrs, slog.Int("parts", len(end.Parts)), slog.String("part", r.ledger.Name(part.Part)),
+			slog.String("part_fingerprint", part.Part.String()), slog.Int("part_ends", r.ledger.Ends(part.Part)), slog.Int("part_requests", len(part.Holders)))
+	}
+	r.log(StateChange, "requests ran on a server that ended", attrs...)
 }
 
 func serverLife(i fleet.Incarnation) core.ServerLife {
