Failing tests: requests that share a harmful part of their prompts crash one engine after the other

The caller of the older poison tests takes its body from a function and lateRuns counts from a given crash; what they check is unchanged.

--- a/internal/soak/backend_test.go
+++ b/internal/soak/backend_test.go
@@ -270,6 +270,10 @@
 		return
 	}
 	w.Header().Set("Nutmeglane-Server-Seal", "seal-"+id)
+	if b.engine != nil && holdsHarmfulPart(r.Header) {
+		b.beginAndCrash(w, r)
+		return
+	}
 	if b.engine != nil {
 		b.engine.stream(w, r, id, current)
 		return
--- a/internal/soak/poison_test.go
+++ b/internal/soak/poison_test.go
@@ -137,10 +137,14 @@
 	// fingerprint in the last of these refusals.
 	refused     int
 	fingerprint string
+	// body returns the body of the next attempt. change, if set, changes an attempt before
+	// it is sent.
+	body   func() string
+	change func(request *http.Request)
 }
 
 func newPoisonCaller(w *world) *poisonCaller {
-	return &poisonCaller{caller: newCaller(w, "poison", &atomic.Bool{})}
+	return &poisonCaller{caller: newCaller(w, "poison", &atomic.Bool{}), body: func() string { return poisonBody }}
 }
 
 // from returns a transport that uses the n-th source address.
@@ -188,7 +192,7 @@
 	p.router = p.skipRouters + p.sent%(routerCount-p.skipRouters)
 	p.client.Transport = from(p.sent % addresses)
 	id := fmt.Sprintf("poison-%d", p.sent)
-	a := sentRequest{method: http.MethodPost, path: "/plainstream/poison", body: poisonBody, model: modelNames[0], account: steadyAccount, router: p.router}
+	a := sentRequest{method: http.MethodPost, path: "/plainstream/poison", body: p.body(), model: modelNames[0], account: steadyAccount, router: p.router}
 	ctx, cancel := context.WithTimeout(context.Background(), callerDeadline)
 	defer cancel()
 	request, err := p.request(ctx, id, steadyKey, a)
@@ -196,6 +200,9 @@
 		p.world.checker.reportViolation("request %s: %v", id, err)
 		return
 	}
+	if p.change != nil {
+		p.change(request)
+	}
 	p.world.checker.requestSent(id, a)
 	response, err := p.client.Do(request)
 	if err != nil {
@@ -249,7 +256,7 @@
 func (w *world) reportPoison(t *testing.T, seed uint64) {
 	t.Helper()
 	w.quiesce()
-	ends, late := w.checker.poisonEnds(), w.checker.lateRuns()
+	ends, late := w.checker.poisonEnds(), w.checker.lateRuns(3)
 	t.Logf("%d servers crashed; the request reached servers %d times later than %v after the third crash", ends, late, reactionTime)
 	if late > lateRetries {
 		w.checker.reportViolation("the request reached servers %d times later than %v after the third crash, %d servers crashed in all", late, reactionTime, ends)
@@ -280,14 +287,14 @@
 	return time.Since(r.poison[2])
 }
 
-// lateRuns returns how often the request reached servers later than reactionTime after the
-// third server crash.
-func (r *checker) lateRuns() int {
+// lateRuns returns how often such requests reached servers later than reactionTime after a
+// number of server crashes.
+func (r *checker) lateRuns(crashes int) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	n := 0
-	for _, at := range r.poison[min(3, len(r.poison)):] {
-		if at.Sub(r.poison[2]) > reactionTime {
+	for _, at := range r.poison[min(crashes, len(r.poison)):] {
+		if at.Sub(r.poison[crashes-1]) > reactionTime {
 			n++
 		}
 	}
