Requests that share a harmful part of their prompts are refused after three servers ended under it

Cause: what does the harm was taken to be one request that comes again, where it is something that many requests share. The ledger knew whole requests only, and each of these has a fingerprint of its own. Change: one ledger of suspects, one rule for both kinds. Code 3006, status 502: at arrival, before each send, and for what waits or has not begun. How often sound parts are blocked is measured next.

--- a/internal/code/code.go
+++ b/internal/code/code.go
@@ -50,6 +50,7 @@
 	TimedOut       Code = 3003 // the deadline passed during the run
 	AnswerCut      Code = 3004 // the response was interrupted and could not be resumed
 	PoisonRequest  Code = 3005 // earlier attempts of the same request crashed servers
+	PoisonPart     Code = 3006 // requests with the same part of a prompt crashed servers
 
 	// 4xxx: settings and declarations.
 	BadSettings    Code = 4001
--- a/internal/code/table.go
+++ b/internal/code/table.go
@@ -57,6 +57,7 @@
 	{TimedOut, "TimedOut", 504, "the deadline passed during the run"},
 	{AnswerCut, "AnswerCut", 502, "the answer broke off and could not be resumed"},
 	{PoisonRequest, "PoisonRequest", 502, "backend servers ended by themselves under the same request (caller, path and body), one after the other; it is sent to no further one"},
+	{PoisonPart, "PoisonPart", 502, "backend servers ended by themselves under requests that share a part of their prompts with this one; requests with the part are sent to no further one"},
 
 	{BadSettings, "BadSettings", 500, "a settings file has a wrong, missing or unknown field"},
 	{BadDeclaration, "BadDeclaration", 400, "a declaration has a wrong, missing or unknown field"},
--- a/internal/poison/ledger.go
+++ b/internal/poison/ledger.go
@@ -61,6 +61,9 @@
 	// candidates are the suspects under which at least Threshold servers ended, found those
 	// that Found has returned.
 	candidates, found map[core.Fingerprint]struct{}
+	// answered is when a server of each service last began an answer and continued to run, as
+	// this process saw it.
+	answered map[string]core.Time
 }
 
 // end is the end of one server.
@@ -96,6 +99,7 @@
 	return &Ledger{
 		ends: map[string][]*end{}, suspects: map[core.Fingerprint]*record{},
 		candidates: map[core.Fingerprint]struct{}{}, found: map[core.Fingerprint]struct{}{},
+		answered: map[string]core.Time{},
 	}
 }
 
@@ -220,9 +224,7 @@
 // attempts of one request the one with the lower age is kept, so that all routers keep the
 // same.
 func addHolder(holders []core.LostRequest, holder core.LostRequest) []core.LostRequest {
-	i, known := slices.BinarySearchFunc(holders, holder, func(a, b core.LostRequest) int {
-		return cmp.Compare(a.Fingerprint, b.Fingerprint)
-	})
+	i, known := slices.BinarySearchFunc(holders, holder, compareHolders)
 	if !known {
 		holders = slices.Insert(holders, i, holder)
 		return holders[:min(len(holders), maxHolders)]
@@ -233,6 +235,8 @@
 	return holders
 }
 
+func compareHolders(a, b core.LostRequest) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) }
+
 // SetName sets the name by which operators know a suspect.
 func (l *Ledger) SetName(f core.Fingerprint, name string) {
 	if r := l.suspects[f]; r != nil {
@@ -262,5 +266,24 @@
 	return 0
 }
 
+// Kind returns what a suspect is.
+func (l *Ledger) Kind(f core.Fingerprint) Kind {
+	if r := l.suspects[f]; r != nil {
+		return r.kind
+	}
+	return Request
+}
+
+// Known reports whether anything is recorded of a suspect.
+func (l *Ledger) Known(f core.Fingerprint) bool { return l.suspects[f] != nil }
+
 // Empty reports whether nothing is suspected.
 func (l *Ledger) Empty() bool { return len(l.suspects) == 0 }
+
+// Clean reports whether nothing is poison for certain: under no suspect Threshold servers ended.
+func (l *Ledger) Clean() bool { return len(l.candidates) == 0 }
+
+// Answered records that a server of a service began an answer at a time and continued to run.
+func (l *Ledger) Answered(service string, at core.Time) {
+	l.answered[service] = max(at, l.answered[service])
+}
--- a/internal/router/harmfulpart_test.go
+++ b/internal/router/harmfulpart_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"nutmeglane.example/nutmeglane/internal/code"
 	"nutmeglane.example/nutmeglane/internal/core"
 )
 
@@ -62,8 +63,8 @@
 
 func (w *fixture) wantBlocked(key Key) {
 	w.t.Helper()
-	if finish, ok := w.finishes[key]; !ok || finish.Code.NotRun() || len(w.sends[key]) > 0 {
-		w.t.Errorf("ended with %v, sent to %v; want a refusal that does not promise that nothing has run, and no server", finish.Code, w.sends[key])
+	if finish, ok := w.finishes[key]; !ok || finish.Code != code.PoisonPart || len(w.sends[key]) > 0 {
+		w.t.Errorf("ended with %v, sent to %v; want %v and no server", finish.Code, w.sends[key], code.PoisonPart)
 	}
 }
 
--- /dev/null
+++ b/internal/router/harmless.go
@@ -0,0 +1,80 @@
+package router
+
+import (
+	"maps"
+	"slices"
+
+	"nutmeglane.example/nutmeglane/internal/core"
+)
+
+// This file reports parts of prompts that are harmless to the other routers.
+//
+// A part that few requests hold may be lost at three servers by chance, and be served at one
+// router only: the others would block it. A part that most requests hold is served at all routers
+// within moments, and reports of all of them would be many. Therefore each router waits a random
+// time, and reports only what it has not heard of by then.
+
+const (
+	// tellEnds is the number of ends of which a router takes a part to be cleared before it
+	// reports that: below what blocks the part at other routers.
+	tellEnds = 2
+	// firstTellers is how many routers report a part on average in the first tick, if all
+	// wait to do so. With each tick it doubles.
+	firstTellers = 4
+)
+
+// harmlessTell is what this router may have to report of a harmless part.
+type harmlessTell struct {
+	// at is when a server last began an answer on it, server its instance.
+	at     core.Time
+	server string
+	// ends is the number of ends that were taken off it since the last report, here or heard.
+	ends int
+	// ticks is for how many ticks the report has been due.
+	ticks int
+}
+
+// noteHarmless records that ends were taken off a part because of an attempt's answer.
+func (r *Router) noteHarmless(f core.Fingerprint, a *attempt, ends int) {
+	tell := r.harmless[f]
+	if tell == nil {
+		tell = &harmlessTell{}
+		r.harmless[f] = tell
+	}
+	tell.at, tell.server = a.firstAt(), a.incarnation.Instance
+	tell.ends += ends
+}
+
+// heardHarmless notes that another router has reported parts.
+func (r *Router) heardHarmless(all []core.Harmless) {
+	for _, h := range all {
+		delete(r.harmless, h.Suspect)
+	}
+}
+
+// tellHarmless reports parts that are due, each with a chance that grows with each tick.
+func (r *Router) tellHarmless() {
+	var due []core.Harmless
+	for _, f := range slices.Sorted(maps.Keys(r.harmless)) {
+		tell := r.harmless[f]
+		if tell.ends < tellEnds {
+			continue
+		}
+		chance := float64(int(firstTellers)<<min(tell.ticks, 16)) / float64(r.routers())
+		tell.ticks++
+		if r.rand.Float64() < chance {
+			due = append(due, r.harmlessNews(f))
+			delete(r.harmless, f)
+		}
+	}
+	if len(due) == 0 {
+		return
+	}
+	r.emit(Count{core.Count{Name: metricHarmless, Add: float64(len(due))}})
+	r.relayPoison("harmless-"+string(r.opts.Host), core.PoisonNews{Harmless: due})
+}
+
+func (r *Router) harmlessNews(f core.Fingerprint) core.Harmless {
+	tell := r.harmless[f]
+	return core.Harmless{Suspect: f, Ago: r.now.Sub(tell.at), Server: tell.server}
+}
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -4,26 +4,30 @@
 
 // The metrics of a router.
 const (
-	metricRequests     core.Counter = "router_requests_total"
-	metricColdStart    core.Counter = "router_cold_start_seconds"
-	metricServerEnds   core.Counter = "router_server_ends_total"
-	metricPoison       core.Counter = "router_poison_requests_total"
-	metricAccountUnits core.Counter = "router_account_units_total"
-	metricServerLimits core.Counter = "router_server_limits_total"
-	metricLimitPermits core.Counter = "router_limit_permits_total"
-	metricLimitedSends core.Counter = "router_limited_sends_total"
-	metricAnnounced    core.Counter = "router_server_announcements_total"
-	metricOrigins      core.Counter = "router_stream_origins_total"
-	metricResumptions  core.Counter = "router_stream_resumptions_total"
-	metricAnswerEnds   core.Counter = "router_answer_ends_total"
-	metricFirstByte    core.Counter = "router_first_byte_seconds"
+	metricRequests      core.Counter = "router_requests_total"
+	metricColdStart     core.Counter = "router_cold_start_seconds"
+	metricServerEnds    core.Counter = "router_server_ends_total"
+	metricPoison        core.Counter = "router_poison_found_total"
+	metricPoisonRefused core.Counter = "router_poison_refusals_total"
+	metricHarmless      core.Counter = "router_harmless_parts_total"
+	metricAccountUnits  core.Counter = "router_account_units_total"
+	metricServerLimits  core.Counter = "router_server_limits_total"
+	metricLimitPermits  core.Counter = "router_limit_permits_total"
+	metricLimitedSends  core.Counter = "router_limited_sends_total"
+	metricAnnounced     core.Counter = "router_server_announcements_total"
+	metricOrigins       core.Counter = "router_stream_origins_total"
+	metricResumptions   core.Counter = "router_stream_resumptions_total"
+	metricAnswerEnds    core.Counter = "router_answer_ends_total"
+	metricFirstByte     core.Counter = "router_first_byte_seconds"
 )
 
 // Counters declares the metrics of a router.
 var Counters = []core.CounterDef{
 	{Name: metricRequests, Help: "Requests that ended, by service and result code.", Labels: []string{"service", "code"}},
 	{Name: metricServerEnds, Help: "Backend servers that ended by themselves, as this router noticed, by service.", Labels: []string{"service"}},
-	{Name: metricPoison, Help: "Requests that were found to end the servers that run them."},
+	{Name: metricPoison, Help: "Requests and parts of prompts that were found to end the servers that run them, by kind.", Labels: []string{"kind"}},
+	{Name: metricPoisonRefused, Help: "Requests that were not sent because servers had ended under them or under a part of their prompts, by kind of what they ended under.", Labels: []string{"kind"}},
+	{Name: metricHarmless, Help: "Parts of prompts under which servers had ended and that this router reported as harmless."},
 	{Name: metricAccountUnits, Help: "Units of client accounts' quotas (tokens or requests) that were admitted, refused, or returned as not run, by account.", Labels: []string{"account", "outcome"}},
 	{Name: metricServerLimits, Help: "Changes of the limits that backend servers name, and limits that can't be read, by service.", Labels: []string{"service", "change"}},
 	{Name: metricLimitPermits, Help: "Requests that needed a permit of a server with a limit, by service and outcome.", Labels: []string{"service", "outcome"}},
--- a/internal/router/parts.go
+++ b/internal/router/parts.go
@@ -98,9 +98,10 @@
 	if r.ledger.Empty() {
 		return
 	}
+	r.ledger.Answered(req.service, a.firstAt())
 	var names []string
 	for _, part := range req.sharedParts() {
-		if r.ledger.Served(part.fingerprint, a.firstAt(), a.incarnation.Instance) > 0 {
+		if r.partServed(part, a) {
 			names = append(names, part.name)
 		}
 	}
@@ -110,6 +111,22 @@
 	}
 }
 
+// partServed takes the ends before an answer off a part. It reports whether there were any.
+func (r *Router) partServed(part promptPart, a *attempt) bool {
+	wasPoison := r.ledger.Poison(r.now, part.fingerprint)
+	ends := r.ledger.Served(part.fingerprint, a.firstAt(), a.incarnation.Instance)
+	if ends == 0 {
+		return false
+	}
+	r.noteHarmless(part.fingerprint, a, ends)
+	if wasPoison {
+		r.harmless[part.fingerprint].ends = tellEnds
+		r.emit(Publish{Name: part.fingerprint.String(), News: core.PoisonNews{Harmless: []core.Harmless{r.harmlessNews(part.fingerprint)}}})
+		delete(r.published, part.fingerprint)
+	}
+	return true
+}
+
 // partNames are the names of the shared parts of a prompt for logs.
 func partNames(prompt *fleet.Prompt) []string {
 	if prompt == nil || len(prompt.Parts) < 2 {
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -131,8 +131,8 @@
 	if !r.identify(req, in) || !r.takesUp(req, in.Resumption) {
 		return
 	}
-	if r.ledger.Poison(r.now, req.fingerprint) {
-		r.refusePoison(req)
+	if suspect, poison := r.poisonIn(req); poison {
+		r.refusePoison(req, suspect)
 		return
 	}
 	req.deadline = at.Add(req.route.Timeout)
@@ -244,8 +244,8 @@
 
 func (r *Router) send(req *request, c *choice) {
 	b := c.backend
-	if r.ledger.Poison(r.now, req.fingerprint) {
-		r.refusePoison(req)
+	if suspect, poison := r.poisonIn(req); poison {
+		r.refusePoison(req, suspect)
 		return
 	}
 	if !r.endsInTime(req, c.forecast.ahead) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -109,6 +109,9 @@
 	// published is when this router last made sure that a poison request is recorded in the
 	// platform's store.
 	published map[core.Fingerprint]core.Time
+	// harmless are the parts that servers wrote on here and that other routers may not know
+	// to be harmless.
+	harmless map[core.Fingerprint]*harmlessTell
 
 	// streamLives are the longest times within which callers may take up streams, by service.
 	streamLives map[string]time.Duration
@@ -175,7 +178,7 @@
 		waits:    map[waitKey]*wait{}, answerEnds: map[answerEndKey]int{},
 		callers: newCallers(),
 		gate:    quota.NewGate(quotaBounds(opts.Bounds)),
-		ledger:  poison.New(), published: map[core.Fingerprint]core.Time{}, departed: map[string]departed{},
+		ledger:  poison.New(), published: map[core.Fingerprint]core.Time{}, harmless: map[core.Fingerprint]*harmlessTell{}, departed: map[string]departed{},
 		origins: origin.NewTable(maxOrigins),
 		stopAt:  core.Never,
 	}
@@ -353,6 +356,8 @@
 	r.tickQuotas()
 	r.checkRequests()
 	r.logLimitedSends()
+	r.tellHarmless()
+	r.findPoison()
 	if r.now >= r.nextPlan {
 		r.nextPlan = r.now.Add(planInterval)
 		r.expirePoison()
--- a/internal/router/serverend.go
+++ b/internal/router/serverend.go
@@ -134,7 +134,7 @@
 	}
 	r.relayPoison("end-"+end.Life.Instance+"-"+string(r.opts.Host), core.PoisonNews{Ends: []core.ServerEnd{end}})
 	r.logEnd(end)
-	r.blockPoison(r.ledger.Found(r.now))
+	r.findPoison()
 }
 
 func (r *Router) logEnd(end core.ServerEnd) {
--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -182,7 +182,7 @@
 		r.reportViolation("%s got an answer as complete, but each answer of a server broke off: %q", id, body)
 	}
 	switch {
-	case body != "" && strings.Contains(body, code.PoisonRequest.String()) && !strings.HasPrefix(id, "poison"):
+	case refusedAsPoison(body) && !strings.HasPrefix(id, "poison"):
 		r.reportViolation("%s is a healthy request and was refused as poison: %s", id, body)
 	case status == http.StatusOK && sealed != "seal-"+id:
 		r.reportViolation("%s got a success with the seal %q", id, sealed)
@@ -207,6 +207,12 @@
 	}
 }
 
+// refusedAsPoison reports whether a router's own answer says that servers ended under the request
+// or a part of its prompt.
+func refusedAsPoison(body string) bool {
+	return strings.Contains(body, code.PoisonRequest.String()) || strings.Contains(body, code.PoisonPart.String())
+}
+
 // checkStream checks that a stream consists of all events in order, or of the first
 // ones if it was interrupted.
 func (c *caller) checkStream(id, body string, cut error, kind string) {
