Conclusions on suspects: more ends before fewer holders, drawn once for all

Change: between suspects of which neither is within the other the one with more ends explains the other; conclusions are drawn by Found and kept; at most 16 ends of a suspect are kept.

--- a/internal/poison/evidence.go
+++ b/internal/poison/evidence.go
@@ -46,24 +46,53 @@
 	// that many requests hold is written on by another server meanwhile, and all routers
 	// learn of it.
 	clearingTime = time.Second
+	// concludeInterval is how often the conclusions are drawn anew if only time has passed.
+	concludeInterval = 50 * time.Millisecond
 )
 
-// Poison reports whether a suspect must not be sent to servers.
+// conclusion draws the conclusions from what is recorded at one moment.
+type conclusion struct {
+	*Ledger
+	now core.Time
+	// sums caches what is counted over all ends of a candidate.
+	sums map[core.Fingerprint]sums
+}
+
+// sums are what is counted over all ends of a suspect.
+type sums struct {
+	// holders is the number of requests that held it, carriers in how many ways it came: a
+	// request in attempts of its caller, a part in requests that hold it.
+	holders, carriers int
+	// age is how long it had been on the servers that ended, in ms. Of several requests that
+	// hold it at one the youngest counts.
+	age int
+}
+
+func (l *Ledger) conclude(now core.Time) *conclusion {
+	c := &conclusion{Ledger: l, now: now, sums: map[core.Fingerprint]sums{}}
+	for f := range l.candidates {
+		c.sums[f] = l.suspects[f].sum(f)
+	}
+	return c
+}
+
+// poisonous reports whether a candidate must not be sent to servers.
 //
 // It guards against blocking what is harmless and ran next to poison: an end that another
 // suspect explains does not count.
-func (l *Ledger) Poison(now core.Time, f core.Fingerprint) bool {
-	r := l.suspects[f]
-	if r == nil || len(r.ends) < Threshold || r.carriers(f) < minCarriers {
+func (c *conclusion) poisonous(f core.Fingerprint) bool {
+	r := c.suspects[f]
+	if c.sums[f].carriers < minCarriers {
 		return false
 	}
-	if r.kind == Part && !l.tested(now, f, r) {
+	if r.kind == Part && !c.tested(f, r) {
 		return false
 	}
+	better := c.betterThan(f, r)
 	unexplained, sole := 0, false
 	addresses := map[string]bool{}
 	for _, e := range r.ends {
-		if l.explained(e, f) {
+		if slices.ContainsFunc(better, func(other core.Fingerprint) bool { return e.lost[other] != nil }) {
 			continue
 		}
 		unexplained++
@@ -73,29 +102,32 @@
 	return unexplained >= minUnexplained && (sole || len(addresses) >= minAddresses)
 }
 
+// betterThan returns the candidates that explain the ends that they share with a suspect better
+// than it.
+func (c *conclusion) betterThan(f core.Fingerprint, r *record) []core.Fingerprint {
+	var found []core.Fingerprint
+	for other := range c.candidates {
+		shares := func(e *end) bool { return e.lost[other] != nil }
+		if other != f && slices.ContainsFunc(r.ends, shares) && c.better(other, f) {
+			found = append(found, other)
+		}
+	}
+	return found
+}
+
 // tested reports whether a harmless part would have been cleared by now.
 //
 // It guards against blocking the parts that most requests hold while no server of the service
 // answers anything, as when all of them crash by another cause: then nothing can clear them.
-func (l *Ledger) tested(now core.Time, f core.Fingerprint, r *record) bool {
+func (c *conclusion) tested(f core.Fingerprint, r *record) bool {
 	first := r.ends[0]
 	for _, e := range r.ends {
 		if e.at < first.at {
 			first = e
 		}
 	}
-	answered, ok := l.answered[first.Service]
-	return ok && answered > first.at && now.Sub(first.at) >= clearingTime && r.rounds(f) >= minRounds
-}
-
-// explained reports whether another suspect explains an end better than this one.
-func (l *Ledger) explained(e *end, f core.Fingerprint) bool {
-	for other := range l.candidates {
-		if other != f && e.lost[other] != nil && l.better(other, f) {
-			return true
-		}
-	}
-	return false
+	answered, ok := c.answered[first.Service]
+	return ok && answered > first.at && c.now.Sub(first.at) >= clearingTime && r.rounds(f) >= minRounds
 }
 
 // better reports whether a suspect explains the ends that it shares with another one better than
@@ -107,34 +139,54 @@
 // is not: the routers resent it, perhaps because of the part. Of two parts that always come
 // together the later one in the prompt is better, since fewer requests share it.
 //
-// Otherwise the one with more ends is better, in proportion to the requests that hold it: a part
-// that each second request holds is at most ends by chance. With equal weights the one that came
-// in more attempts or requests is better, since harmless requests are mostly resent by the
-// routers; then the one that had been there for a shorter time, since what crashes servers as it
-// begins to run has a low age each time.
-func (l *Ledger) better(f, than core.Fingerprint) bool {
-	a, b := l.suspects[f], l.suspects[than]
+// Otherwise the one with more ends is better. With equal numbers it is the one that fewer of the
+// requests there hold, since what most requests hold is at most ends by chance; then the one that
+// came in more attempts or requests, since harmless requests are mostly resent by the routers;
+// then the one that had been there for a shorter time, since what crashes servers as it begins to
+// run has a low age each time.
+func (c *conclusion) better(f, than core.Fingerprint) bool {
+	a, b := c.suspects[f], c.suspects[than]
 	if a.kind == Part || b.kind == Part {
-		within, around := a.within(f, than), b.within(than, f)
-		switch {
-		case within && a.carriers(f) < minCarriers:
-			return false
-		case within && around:
-			return b.kind == Part && (a.kind == Request || a.depth > b.depth)
-		case within || around:
-			return within
+		if c.within(f, than) {
+			return c.narrower(f, than)
 		}
+		if c.within(than, f) {
+			return !c.narrower(than, f)
+		}
+	}
+	if more := cmp.Compare(len(a.ends), len(b.ends)); more != 0 {
+		return more > 0
 	}
 	return cmp.Or(
-		cmp.Compare(a.weight(b.holders(than)), b.weight(a.holders(f))),
-		cmp.Compare(a.carriers(f), b.carriers(than)),
-		cmp.Compare(b.age(than), a.age(f)),
+		cmp.Compare(c.sums[than].holders, c.sums[f].holders),
+		cmp.Compare(c.sums[f].carriers, c.sums[than].carriers),
+		cmp.Compare(c.sums[than].age, c.sums[f].age),
 	) > 0
 }
 
+// narrower reports whether suspect f, whose holders all hold another suspect, explains ends
+// better than that one; see better.
+func (c *conclusion) narrower(f, other core.Fingerprint) bool {
+	a, b := c.suspects[f], c.suspects[other]
+	switch {
+	case c.sums[f].carriers < minCarriers:
+		return false
+	case c.sums[f].holders < c.sums[other].holders:
+		return true
+	case a.kind != b.kind:
+		return a.kind == Request
+	default:
+		return a.depth > b.depth
+	}
+}
+
 // within reports whether all lost requests that hold suspect f hold another one as well.
-func (r *record) within(f, other core.Fingerprint) bool {
-	for _, e := range r.ends {
+func (c *conclusion) within(f, other core.Fingerprint) bool {
+	a := c.suspects[f]
+	if len(a.ends) > len(c.suspects[other].ends) || c.sums[f].holders > c.sums[other].holders {
+		return false
+	}
+	for _, e := range a.ends {
 		others := e.lost[other]
 		for _, holder := range e.lost[f] {
 			if _, both := slices.BinarySearchFunc(others, holder, compareHolders); !both {
@@ -145,19 +197,6 @@
 	return true
 }
 
-// weight is the weight of a suspect's ends, times the number of holders of the one that it is
-// compared with: the square of the ends, divided by the own holders.
-func (r *record) weight(holdersOfOther int) int { return len(r.ends) * len(r.ends) * holdersOfOther }
-
-// holders returns the number of requests that held the suspect, over all ends.
-func (r *record) holders(f core.Fingerprint) int {
-	sum := 0
-	for _, e := range r.ends {
-		sum += len(e.lost[f])
-	}
-	return sum
-}
-
 // rounds returns the number of rounds in which servers ended under the suspect; see minRounds.
 func (r *record) rounds(f core.Fingerprint) int {
 	byTime := slices.SortedFunc(slices.Values(r.ends), func(a, b *end) int { return cmp.Compare(a.at, b.at) })
@@ -172,32 +211,25 @@
 	return rounds
 }
 
-// age returns how long the suspect had been on the servers that ended, in total, in ms. Of
-// several requests that hold it the youngest counts.
-func (r *record) age(f core.Fingerprint) int {
-	sum := 0
+func (r *record) sum(f core.Fingerprint) sums {
+	var s sums
+	seen := map[core.Fingerprint]struct{}{}
 	for _, e := range r.ends {
-		sum += int(youngest(e.lost[f]))
+		s.holders += len(e.lost[f])
+		s.age += int(youngest(e.lost[f]))
+		for _, holder := range e.lost[f] {
+			carrier := holder.Fingerprint
+			if r.kind == Request {
+				carrier = core.Fingerprint(holder.Arrival)
+			}
+			seen[carrier] = struct{}{}
+		}
 	}
-	return sum
+	s.carriers = len(seen)
+	return s
 }
 
+// youngest returns the shortest time, in ms, that one of the requests had been at its server.
 func youngest(holders []core.LostRequest) uint32 {
 	return slices.MinFunc(holders, func(a, b core.LostRequest) int { return cmp.Compare(a.Age, b.Age) }).Age
 }
-
-// carriers returns in how many ways the suspect came to the servers that ended: a request in
-// attempts of its caller, a part in requests that hold it.
-func (r *record) carriers(f core.Fingerprint) int {
-	seen := map[core.Fingerprint]bool{}
-	for _, e := range r.ends {
-		for _, holder := range e.lost[f] {
-			if r.kind == Part {
-				seen[holder.Fingerprint] = true
-			} else {
-				seen[core.Fingerprint(holder.Arrival)] = true
-			}
-		}
-	}
-	return len(seen)
-}
--- a/internal/poison/expire.go
+++ b/internal/poison/expire.go
@@ -46,9 +46,10 @@
 		l.dropLost(e, f)
 		return true
 	})
+	l.changed = true
 	if len(r.ends) < Threshold {
 		delete(l.candidates, f)
-		delete(l.found, f)
+		delete(l.poison, f)
 	}
 	return before - len(r.ends)
 }
@@ -58,7 +59,7 @@
 	r := l.suspects[f]
 	delete(l.suspects, f)
 	delete(l.candidates, f)
-	delete(l.found, f)
+	delete(l.poison, f)
 	for _, e := range r.ends {
 		l.dropLost(e, f)
 	}
--- a/internal/poison/export.go
+++ b/internal/poison/export.go
@@ -129,7 +129,7 @@
 
 func (l *Ledger) entry(now core.Time, f core.Fingerprint, r *record) Entry {
 	entry := Entry{
-		Kind: r.kind.String(), Suspect: f.String(), Name: r.name, Poison: l.Poison(now, f),
+		Kind: r.kind.String(), Suspect: f.String(), Name: r.name, Poison: l.Poison(f),
 		Ends: len(r.ends), Seen: now.Sub(r.seen),
 	}
 	for _, e := range r.ends {
--- a/internal/poison/ledger.go
+++ b/internal/poison/ledger.go
@@ -45,8 +45,11 @@
 	maxSuspects = 8192
 	// MaxParts is the largest number of parts of one prompt that are recorded at an end.
 	MaxParts = 16
+	// maxEnds is the largest number of ends that are remembered of one suspect, the newest
+	// ones. It bounds the work of a conclusion.
+	maxEnds = 16
 	// maxHolders is the largest number of requests that are recorded for a part at one end.
-	maxHolders = 64
+	maxHolders = 256
 	// maxNameBytes is the length to which the names of suspects are cut.
 	maxNameBytes = 40
 	// always is earlier than any other time.
@@ -58,9 +61,12 @@
 	// ends are the recorded ends by server instance, one for each life.
 	ends     map[string][]*end
 	suspects map[core.Fingerprint]*record
-	// candidates are the suspects under which at least Threshold servers ended, found those
-	// that Found has returned.
-	candidates, found map[core.Fingerprint]struct{}
+	// candidates are the suspects under which at least Threshold servers ended, poison those
+	// that Found has concluded to be poison.
+	candidates, poison map[core.Fingerprint]struct{}
+	// changed is set if the conclusions may have changed since concludedAt.
+	changed     bool
+	concludedAt core.Time
 	// answered is when a server of each service last began an answer and continued to run, as
 	// this process saw it.
 	answered map[string]core.Time
@@ -98,7 +104,7 @@
 func New() *Ledger {
 	return &Ledger{
 		ends: map[string][]*end{}, suspects: map[core.Fingerprint]*record{},
-		candidates: map[core.Fingerprint]struct{}{}, found: map[core.Fingerprint]struct{}{},
+		candidates: map[core.Fingerprint]struct{}{}, poison: map[core.Fingerprint]struct{}{},
 		answered: map[string]core.Time{},
 	}
 }
@@ -136,22 +142,34 @@
 	}
 }
 
-// Found returns the suspects that have become poison since the last call.
+// Found draws the conclusions from what is recorded, and returns the suspects that have become
+// poison since the last call.
 func (l *Ledger) Found(now core.Time) []core.Fingerprint {
+	if len(l.candidates) == 0 || !l.changed && now.Sub(l.concludedAt) < concludeInterval {
+		return nil
+	}
+	l.changed, l.concludedAt = false, now
 	var found []core.Fingerprint
+	conclusion := l.conclude(now)
 	for _, f := range slices.Sorted(maps.Keys(l.candidates)) {
-		if !l.Poison(now, f) {
-			delete(l.found, f)
+		if !conclusion.poisonous(f) {
+			delete(l.poison, f)
 			continue
 		}
-		if _, known := l.found[f]; !known {
-			l.found[f] = struct{}{}
+		if !l.Poison(f) {
+			l.poison[f] = struct{}{}
 			found = append(found, f)
 		}
 	}
 	return found
 }
 
+// Poison reports whether a suspect must not be sent to servers, as Found concluded.
+func (l *Ledger) Poison(f core.Fingerprint) bool {
+	_, poison := l.poison[f]
+	return poison
+}
+
 func (l *Ledger) add(now core.Time, reported core.ServerEnd) {
 	known := l.find(reported.Life)
 	if known == nil {
@@ -211,13 +229,24 @@
 	r.kind = kind
 	holders, known := e.lost[f]
 	e.lost[f] = addHolder(holders, holder)
-	if known {
-		return
+	if !known {
+		r.ends, r.seen = append(r.ends, e), now
+		l.dropOldest(f, r)
 	}
-	r.ends, r.seen = append(r.ends, e), now
 	if len(r.ends) >= Threshold {
 		l.candidates[f] = struct{}{}
+		l.changed = true
+	}
+}
+
+// dropOldest removes the oldest end of a suspect that has more than maxEnds.
+func (l *Ledger) dropOldest(f core.Fingerprint, r *record) {
+	if len(r.ends) <= maxEnds {
+		return
 	}
+	oldest := slices.MinFunc(r.ends, func(a, b *end) int { return cmp.Compare(a.at, b.at) })
+	r.ends = slices.DeleteFunc(r.ends, func(e *end) bool { return e == oldest })
+	l.dropLost(oldest, f)
 }
 
 // addHolder adds a request to the holders of a suspect, which are sorted by fingerprint. Of two
@@ -280,8 +309,8 @@
 // Empty reports whether nothing is suspected.
 func (l *Ledger) Empty() bool { return len(l.suspects) == 0 }
 
-// Clean reports whether nothing is poison for certain: under no suspect Threshold servers ended.
-func (l *Ledger) Clean() bool { return len(l.candidates) == 0 }
+// Clean reports whether nothing is poison.
+func (l *Ledger) Clean() bool { return len(l.poison) == 0 }
 
 // Answered records that a server of a service began an answer at a time and continued to run.
 func (l *Ledger) Answered(service string, at core.Time) {
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -31,7 +31,8 @@
 
 func checkPoison(t *testing.T, l *Ledger, f core.Fingerprint, want bool) {
 	t.Helper()
-	if got := l.Poison(start, f); got != want {
+	l.Found(start)
+	if got := l.Poison(f); got != want {
 		t.Errorf("request %d with %d ends: poison %t, want %t", f, l.Ends(f), got, want)
 	}
 }
@@ -214,9 +215,11 @@
 		addAll(a, ends...)
 		random.Shuffle(len(ends), func(i, j int) { ends[i], ends[j] = ends[j], ends[i] })
 		addAll(b, ends...)
+		a.Found(start)
+		b.Found(start)
 		for f := core.Fingerprint(1); f <= 6; f++ {
-			if a.Poison(start, f) != b.Poison(start, f) {
-				t.Fatalf("request %d: %t and %t, by the order of %+v", f, a.Poison(start, f), b.Poison(start, f), ends)
+			if a.Poison(f) != b.Poison(f) {
+				t.Fatalf("request %d: %t and %t, by the order of %+v", f, a.Poison(f), b.Poison(f), ends)
 			}
 		}
 	}
--- a/internal/router/parts.go
+++ b/internal/router/parts.go
@@ -113,7 +113,7 @@
 
 // partServed takes the ends before an answer off a part. It reports whether there were any.
 func (r *Router) partServed(part promptPart, a *attempt) bool {
-	wasPoison := r.ledger.Poison(r.now, part.fingerprint)
+	wasPoison := r.ledger.Poison(part.fingerprint)
 	ends := r.ledger.Served(part.fingerprint, a.firstAt(), a.incarnation.Instance)
 	if ends == 0 {
 		return false
--- a/internal/router/poison.go
+++ b/internal/router/poison.go
@@ -86,11 +86,11 @@
 	if r.ledger.Clean() {
 		return 0, false
 	}
-	if r.ledger.Poison(r.now, req.fingerprint) {
+	if r.ledger.Poison(req.fingerprint) {
 		return req.fingerprint, true
 	}
 	for _, part := range req.sharedParts() {
-		if r.ledger.Poison(r.now, part.fingerprint) {
+		if r.ledger.Poison(part.fingerprint) {
 			r.ledger.SetName(part.fingerprint, part.name)
 			return part.fingerprint, true
 		}
@@ -179,7 +179,7 @@
 func (r *Router) clear(f core.Fingerprint, why string) {
 	r.log(StateChange, "evidence against "+r.ledger.Kind(f).String()+" cleared", append(r.evidenceAttrs(f), slog.String("why", why))...)
 	news := core.PoisonNews{Cleared: []core.Fingerprint{f}}
-	if r.ledger.Poison(r.now, f) {
+	if r.ledger.Poison(f) {
 		r.emit(Publish{Name: f.String(), News: news})
 	}
 	r.ledger.Clear(r.now, f)
