A router that gets too little processor time closes new connections unread before it refuses what it read

Cause: load was shed after reading only, by a wait for the processor that new connections made. Requests on open connections as before.

--- a/internal/daemon/callerconns.go
+++ b/internal/daemon/callerconns.go
@@ -42,6 +42,9 @@
 // connection whose first request has not arrived yet.
 type callerConns struct {
 	listener net.Listener
+	// accepts reports whether a new connection is to be accepted; the others are closed unread.
+	// It is not asked while connections are drained, nil accepts all.
+	accepts func() bool
 
 	// draining is set once connections are to be closed after their answers.
 	draining atomic.Bool
@@ -135,8 +138,18 @@
 	conns *callerConns
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. It closes connections that are not to be accepted.
 func (l callerListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.accept()
+		if err != nil || l.conns.accepts == nil || l.conns.draining.Load() || l.conns.accepts() {
+			return conn, err
+		}
+		_ = conn.Close() // after an error it is closed as well
+	}
+}
+
+func (l callerListener) accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	if errors.Is(err, net.ErrClosed) {
 		return nil, http.ErrServerClosed // drain closed the listener; Serve has not failed
--- a/internal/daemon/callerconns_test.go
+++ b/internal/daemon/callerconns_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"sync/atomic"
 	"syscall"
 	"testing"
 
@@ -352,3 +353,50 @@
 		t.Errorf("%d bytes read, %v", n, err)
 	}
 }
+
+// Guards against reading what can't be served: while new connections are not accepted, they must be
+// closed without an answer or a read, the one that is open must be served on, and all be accepted
+// afterwards.
+func TestConnsAreClosedUnread(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	conns := newCallerConns()
+	var closed atomic.Bool
+	conns.accepts = func() bool { return !closed.Load() }
+	var served atomic.Int32
+	server := &http.Server{ConnState: conns.state, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served.Add(1) })}
+	go func() { _ = server.Serve(conns.wrap(listener)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	ask := func(conn net.Conn) error {
+		_, _ = conn.Write([]byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n")) // fails after a reset; then the read fails, too
+		_, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		return err
+	}
+	dial := func() net.Conn {
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		return conn
+	}
+	kept := dial()
+	if err := ask(kept); err != nil {
+		t.Fatal(err)
+	}
+	closed.Store(true)
+	for range 5 {
+		if err := ask(dial()); err == nil {
+			t.Error("a connection that was not to be accepted got an answer")
+		}
+	}
+	if err := ask(kept); err != nil || served.Load() != 2 {
+		t.Errorf("the open connection: %v; %d requests read, want 2", err, served.Load())
+	}
+	closed.Store(false)
+	if err := ask(dial()); err != nil {
+		t.Errorf("not accepted afterwards: %v", err)
+	}
+}
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -23,12 +23,15 @@
 
 // Counters that are incremented outside of the reducers.
 const (
-	countKVCalls   core.Counter = "kv_calls_total"
-	countHostReads core.Counter = "host_list_reads_total"
-	countBadConfig core.Counter = "config_refused_total"
+	countKVCalls core.Counter = "kv_calls_total"
+	// countConnsClosed counts callers' connections that were closed unread.
+	countConnsClosed core.Counter = "caller_conns_closed_unread_total"
+	countHostReads   core.Counter = "host_list_reads_total"
+	countBadConfig   core.Counter = "config_refused_total"
 )
 
 var processCounters = append([]core.CounterDef{
+	{Name: countConnsClosed, Help: "New connections of callers that were closed unread, because the process got too little processor time."},
 	{Name: countKVCalls, Help: "Calls to the KV service, or of a router to the platform's store, by operation and result code.", Labels: []string{"op", "code"}},
 	{Name: countHostReads, Help: "Reads of the platform's host list by result.", Labels: []string{"result"}},
 	{Name: countBadConfig, Help: "Configuration documents that could not be put in force."},
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -134,9 +134,11 @@
 		}
 	})
 	p.conns = newCallerConns()
+	p.conns.accepts = p.acceptsConn
 	p.callers = &http.Server{
 		Handler:           p.gateway,
 		ConnState:         p.conns.state,
+		ConnContext:       gateway.WithConn,
 		MaxHeaderBytes:    limits.MaxHeaderBytes,
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:       idleTimeoutFactor * limits.IdleTimeout,
@@ -149,6 +151,15 @@
 	return nil
 }
 
+// acceptsConn reports whether a caller's new connection is to be accepted.
+func (p *routerProcess) acceptsConn() (accepts bool) {
+	p.gateway.Inspect(func(r *router.Router) { accepts = r.AcceptsConn(clock.Now()) })
+	if !accepts {
+		p.metrics.Do(core.Count{Name: countConnsClosed, Add: 1})
+	}
+	return accepts
+}
+
 func (p *routerProcess) countStoreCall(op, result string) {
 	p.metrics.Do(core.Count{Name: countKVCalls, Labels: []string{op, result}, Add: 1})
 }
--- a/internal/fleet/backend.go
+++ b/internal/fleet/backend.go
@@ -118,6 +118,8 @@
 	ID string
 	// Fingerprint is the same for all requests for the same work.
 	Fingerprint core.Fingerprint
+	// NewConn is set for the first request of a connection that the router accepted.
+	NewConn bool
 	// Host and Path select the route.
 	Host, Path string
 	// Credential identifies the client account.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -58,6 +58,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	info := platform.DecodeRequest(r)
+	info.NewConn = firstOfConn(r.Context())
 	body, failed := g.readBody(w, r)
 	if failed != code.OK {
 		refuse(w, info.ID, failed, 0, "the body could not be read")
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -118,7 +118,7 @@
 		r.finish(req, code.NotReady, defaultRetryAfter, "no configuration is known yet")
 		return
 	}
-	if r.shouldShed() {
+	if r.shouldShed(in.NewConn) {
 		r.finish(req, code.Starved, r.retryAfterIn(starvedRetryAfter), "the process waits "+r.cpuWait.wait.String()+" for the processor")
 		return
 	}
