--- a/internal/core/loading.go
+++ b/internal/core/loading.go
@@ -240,6 +240,9 @@
 	Config int64 `cbor:"5,keyasint,omitempty"`
 	// Poison is what was written to the store of poison requests between From and To.
 	Poison PoisonNews `cbor:"6,keyasint,omitempty"`
+	// Evacuations are the zones that operators evacuated between From and To, with false those
+	// that they took back.
+	Evacuations map[Zone]bool `cbor:"8,keyasint,omitempty"`
 }
 
 // ListedBackend is a registry entry without the models, which loaders report in more
--- a/internal/daemon/storereader.go
+++ b/internal/daemon/storereader.go
@@ -220,8 +220,10 @@
 	}
 	if reading == registry.Restored {
 		s.gateway.Step(router.StoreRestored{To: snapshot.Position})
+		s.gateway.Step(router.EvacuationsRestored{Zones: snapshot.Evacuated})
 		s.gateway.Step(router.BackendsRestored{Backends: snapshot.Backends})
 	} else {
+		s.gateway.Step(router.EvacuationsRead{Zones: snapshot.Evacuated})
 		s.gateway.Step(router.PoisonReported{News: decodeNotes(snapshot.Notes, s.log)})
 		s.gateway.Step(router.ReleasesNoted{Notes: releaseNotes(snapshot.Notes)})
 		s.gateway.Step(router.BackendsRead{Backends: snapshot.Backends})
@@ -271,6 +273,7 @@
 		poison := decodeNotes(changes.Notes, s.log)
 		s.relayChanges(revision, changes, poison)
 		s.gateway.Step(router.PoisonReported{News: poison})
+		s.gateway.Step(router.EvacuationsChanged{Zones: changes.Evacuations})
 		s.gateway.Step(router.BackendsChanged{Written: changes.Written, Removed: changes.Removed})
 	}
 	return nil
@@ -294,7 +297,9 @@
 // are applied here: of the written values, only those that differ from the known ones are
 // sent.
 func (s *storeReader) relayChanges(from int64, changes platform.Changes, poison core.PoisonNews) {
-	news := core.RegistryNews{From: from, To: changes.Position.Revision, Era: changes.Position.Era, Poison: poison}
+	news := core.RegistryNews{
+		From: from, To: changes.Position.Revision, Era: changes.Position.Era, Poison: poison, Evacuations: changes.Evacuations,
+	}
 	for instance := range changes.Removed {
 		news.Removed = append(news.Removed, instance)
 	}
--- a/internal/router/announced.go
+++ b/internal/router/announced.go
@@ -39,6 +39,8 @@
 	excludedUnlisted
 	// excludedDraining servers are about to shut down, or do not answer their loader.
 	excludedDraining
+	// excludedEvacuated servers are in a zone that an operator has evacuated.
+	excludedEvacuated
 	// excludedBackoff servers want no requests from this host for some time, or have just
 	// begun to take some again.
 	excludedBackoff
@@ -54,6 +56,8 @@
 		return excludedUnlisted
 	case r.draining(b):
 		return excludedDraining
+	case r.inEvacuatedZone(b):
+		return excludedEvacuated
 	case r.backsOff(b):
 		return excludedBackoff
 	case r.now < b.ejectedUntil:
@@ -72,9 +76,11 @@
 	return e == notExcluded || e == excludedEjected
 }
 
-// stays reports whether a server is listed and not draining, so that it keeps the models that
-// it has.
-func (r *Router) stays(b *backend) bool { return b.unlistedAt == 0 && !r.draining(b) }
+// stays reports whether a server is listed, not draining and in no evacuated zone, so that the
+// models that it has count as copies.
+func (r *Router) stays(b *backend) bool {
+	return b.unlistedAt == 0 && !r.draining(b) && !r.inEvacuatedZone(b)
+}
 
 // draining reports whether a server has announced that it is draining, or does not answer its
 // loader.
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -45,6 +45,15 @@
 	Removed map[string]bool
 }
 
+// EvacuationsRead delivers all zones that are evacuated, EvacuationsRestored those in a store
+// that was restored from an older copy, and EvacuationsChanged those that were evacuated or, with
+// false, taken back.
+type (
+	EvacuationsRead     struct{ Zones []core.Zone }
+	EvacuationsRestored struct{ Zones []core.Zone }
+	EvacuationsChanged  struct{ Zones map[core.Zone]bool }
+)
+
 // StoreState reports whether the platform's store answers this router.
 type StoreState struct{ Reachable bool }
 
@@ -225,6 +234,9 @@
 // LiftPoison is an operator's order to send a request to servers again.
 type LiftPoison struct{ Fingerprint core.Fingerprint }
 
+func (EvacuationsRead) event()      {}
+func (EvacuationsRestored) event()  {}
+func (EvacuationsChanged) event()   {}
 func (ConfigAnnounced) event()      {}
 func (LoaderAnsweredOrigin) event() {}
 func (ReleasesNoted) event()        {}
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -63,6 +63,7 @@
 	for _, instance := range news.Removed {
 		removed[instance] = true
 	}
+	r.changeEvacuations(news.Evacuations)
 	r.changeBackends(written, removed)
 	r.poisonReported(news.Poison)
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -55,6 +55,8 @@
 	byAddress map[string][]*backend
 	// registryRead is set once the registry has been read.
 	registryRead bool
+	// evacuated are the zones that operators have evacuated, with when this router learned it.
+	evacuated map[core.Zone]core.Time
 	// storeDownSince is since when the store is considered unreachable, 0 while it is
 	// reachable. A failed read of this router's own sets it; news that another router has
 	// read the store clears it.
@@ -172,7 +174,7 @@
 		rand:     rand.New(rand.NewPCG(opts.Seed, opts.Seed)),
 		routes:   routeTable{},
 		services: map[string]*service{},
-		backends: map[string]*backend{}, byAddress: map[string][]*backend{},
+		backends: map[string]*backend{}, byAddress: map[string][]*backend{}, evacuated: map[core.Zone]core.Time{},
 		loaders:  map[core.HostID]*loader{},
 		requests: map[Key]*request{},
 		waits:    map[waitKey]*wait{}, answerEnds: map[answerEndKey]int{},
@@ -204,6 +206,12 @@
 		r.restoreBackends(e.Backends)
 	case BackendsChanged:
 		r.changeBackends(e.Written, e.Removed)
+	case EvacuationsRead:
+		r.evacuationsRead(e.Zones)
+	case EvacuationsRestored:
+		r.evacuationsRestored(e.Zones)
+	case EvacuationsChanged:
+		r.changeEvacuations(e.Zones)
 	case PoisonReported:
 		r.poisonReported(e.News)
 	case LiftPoison:
