Servers that are cold after their start get no more requests a second than they tolerate

Cause: coldPerS was read by no decision. A registry entry that says that its server is cold made it dearer only. Answers can't end it before the server is warm, also at a router that doesn't know yet; the loader passes on for how long it holds.

--- a/internal/core/limit.go
+++ b/internal/core/limit.go
@@ -33,6 +33,9 @@
 	// window without a permit, by intervals of equal length with the oldest first. Each
 	// request is reported once.
 	Uncounted []float64 `cbor:"5,keyasint,omitempty"`
+	// ColdFor is the remaining time for which the limit holds in any case, as the server is
+	// cold after its start.
+	ColdFor time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // LimitReply is sent by a loader to routers and reports a server's limit, in answer to a
@@ -47,6 +50,8 @@
 	Room    time.Duration `cbor:"5,keyasint,omitempty"`
 	// Spare is that of the LimitRequest.
 	Spare bool `cbor:"6,keyasint,omitempty"`
+	// ColdFor is as in LimitRequest.
+	ColdFor time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
 func (LimitRequest) message() {}
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -75,6 +75,9 @@
 	Name string
 	// MaxConns bounds the connections to one backend server, over all callers.
 	MaxConns int
+	// ColdPerSecond is how many requests a second a server takes, from all routers together,
+	// while it is slow after its start; 0 if there is no such limit.
+	ColdPerSecond float64
 	// Engine is nil for plain services.
 	Engine *Engine
 }
--- a/internal/limit/fleet_test.go
+++ b/internal/limit/fleet_test.go
@@ -203,7 +203,7 @@
 		return
 	}
 	for i, g := range p.gates {
-		if p.reaches(now, i) && g.Update(now.Add(2*messageDelay), FromMessage(now.Add(2*messageDelay), broadcast.Limit)) {
+		if p.reaches(now, i) && g.Update(now.Add(2*messageDelay), FromMessage(now.Add(2*messageDelay), broadcast.Limit, broadcast.ColdFor)) {
 			p.ask(now.Add(3*messageDelay), i, 0, false)
 		}
 	}
--- a/internal/limit/gate.go
+++ b/internal/limit/gate.go
@@ -83,6 +83,10 @@
 // Message returns the last announcement as a message.
 func (g *Gate) Message(now core.Time) core.ReportedLimit { return g.announcement.message(now) }
 
+// ColdFor returns the remaining time for which the limit holds in any case, 0 if it ends with an
+// answer that names none.
+func (g *Gate) ColdFor(now core.Time) time.Duration { return g.announcement.coldFor(now) }
+
 // TakeUncounted returns and resets the counts of requests sent without a permit, to be
 // reported to the loader that counts; nil if there are none.
 func (g *Gate) TakeUncounted(now core.Time) []float64 {
--- a/internal/limit/limiter.go
+++ b/internal/limit/limiter.go
@@ -43,7 +43,7 @@
 	}
 	s.updatedAt = now
 	before := s.announcement.Named
-	changed := s.update(now, request.Limit)
+	changed := s.update(now, request.Limit, request.ColdFor)
 	s.bucket.sent.AddParts(now, request.Uncounted)
 	if changed && (before || s.announcement.Named) {
 		broadcast = s.message(now)
@@ -77,8 +77,8 @@
 	return &core.LimitReply{Server: request.Server, RequestID: request.RequestID, Spare: request.Spare, Room: maxRetryDelay}
 }
 
-func (s *limitedServer) update(now core.Time, message core.ReportedLimit) (changed bool) {
-	s.announcement, changed = s.announcement.Update(FromMessage(now, message))
+func (s *limitedServer) update(now core.Time, message core.ReportedLimit, coldFor time.Duration) (changed bool) {
+	s.announcement, changed = s.announcement.Update(FromMessage(now, message, coldFor))
 	if changed && s.announcement.Named {
 		s.bucket.setRate(now, max(MinPerSecond, s.announcement.PerSecond))
 	}
@@ -105,7 +105,7 @@
 
 // message returns the message that announces the server's limit to routers.
 func (s *limitedServer) message(now core.Time) *core.LimitReply {
-	return &core.LimitReply{Server: s.life, Limit: s.announcement.message(now)}
+	return &core.LimitReply{Server: s.life, Limit: s.announcement.message(now), ColdFor: s.announcement.coldFor(now)}
 }
 
 // Active returns the limits in force, for a router that has just connected.
@@ -149,16 +149,23 @@
 }
 
 // FromMessage converts a message to an Announcement in this process's time.
-func FromMessage(now core.Time, message core.ReportedLimit) Announcement {
+func FromMessage(now core.Time, message core.ReportedLimit, coldFor time.Duration) Announcement {
 	if message.ReceivedAgo == 0 {
 		return Announcement{} // none received yet; see Announcement.message
 	}
-	return Announcement{
+	a := Announcement{
 		Named: message.Named, PerSecond: message.PerSecond,
 		Sent: now.Add(-message.SentAgo), Received: now.Add(-message.ReceivedAgo),
 	}
+	if coldFor > 0 {
+		a.ColdUntil = now.Add(coldFor)
+	}
+	return a
 }
 
+// coldFor returns the remaining time for which the limit holds in any case.
+func (a Announcement) coldFor(now core.Time) time.Duration { return max(0, a.ColdUntil.Sub(now)) }
+
 // message converts the announcement to a message. ReceivedAgo is 0 only if none was
 // received.
 func (a Announcement) message(now core.Time) core.ReportedLimit {
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -136,6 +136,7 @@
 	}
 	r.connect(b)
 	r.reindex(b)
+	r.limitCold(b)
 }
 
 // kvTokens returns the size of an engine's KV cache, 0 for plain services.
--- a/internal/router/serverlimit.go
+++ b/internal/router/serverlimit.go
@@ -63,7 +63,7 @@
 	}
 	incarnation := fleet.Incarnation{Instance: e.Answer.Server.Instance, Born: e.Answer.Server.Born}
 	if incarnation.Compare(b.Incarnation) == 0 {
-		r.applyLimit(b, "loader "+string(e.Loader), limit.FromMessage(r.now, e.Answer.Limit))
+		r.applyLimit(b, "loader "+string(e.Loader), limit.FromMessage(r.now, e.Answer.Limit, e.Answer.ColdFor))
 	}
 	if e.Answer.RequestID != 0 {
 		r.permitAnswered(b, e.Answer)
@@ -169,6 +169,7 @@
 func (r *Router) limitMessage(b *backend) core.LimitRequest {
 	return core.LimitRequest{
 		Server: serverLife(b.Incarnation), Limit: b.limit.gate.Message(r.now), Uncounted: b.limit.gate.TakeUncounted(r.now),
+		ColdFor: b.limit.gate.ColdFor(r.now),
 	}
 }
 
