A sound part is not blocked in place of the harmful one, nor by ends that are known late

Cause, of the first: a sound part that waited at each of three engines had as many ends as the harmful one, and its requests had come later; age decided between them. Of the second: three engines ended while the store was away, known two to four seconds later; answers that had begun on the part meanwhile were forgotten, since nothing was suspected then. Change: an end counts half against a part if the server had begun to answer others and none with the part; when servers last wrote on a part is remembered also while nothing is suspected (8,192 parts), and what an end was spared for is told to others as before.

--- a/internal/core/poison.go
+++ b/internal/core/poison.go
@@ -62,6 +62,8 @@
 	Depth uint16
 	// Holders are the requests that hold it, as indexes of ServerEnd.Requests.
 	Holders []uint16
+	// Began is set if the server had begun to answer one of them.
+	Began bool
 }
 
 // LostRequest is a request that was at a server when the server ended.
--- a/internal/poison/evidence.go
+++ b/internal/poison/evidence.go
@@ -16,6 +16,10 @@
 	// resumable stream is resent from one server to the next. For three, the caller has
 	// to retry as well.
 	Threshold = 3
+	// An end counts in full against a part if its server had begun to answer a request that
+	// holds it, or none that it lost: a part crashes a server that begins to write on it.
+	// Otherwise it counts half, as the router may not have read that the server had begun.
+	fullEnd, halfEnd = 2, 1
 	// minUnexplained of them must be ends that no other suspect explains. One may
 	// be shared: two suspects that are both poison and arrive at the same time can be on
 	// the same server, and the one with fewer ends would otherwise be allowed again because
@@ -66,6 +70,8 @@
 	// age is how long it had been on the servers that ended, in ms. Of several requests that
 	// hold it at one the youngest counts.
 	age int
+	// strength is the sum of its ends, each as fullEnd or halfEnd.
+	strength int
 }
 
 func (l *Ledger) conclude(now core.Time) *conclusion {
@@ -85,7 +91,7 @@
 	if c.sums[f].carriers < minCarriers {
 		return false
 	}
-	if r.kind == Part && !c.tested(f, r) {
+	if r.kind == Part && (c.sums[f].strength < Threshold*fullEnd || !c.tested(f, r)) {
 		return false
 	}
 	better := c.betterThan(f, r)
@@ -139,7 +145,8 @@
 // is not: the routers resent it, perhaps because of the part. Of two parts that always come
 // together the later one in the prompt is better, since fewer requests share it.
 //
-// Otherwise the one with more ends is better. With equal numbers it is the one that fewer of the
+// Otherwise the one with more ends is better, where an end at which the server had begun to answer
+// the one and not the other counts more. With equal numbers it is the one that fewer of the
 // requests there hold, since what most requests hold is at most ends by chance; then the one that
 // came in more attempts or requests, since harmless requests are mostly resent by the routers;
 // then the one that had been there for a shorter time, since what crashes servers as it begins to
@@ -154,10 +161,11 @@
 			return !c.narrower(than, f)
 		}
 	}
-	if more := cmp.Compare(len(a.ends), len(b.ends)); more != 0 {
+	if more := cmp.Compare(c.sums[f].strength, c.sums[than].strength); more != 0 {
 		return more > 0
 	}
 	return cmp.Or(
+		cmp.Compare(len(a.ends), len(b.ends)),
 		cmp.Compare(c.sums[than].holders, c.sums[f].holders),
 		cmp.Compare(c.sums[f].carriers, c.sums[than].carriers),
 		cmp.Compare(c.sums[than].age, c.sums[f].age),
@@ -215,6 +223,7 @@
 	var s sums
 	seen := map[core.Fingerprint]struct{}{}
 	for _, e := range r.ends {
+		s.strength += e.strength(f, r.kind)
 		s.holders += len(e.lost[f])
 		s.age += int(youngest(e.lost[f]))
 		for _, holder := range e.lost[f] {
@@ -229,6 +238,20 @@
 	return s
 }
 
+// strength returns how much the end counts against a suspect that ran there.
+func (e *end) strength(f core.Fingerprint, kind Kind) int {
+	if kind == Part && len(e.began) > 0 && !e.beganOn(f) {
+		return halfEnd
+	}
+	return fullEnd
+}
+
+// beganOn reports whether the server had begun to answer a request that holds a part.
+func (e *end) beganOn(f core.Fingerprint) bool {
+	_, began := e.began[f]
+	return began
+}
+
 // youngest returns the shortest time, in ms, that one of the requests had been at its server.
 func youngest(holders []core.LostRequest) uint32 {
 	return slices.MinFunc(holders, func(a, b core.LostRequest) int { return cmp.Compare(a.Age, b.Age) }).Age
--- a/internal/poison/expire.go
+++ b/internal/poison/expire.go
@@ -24,10 +24,31 @@
 	return l.clearUntil(f, now, "") > 0
 }
 
-// Served records that a server began to write an answer on a suspect at a time and continued
-// to run. It returns the number of ends that no longer count.
-func (l *Ledger) Served(f core.Fingerprint, at core.Time, server string) int {
-	return l.clearUntil(f, at, server)
+// Served records that a server began to write an answer on a suspect and continued to run. It
+// returns the number of ends that no longer count.
+//
+// It is remembered for a suspect under which no end is known yet: a router may learn of an end
+// seconds later than it served others, and an end that came before does not count.
+func (l *Ledger) Served(f core.Fingerprint, w Writing) int {
+	if before, ok := l.served.Get(f); !ok || before.At < w.At {
+		l.served.Add(f, w)
+	}
+	return l.clearUntil(f, w.At, w.Server)
+}
+
+// TakeSpared returns the suspects of which ends were reported that do not count because a server
+// wrote on the suspect here, and how many, and resets them.
+func (l *Ledger) TakeSpared() map[core.Fingerprint]int {
+	spared := l.spared
+	l.spared = map[core.Fingerprint]int{}
+	maps.DeleteFunc(spared, func(f core.Fingerprint, _ int) bool { return !l.served.Contains(f) })
+	return spared
+}
+
+// LastWriting returns when a server last wrote on a suspect here.
+func (l *Ledger) LastWriting(f core.Fingerprint) Writing {
+	w, _ := l.served.Peek(f)
+	return w
 }
 
 // clearUntil makes the ends of a suspect up to a time not count, also those that are reported
--- a/internal/poison/ledger.go
+++ b/internal/poison/ledger.go
@@ -17,6 +17,8 @@
 	"slices"
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
 	"nutmeglane.example/nutmeglane/internal/core"
 )
 
@@ -50,6 +52,9 @@
 	maxEnds = 16
 	// maxHolders is the largest number of requests that are recorded for a part at one end.
 	maxHolders = 256
+	// maxServed limits the suspects of which it is remembered when a server last wrote on them,
+	// at some 100 bytes each.
+	maxServed = 8192
 	// maxNameBytes is the length to which the names of suspects are cut.
 	maxNameBytes = 40
 	// always is earlier than any other time.
@@ -67,6 +72,10 @@
 	// changed is set if the conclusions may have changed since concludedAt.
 	changed     bool
 	concludedAt core.Time
+	// served is when servers last wrote on suspects here, also on those under which no server
+	// is known to have ended. spared counts the ends that do not count because of it.
+	served *simplelru.LRU[core.Fingerprint, Writing]
+	spared map[core.Fingerprint]int
 	// answered is when a server of each service last began an answer and continued to run, as
 	// this process saw it.
 	answered map[string]core.Time
@@ -79,6 +88,11 @@
 	// lost are the suspects that ran there, each with the requests that held it: a request
 	// holds itself.
 	lost map[core.Fingerprint][]core.LostRequest
+	// began are the parts on which the server had begun to answer a request.
+	began map[core.Fingerprint]struct{}
+	// spared are the suspects against which the end does not count, as servers wrote on them
+	// later.
+	spared map[core.Fingerprint]struct{}
 }
 
 // record holds what was recorded of one suspect.
@@ -100,9 +114,20 @@
 	local bool
 }
 
+// Writing is when a server began to write an answer, and its instance.
+type Writing struct {
+	At     core.Time
+	Server string
+}
+
 // New returns an empty ledger.
 func New() *Ledger {
+	served, err := simplelru.NewLRU[core.Fingerprint, Writing](maxServed, nil)
+	if err != nil {
+		panic(err) // the size is positive
+	}
 	return &Ledger{
+		served: served, spared: map[core.Fingerprint]int{},
 		ends: map[string][]*end{}, suspects: map[core.Fingerprint]*record{},
 		candidates: map[core.Fingerprint]struct{}{}, poison: map[core.Fingerprint]struct{}{},
 		answered: map[string]core.Time{},
@@ -134,7 +159,7 @@
 	}
 	for _, h := range news.Harmless {
 		l.suspect(h.Suspect).seen = now
-		l.Served(h.Suspect, now.Add(-h.Ago), h.Server)
+		l.clearUntil(h.Suspect, now.Add(-h.Ago), h.Server)
 	}
 	l.evictExcess()
 	for _, f := range news.Cleared {
@@ -173,7 +198,7 @@
 func (l *Ledger) add(now core.Time, reported core.ServerEnd) {
 	known := l.find(reported.Life)
 	if known == nil {
-		known = &end{ServerEnd: reported, at: now.Add(-reported.Ago), lost: map[core.Fingerprint][]core.LostRequest{}}
+		known = &end{ServerEnd: reported, at: now.Add(-reported.Ago), lost: map[core.Fingerprint][]core.LostRequest{}, began: map[core.Fingerprint]struct{}{}, spared: map[core.Fingerprint]struct{}{}}
 		known.Requests, known.Parts = nil, nil
 		l.ends[reported.Life.Instance] = append(l.ends[reported.Life.Instance], known)
 	}
@@ -203,6 +228,9 @@
 	r := l.suspects[f]
 	if r == nil {
 		r = &record{depth: math.MaxUint16, clearedUntil: always}
+		if w, ok := l.served.Get(f); ok {
+			r.clearedUntil, r.clearedBy = w.At, w.Server
+		}
 		l.suspects[f] = r
 	}
 	return r
@@ -215,6 +243,10 @@
 			l.recordLost(now, e, part.Part, requests[i], Part)
 		}
 	}
+	if part.Began {
+		e.began[part.Part] = struct{}{}
+		l.changed = true
+	}
 	if r := l.suspects[part.Part]; r != nil {
 		r.depth = min(r.depth, part.Depth)
 	}
@@ -224,6 +256,7 @@
 func (l *Ledger) recordLost(now core.Time, e *end, f core.Fingerprint, holder core.LostRequest, kind Kind) {
 	r := l.suspect(f)
 	if e.at <= r.clearedUntil {
+		l.spare(e, f)
 		return
 	}
 	r.kind = kind
@@ -239,6 +272,14 @@
 	}
 }
 
+// spare counts an end that does not count against a suspect, once.
+func (l *Ledger) spare(e *end, f core.Fingerprint) {
+	if _, counted := e.spared[f]; !counted {
+		e.spared[f] = struct{}{}
+		l.spared[f]++
+	}
+}
+
 // dropOldest removes the oldest end of a suspect that has more than maxEnds.
 func (l *Ledger) dropOldest(f core.Fingerprint, r *record) {
 	if len(r.ends) <= maxEnds {
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -75,6 +75,7 @@
 		return
 	}
 	b := req.backend
+	req.attempt.began = !e.Answer.NotRun
 	if e.Answer.Load != nil {
 		b.load, b.loadAt, b.ownAtLoad = e.Answer.Load, r.now, len(b.sent)
 	}
--- a/internal/router/backend.go
+++ b/internal/router/backend.go
@@ -101,6 +101,8 @@
 	incarnation fleet.Incarnation
 	// release is the server's at that time.
 	release fleet.Release
+	// began is set once the head of an answer has arrived.
+	began bool
 	// answered is set at the first byte that counts: the response head, or the first event
 	// of a stream.
 	answered bool
--- a/internal/router/harmfulpart_test.go
+++ b/internal/router/harmfulpart_test.go
@@ -307,3 +307,31 @@
 	fresh.wantBlocked(fresh.callParts("quick", "bad"))
 	fresh.lastSend(fresh.callParts("quick", "all"))
 }
+
+// Guards against blocking a part that all requests hold when ends are known late: connections
+// break while the store is away, engines answer others meanwhile, and the registry shows seconds
+// later that three engines had ended.
+func TestEndsKnownLateBlockNoPart(t *testing.T) {
+	w := newEnginesFixture(t, 6)
+	var ended []string
+	for range 3 {
+		key := w.callParts("quick", "all")
+		ended = append(ended, w.lastSend(key).Instance)
+		w.closeConnection(key)
+		w.now = w.now.Add(300 * time.Millisecond)
+		w.refresh()
+	}
+	served := w.callParts("quick", "all")
+	w.beginAnswer(served)
+	w.run(liveAfter + tickInterval)
+	removed := map[string]bool{}
+	for _, instance := range ended {
+		removed[instance] = true
+	}
+	w.step(BackendsChanged{Removed: removed})
+	w.answerOther()
+	w.run(time.Second)
+	if w.router.ledger.Poison(partFingerprint(engineService, "all")) {
+		t.Error("the part is blocked")
+	}
+}
--- a/internal/router/harmless.go
+++ b/internal/router/harmless.go
@@ -25,26 +25,30 @@
 
 // harmlessTell is what this router may have to report of a harmless part.
 type harmlessTell struct {
-	// at is when a server last began an answer on it, server its instance.
-	at     core.Time
-	server string
 	// ends is the number of ends that were taken off it since the last report, here or heard.
 	ends int
 	// ticks is for how many ticks the report has been due.
 	ticks int
 }
 
-// noteHarmless records that ends were taken off a part because of an attempt's answer.
-func (r *Router) noteHarmless(f core.Fingerprint, a *attempt, ends int) {
+// noteHarmless records that ends do not count against a part because of an answer here.
+func (r *Router) noteHarmless(f core.Fingerprint, ends int) {
 	tell := r.harmless[f]
 	if tell == nil {
 		tell = &harmlessTell{}
 		r.harmless[f] = tell
 	}
-	tell.at, tell.server = a.firstAt(), a.incarnation.Instance
 	tell.ends += ends
 }
 
+// noteSpared records the ends that were reported after an answer here had shown that they do not
+// count.
+func (r *Router) noteSpared() {
+	for f, ends := range r.ledger.TakeSpared() {
+		r.noteHarmless(f, ends)
+	}
+}
+
 // heardHarmless notes that another router has reported parts.
 func (r *Router) heardHarmless(all []core.Harmless) {
 	for _, h := range all {
@@ -54,6 +58,7 @@
 
 // tellHarmless reports parts that are due, each with a chance that grows with each tick.
 func (r *Router) tellHarmless() {
+	r.noteSpared()
 	var due []core.Harmless
 	for _, f := range slices.Sorted(maps.Keys(r.harmless)) {
 		tell := r.harmless[f]
@@ -75,6 +80,6 @@
 }
 
 func (r *Router) harmlessNews(f core.Fingerprint) core.Harmless {
-	tell := r.harmless[f]
-	return core.Harmless{Suspect: f, Ago: r.now.Sub(tell.at), Server: tell.server}
+	w := r.ledger.LastWriting(f)
+	return core.Harmless{Suspect: f, Ago: r.now.Sub(w.At), Server: w.Server}
 }
--- a/internal/router/parts.go
+++ b/internal/router/parts.go
@@ -95,9 +95,6 @@
 		return
 	}
 	a.lived = true
-	if r.ledger.Empty() {
-		return
-	}
 	r.ledger.Answered(req.service, a.firstAt())
 	var names []string
 	for _, part := range req.sharedParts() {
@@ -114,11 +111,11 @@
 // partServed takes the ends before an answer off a part. It reports whether there were any.
 func (r *Router) partServed(part promptPart, a *attempt) bool {
 	wasPoison := r.ledger.Poison(part.fingerprint)
-	ends := r.ledger.Served(part.fingerprint, a.firstAt(), a.incarnation.Instance)
+	ends := r.ledger.Served(part.fingerprint, poison.Writing{At: a.firstAt(), Server: a.incarnation.Instance})
 	if ends == 0 {
 		return false
 	}
-	r.noteHarmless(part.fingerprint, a, ends)
+	r.noteHarmless(part.fingerprint, ends)
 	if wasPoison {
 		r.harmless[part.fingerprint].ends = tellEnds
 		r.emit(Publish{Name: part.fingerprint.String(), News: core.PoisonNews{Harmless: []core.Harmless{r.harmlessNews(part.fingerprint)}}})
--- a/internal/router/serverend.go
+++ b/internal/router/serverend.go
@@ -34,8 +34,10 @@
 type lostRequest struct {
 	core.LostRequest
 	at core.Time
-	// parts are the parts of its prompt on which the server may have begun to write.
+	// parts are the parts of its prompt on which the server may have begun to write, began is
+	// set if it had begun to answer.
 	parts []promptPart
+	began bool
 }
 
 // noteConnection records what a failed attempt reveals about its server.
@@ -48,7 +50,8 @@
 	}
 }
 
-// recordLost records that a request ran at a server when its connection was closed.
+// recordLost records that a request ran at a server when its connection was closed, and whether
+// the server had begun to answer it.
 //
 // A connection that is closed long after a recorded end of the server shows that the server
 // had not ended.
@@ -64,7 +67,7 @@
 			Fingerprint: req.fingerprint, Age: uint32(r.now.Sub(req.attempt.at).Milliseconds()),
 			Arrival: uint32(xxhash.Sum64String(req.id)),
 		},
-		at: r.now, parts: r.suspectParts(req),
+		at: r.now, parts: r.suspectParts(req), began: req.attempt.began,
 	}
 	switch incarnation := req.attempt.incarnation; {
 	case b.announced.draining():
@@ -117,6 +120,7 @@
 			}
 			end.Parts[at].Depth = min(end.Parts[at].Depth, part.depth)
 			end.Parts[at].Holders = append(end.Parts[at].Holders, uint16(i))
+			end.Parts[at].Began = end.Parts[at].Began || l.began
 		}
 	}
 	return end
