--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -213,8 +213,9 @@
 	return router.AnswerEnd{Framing: a.framing, End: framing.EndOf(a.framing, err), Events: a.timing.events}
 }
 
-// reportBroken reports that a response other than a stream broke off. No other response can
-// continue it. It returns false: the reducer decides how the request goes on.
+// reportBroken reports that a response other than a stream broke off, or came in place of the
+// rest of a stream. It can't be continued if a part of it was given to the caller; a stream can,
+// at another server. It returns false: the reducer decides how the request goes on.
 func (c *call) reportBroken(a *answer, err error) (ended bool) {
 	end := a.ended(err)
 	end.Unresumable = c.started && !a.stream && c.position == sse.Position{}
