--- a/internal/router/dump.go
+++ b/internal/router/dump.go
@@ -22,6 +22,8 @@
 	// all quotas.
 	Accounts   []quota.State
 	QuotaShare quota.ShareState
+	// Evacuated are the zones whose servers get nothing, as operators ask.
+	Evacuated []core.Zone
 	// Suspects are the requests, and the parts of prompts, on which two servers or more ended.
 	Suspects []poison.Entry
 	// AnswerEnds counts the ways in which servers' answers ended since this process started.
@@ -82,6 +84,7 @@
 // Dump returns the router's state. It must not be called during a step.
 func (r *Router) Dump() State {
 	state := State{Version: r.ConfigVersion(), Ready: r.Ready(), Requests: len(r.requests), Accounts: r.gate.Dump(r.now), QuotaShare: r.gate.Share(), Suspects: r.ledger.Dump(r.now), AnswerEnds: r.dumpAnswerEnds(), Origins: r.origins.Len(), OriginsDropped: r.origins.Dropped(), Releases: r.dumpReleases()}
+	state.Evacuated = slices.Sorted(maps.Keys(r.evacuated))
 	for _, instance := range slices.Sorted(maps.Keys(r.backends)) {
 		b := r.backends[instance]
 		perSecond, knownFor := r.limitState(b)
--- a/internal/router/serverend.go
+++ b/internal/router/serverend.go
@@ -108,22 +108,31 @@
 		Life: serverLife(incarnation), Service: b.Service, Address: b.Address, Sole: r.soleAddress(b),
 		Ago: r.now.Sub(at),
 	}
+	for _, l := range lost {
+		end.Requests = append(end.Requests, l.LostRequest)
+	}
+	end.Parts = partsOf(lost)
+	return end
+}
+
+// partsOf returns the parts of the prompts of lost requests, each with the requests that hold it.
+func partsOf(lost []lostRequest) []core.LostPart {
+	var parts []core.LostPart
 	index := map[core.Fingerprint]int{}
 	for i, l := range lost {
-		end.Requests = append(end.Requests, l.LostRequest)
 		for _, part := range l.parts {
-			at, known := index[part.fingerprint]
+			j, known := index[part.fingerprint]
 			if !known {
-				at = len(end.Parts)
-				index[part.fingerprint] = at
-				end.Parts = append(end.Parts, core.LostPart{Part: part.fingerprint, Depth: part.depth})
+				j = len(parts)
+				index[part.fingerprint] = j
+				parts = append(parts, core.LostPart{Part: part.fingerprint, Depth: part.depth})
 			}
-			end.Parts[at].Depth = min(end.Parts[at].Depth, part.depth)
-			end.Parts[at].Holders = append(end.Parts[at].Holders, uint16(i))
-			end.Parts[at].Began = end.Parts[at].Began || l.began
+			parts[j].Depth = min(parts[j].Depth, part.depth)
+			parts[j].Holders = append(parts[j].Holders, uint16(i))
+			parts[j].Began = parts[j].Began || l.began
 		}
 	}
-	return end
+	return parts
 }
 
 // recordEnd adds an end to the ledger, reports it to the other routers, and logs on how
