TestRestoreKeepsAnIgnoredHangup passes under nohup

Cause: SIGHUP is ignored there from the start, and the test's first child inherits that. The product is right: Restore leaves it ignored. Change: the test handles the signal, so that the child of its first case starts with the default action. What it checks is unchanged.

--- a/internal/hangup/hangup_test.go
+++ b/internal/hangup/hangup_test.go
@@ -28,6 +28,11 @@
 // Guards against a command under nohup that is ended by SIGHUP, with and without cgo: Restore
 // must leave the signal ignored if the parent ignored it.
 func TestRestoreKeepsAnIgnoredHangup(t *testing.T) {
+	// A child of a process that handles the signal starts with its default action, also if the
+	// tests themselves run under nohup.
+	handled := make(chan os.Signal, 1)
+	signal.Notify(handled, syscall.SIGHUP)
+	defer signal.Stop(handled)
 	for _, ignored := range []bool{false, true} {
 		if ignored {
 			signal.Ignore(syscall.SIGHUP) // inherited by the child
