A load from the weight store is credited with the loads that ran when it began

Cause: the limit of loads at once was learnt from the largest number seen since the last result. The first load at a store that serves one at full speed took its nominal 15.18 s, a second had begun after it, and the limit rose from 2 to 3. A load's duration depends on the loads that run when it begins (30.37 s for one that began second, 15.34 s for a third of 10.2 s where two run at full speed). Change: each router remembers how many loads ran when it saw one begin; only such a load can raise the limit. Evidence: TestStoreLimitIgnoresLoadsThatBeganLater gave 3 in place of 2 before.

--- a/internal/router/coordinate.go
+++ b/internal/router/coordinate.go
@@ -45,8 +45,6 @@
 type storeState struct {
 	// limit is the number of concurrent loads that run at full speed, as far as measured.
 	limit int
-	// peak is the maximum number of concurrent loads seen since the last result.
-	peak int
 	// active and waiting count the loads that run and wait. They are recomputed at
 	// recountAt.
 	active, waiting int
@@ -82,30 +80,67 @@
 	return s.store.limit
 }
 
-// learnStoreLoad adapts the limit to the duration of a load. Loads that share the store
-// slow each other down proportionally: n concurrent loads at a store with capacity k take
-// n/k of the nominal time, so that n divided by the ratio estimates k.
+// learnStoreLoad adapts the limit to the duration of a load. The duration depends on the loads
+// that run when it begins: with n of them at a store with capacity k it takes n/k of the nominal
+// time, so that n divided by the ratio estimates k.
+//
+// It guards against crediting a load with others that began after it: the first load at a store
+// that serves one took its nominal time while a second ran, the limit rose to three, and three
+// loads that nobody waited for took 30 to 41 s each while callers of a busy model were refused.
 func (r *Router) learnStoreLoad(b *backend, l *loader) {
-	s := r.service(b.Service)
+	r.learnStoreLimit(b, l)
+	l.storeLoad = r.observeStoreLoad(b, l)
+}
+
+// observedStoreLoad is a load from the weight store that an engine executes.
+type observedStoreLoad struct {
+	// reported is set once the engine's loader has reported anything.
+	reported bool
+	// model is "" if the engine executes none.
+	model string
+	// concurrent is the number of loads that ran when this router first saw it, itself
+	// included. beganSeen is set if that was when it began.
+	concurrent int
+	beganSeen  bool
+}
+
+// observeStoreLoad returns the load that an engine executes, according to its last report.
+func (r *Router) observeStoreLoad(b *backend, l *loader) observedStoreLoad {
+	loading := slices.IndexFunc(l.holdings.Models, func(m core.HeldModel) bool { return m.State == core.HoldStoreLoading })
+	if loading < 0 {
+		return observedStoreLoad{reported: true}
+	}
+	model := l.holdings.Models[loading].Name
+	if model == l.storeLoad.model {
+		return l.storeLoad
+	}
 	active, _ := r.storeLoads(b.Service)
-	s.store.peak = max(s.store.peak, active)
+	return observedStoreLoad{reported: true, model: model, concurrent: active, beganSeen: l.storeLoad.reported}
+}
+
+// learnStoreLimit adapts the limit to the result of a load that has ended.
+func (r *Router) learnStoreLimit(b *backend, l *loader) {
 	result := l.holdings.StoreLoad
 	if result == nil || result.Sequence == l.storeLoadSeq || result.Nominal <= 0 {
 		return
 	}
 	l.storeLoadSeq = result.Sequence
+	concurrent := l.storeLoad.concurrent
+	if concurrent == 0 {
+		return
+	}
+	s := r.service(b.Service)
 	ratio := float64(result.Took) / float64(result.Nominal)
-	limit, peak := s.storeLimit(), max(1, s.store.peak)
+	limit := s.storeLimit()
 	switch {
-	case ratio < uncontendedRatio && peak >= limit:
-		s.store.limit = peak + max(1, peak/2)
+	case ratio < uncontendedRatio && l.storeLoad.beganSeen && concurrent >= limit:
+		s.store.limit = concurrent + max(1, concurrent/2)
 	case ratio > contendedRatio:
-		s.store.limit = max(1, int(math.Round(float64(peak)/ratio)))
+		s.store.limit = max(1, int(math.Round(float64(concurrent)/ratio)))
 	}
-	s.store.peak = active
 	if s.store.limit != limit {
 		r.log(StateChange, "weight store measured", slog.String("service", b.Service), slog.Int("limit", s.store.limit),
-			slog.Float64("ratio", ratio), slog.Int("at_once", peak), slog.String("loader", string(l.name)))
+			slog.Float64("ratio", ratio), slog.Int("at_once", concurrent), slog.String("loader", string(l.name)))
 	}
 }
 
--- a/internal/router/coordinate_test.go
+++ b/internal/router/coordinate_test.go
@@ -90,6 +90,37 @@
 	}
 }
 
+// The store serves one load at full speed. The first load begins alone and takes its nominal time,
+// while a second one, which began after it, takes twice as long. Guards against a limit that rises
+// by the first: three loads at once then occupied the store for 41 s.
+func TestStoreLimitIgnoresLoadsThatBeganLater(t *testing.T) {
+	w := newFixture(t)
+	w.servers(engineService, 3)
+	s := w.router.services[engineService]
+	s.store.limit = 1
+	loading := []core.HeldModel{{Name: "m1", State: core.HoldStoreLoading, ReadyIn: 6 * time.Second}}
+	for i := range 3 {
+		w.reportHoldings(i, core.Holdings{})
+	}
+	w.reportHoldings(0, core.Holdings{Models: loading})
+	w.run(time.Second)
+	w.reportHoldings(0, core.Holdings{Models: loading})
+	w.reportHoldings(1, core.Holdings{Models: loading})
+	s.store.limit = 2
+	w.reportHoldings(0, core.Holdings{Models: loadedModels("m1"), StoreLoad: &core.StoreLoadResult{
+		Sequence: 1, Took: 6 * time.Second, Nominal: 6 * time.Second,
+	}})
+	if got := s.storeLimit(); got != 2 {
+		t.Errorf("limit %d after a load that began alone, want 2 as before", got)
+	}
+	w.reportHoldings(1, core.Holdings{Models: loadedModels("m1"), StoreLoad: &core.StoreLoadResult{
+		Sequence: 1, Took: 12 * time.Second, Nominal: 6 * time.Second,
+	}})
+	if got := s.storeLimit(); got != 1 {
+		t.Errorf("limit %d after a load that took twice its time beside another, want 1", got)
+	}
+}
+
 // Demand has moved to a model that only the weight store has. Its load takes longer than
 // callers stay: each is refused at once, and none waits. Rare models, for each of which one
 // patient caller waits, were read before it, while 40 callers a second were refused. The
--- a/internal/router/loaders.go
+++ b/internal/router/loaders.go
@@ -62,6 +62,8 @@
 	dirty                         bool
 	// storeLoadSeq is the sequence number of the last store load result that was processed.
 	storeLoadSeq int
+	// storeLoad is the load from the weight store that the engine executes.
+	storeLoad observedStoreLoad
 }
 
 // connect assigns an engine to the loader beside it, which checkLoaders dials.
