The latency of a plain service's server is forgotten while it gets no requests

A server's estimate was corrected by its own answers only: 15 ms against 12 ms at one router, 1,568 ms after one answer at another whose process stood still. Change: the estimate goes to 0.8 of the service's within some ten seconds, so that a request shows what the server is now. Evidence: TestSlowAnswerIsForgotten failed before (no request within a minute) and passes.

--- a/internal/router/backend.go
+++ b/internal/router/backend.go
@@ -29,6 +29,13 @@
 	// smoothing is the weight of a new sample in moving averages: about the last ten
 	// samples count.
 	smoothing = 0.2
+	// latencyMemory is the time constant with which the latency of a server that gets no requests
+	// is forgotten. A slow host or process recovers within some seconds to a minute.
+	latencyMemory = 10 * time.Second
+	// unknownShare is the forgotten latency of a server relative to that of the service. Below
+	// the latency of the servers in use, it leads to a request to the server; at 0.8, that is
+	// one within half a minute if the server is as fast as the others.
+	unknownShare = 0.8
 	// initialLatency is the assumed latency of a server that has not answered yet.
 	initialLatency = 50 * time.Millisecond
 	// After ejectAfter consecutive failures a server gets no requests for a period that
@@ -63,6 +70,8 @@
 	// latency is the moving average of a plain service's time to its answer, corrected for
 	// the load at the time.
 	latency time.Duration
+	// learnedAt is when the latency was last updated.
+	learnedAt core.Time
 	// queue and cache are this router's estimates of an engine's queue and prefix cache.
 	// pace is the factor by which the engine is slower than its peers, 1 or more.
 	queue work.Queue
@@ -213,15 +222,24 @@
 	return reported + weight*(extrapolated-reported)
 }
 
-// baseLatency is the latency of a plain service's server without load.
+// baseLatency is the latency of a plain service's server without load. The longer a server has
+// not answered, the more it is that of the service's other servers, slightly less in the end, so
+// that a request shows what it is now.
+//
+// It guards against an estimate that is never corrected: after one answer that took 1.5 s because
+// its process stood still, or 3 ms more than another server's, a router sent nothing there for as
+// long as the other servers had room.
 func (r *Router) baseLatency(b *backend) time.Duration {
-	if b.latency > 0 {
-		return b.latency
-	}
+	usual := initialLatency
 	if s := r.services[b.Service]; s != nil && s.latency > 0 {
-		return s.latency
+		usual = s.latency
 	}
-	return initialLatency
+	if b.latency == 0 {
+		return usual
+	}
+	known := math.Exp(-float64(r.now.Sub(b.learnedAt)) / float64(latencyMemory))
+	forgotten := unknownShare * float64(usual)
+	return time.Duration(forgotten + known*(float64(b.latency)-forgotten))
 }
 
 // slowdown is the factor by which the requests at a plain service's server slow down one
@@ -254,7 +272,12 @@
 // learnLatency updates the latency of a plain service after an answer.
 func (r *Router) learnLatency(b *backend, latency time.Duration, slowdown float64) {
 	alone := time.Duration(float64(latency) / max(1, slowdown))
-	b.latency = average(b.latency, alone)
+	known := b.latency
+	if known > 0 {
+		known = r.baseLatency(b)
+	}
+	b.latency = average(known, alone)
+	b.learnedAt = r.now
 	s := r.service(b.Service)
 	s.latency = average(s.latency, alone)
 }
--- a/internal/router/choose_test.go
+++ b/internal/router/choose_test.go
@@ -1,7 +1,10 @@
 package router
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -111,3 +114,31 @@
 		t.Fatalf("sent to %d engines, want one", len(got))
 	}
 }
+
+// Guards against an estimate that is never corrected: one answer took 1.5 s because the server's
+// process stood still, and it got no request afterwards for as long as the others had room.
+func TestSlowAnswerIsForgotten(t *testing.T) {
+	w := newFixture(t)
+	w.servers(plainService, 3)
+	for _, took := range []time.Duration{10, 10, 10, 700} {
+		key := w.call("once", nil)
+		w.now = w.now.Add(took * time.Millisecond)
+		w.serve(key)
+		w.run(100 * time.Millisecond)
+	}
+	slowest := slices.MaxFunc(slices.Collect(maps.Values(w.router.backends)), func(a, b *backend) int { return cmp.Compare(a.latency, b.latency) })
+	first := slowest.Instance
+	again := 0
+	for i := range 600 {
+		key := w.call("once", nil)
+		if w.lastSend(key).Instance == first {
+			again++
+		}
+		w.now = w.now.Add(time.Duration(8+i%5) * time.Millisecond)
+		w.serve(key)
+		w.run(100 * time.Millisecond)
+	}
+	if again == 0 {
+		t.Fatalf("%s got no request within a minute after one slow answer", first)
+	}
+}
