--- a/internal/fleet/engine.go
+++ b/internal/fleet/engine.go
@@ -20,6 +20,10 @@
 	Running, Waiting int
 	// Unread is the number of these requests that have not produced an event yet.
 	Unread int
+	// Runs are the requests that have produced an event. Malformed is the number of entries of
+	// the report's list of them that could not be decoded and are left out.
+	Runs      []Run
+	Malformed int
 	// KVUsed is the number of tokens in the KV cache that can't be reclaimed.
 	KVUsed, KVTotal int
 	Draining        bool
@@ -27,6 +31,15 @@
 	LeavesIn time.Duration
 }
 
+// Run is a request at an engine that has produced an event.
+type Run struct {
+	// ID is the request id.
+	ID string
+	// Tokens is its number of tokens in the KV cache, Events that of the events that it has
+	// produced.
+	Tokens, Events int
+}
+
 // OrderKind is the kind of an order.
 type OrderKind uint8
 
