Enforce the budget of an engine by the request limits

The loader computes the budget from its engine's reports and enforces it as a limit of its own engine, apart from the one that the engine names; the lower applies. Routers send the objectives to loaders whose service qualifies, and nothing otherwise.

--- a/internal/core/loading.go
+++ b/internal/core/loading.go
@@ -50,6 +50,17 @@
 	MemoryMB     float64     `cbor:"2,keyasint"`
 	AdapterSlots int         `cbor:"3,keyasint"`
 	Models       []ModelSpec `cbor:"4,keyasint"`
+	// Budget is nil if the engine gets no request-rate budget.
+	Budget *BudgetSpec `cbor:"5,keyasint,omitempty"`
+}
+
+// BudgetSpec holds the objectives that an engine's request-rate budget must keep; see package
+// enginebudget.
+type BudgetSpec struct {
+	// FirstEvent is the shortest objective for the first event of a stream of the service,
+	// Pause the shortest one for the pause between two events.
+	FirstEvent time.Duration `cbor:"1,keyasint"`
+	Pause      time.Duration `cbor:"2,keyasint"`
 }
 
 // ModelSpec is a model's size and load times.
--- a/internal/limit/bucket.go
+++ b/internal/limit/bucket.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"math"
 	"time"
 
 	"nutmeglane.example/nutmeglane/internal/core"
@@ -22,7 +23,8 @@
 	minDelay = 20 * time.Millisecond
 )
 
-// bucket limits requests to a rate by a token bucket and a sliding window.
+// bucket limits requests to a rate by a token bucket and, for a limit that a server announced,
+// a sliding window.
 type bucket struct {
 	// tokens are the tokens at the time at, at most capacity. Each is one request.
 	tokens float64
@@ -30,24 +32,32 @@
 	// sent counts the requests within the window, from all routers that the bucket
 	// counts for.
 	sent window.Window
-	// rate is in requests per second.
-	rate float64
+	// rate is in requests per second, windowRate the part of it that the window enforces, 0
+	// without a window. burst is how long the bucket takes to fill.
+	rate, windowRate float64
+	burst            time.Duration
 }
 
 func newBucket(now core.Time) bucket {
-	return bucket{at: now, sent: window.New(Window, windowSlots)}
+	return bucket{at: now, sent: window.New(Window, windowSlots), burst: burstTime}
 }
 
 // capacity returns the size of the largest burst.
-func (b *bucket) capacity() float64 { return 1 + b.rate*burstTime.Seconds() }
+func (b *bucket) capacity() float64 { return 1 + b.rate*b.burst.Seconds() }
 
 // windowLimit returns the number of requests that may be sent within the window.
-func (b *bucket) windowLimit() float64 { return b.rate*Window.Seconds() + b.capacity() }
+func (b *bucket) windowLimit() float64 {
+	if b.windowRate == 0 {
+		return math.Inf(1)
+	}
+	return b.windowRate*Window.Seconds() + 1 + b.windowRate*burstTime.Seconds()
+}
 
-// setRate changes the rate from now on.
-func (b *bucket) setRate(now core.Time, perSecond float64) {
+// setRate changes the rate from now on, with a window of windowPerSecond, or without one if
+// that is 0, and with the time that the bucket takes to fill.
+func (b *bucket) setRate(now core.Time, perSecond, windowPerSecond float64, burst time.Duration) {
 	b.fill(now)
-	b.rate = perSecond
+	b.rate, b.windowRate, b.burst = perSecond, windowPerSecond, burst
 	b.tokens = min(b.tokens, b.capacity())
 }
 
--- a/internal/limit/gate.go
+++ b/internal/limit/gate.go
@@ -32,6 +32,9 @@
 // is not usable; see NewGate.
 type Gate struct {
 	announcement Announcement
+	// budget is the engine's budget, in force until budgetUntil, 0 without one.
+	budget      float64
+	budgetUntil core.Time
 	// knownSince is when the current limit was first received.
 	knownSince core.Time
 	// uncounted counts the requests within the last window that were sent without a
@@ -59,17 +62,12 @@
 	return &Gate{uncounted: window.New(Window, gateSlots), phase: phase}
 }
 
-// Limit returns the limit in force, in requests a second, and whether there is one.
-func (g *Gate) Limit() (perSecond float64, named bool) {
-	return g.announcement.PerSecond, g.announcement.Named
-}
-
 // KnownSince returns when this router first received the current limit.
 func (g *Gate) KnownSince() core.Time { return g.knownSince }
 
 // Update processes an announcement and reports whether it changes anything.
 func (g *Gate) Update(now core.Time, next Announcement) (changed bool) {
-	before := g.announcement.Named
+	_, before := g.Limit()
 	g.announcement, changed = g.announcement.Update(next)
 	if changed && !before {
 		g.knownSince = now
@@ -105,7 +103,7 @@
 // Delay returns how long no request can be sent to the server, 0 if one may be possible
 // now. With spare set it is for a request that another server could serve.
 func (g *Gate) Delay(now core.Time, spare bool) time.Duration {
-	if !g.announcement.Named {
+	if _, limited := g.Limit(); !limited {
 		return 0
 	}
 	at := g.permitAt
@@ -118,7 +116,8 @@
 // RetryAfter returns after what time the next caller that is refused because of the limit
 // should retry.
 func (g *Gate) RetryAfter(now core.Time) time.Duration {
-	return g.retries.Next(now, g.Delay(now, false), permitInterval(g.announcement.PerSecond))
+	perSecond, _ := g.Limit()
+	return g.retries.Next(now, g.Delay(now, false), permitInterval(perSecond))
 }
 
 // RecordIntent records that a request is to be sent to the server once it is permitted.
@@ -163,7 +162,8 @@
 // limit to the others, the excess stays within the half that servers tolerate beyond
 // their limits.
 func (g *Gate) TakeTurn(now core.Time, routers int) bool {
-	perSecond := max(MinPerSecond, g.announcement.PerSecond) / float64(max(1, routers))
+	limit, _ := g.Limit()
+	perSecond := max(MinPerSecond, limit) / float64(max(1, routers))
 	period := max(minPeriod, time.Duration(float64(time.Second)/perSecond))
 	turn := now - core.Time(time.Duration(now)+period-time.Duration(g.phase*float64(period)))%core.Time(period)
 	next := turn.Add(period)
--- a/internal/limit/limiter.go
+++ b/internal/limit/limiter.go
@@ -24,7 +24,9 @@
 type limitedServer struct {
 	life         core.ServerLife
 	announcement Announcement
-	bucket       bucket
+	// budget is the engine's budget in requests per second, 0 without one.
+	budget budget
+	bucket bucket
 	// retries schedules the retries of routers that were refused.
 	retries RetrySchedule
 	// updatedAt is when a router last reported anything about the server.
@@ -79,8 +81,8 @@
 
 func (s *limitedServer) update(now core.Time, message core.ReportedLimit, coldFor time.Duration) (changed bool) {
 	s.announcement, changed = s.announcement.Update(FromMessage(now, message, coldFor))
-	if changed && s.announcement.Named {
-		s.bucket.setRate(now, max(MinPerSecond, s.announcement.PerSecond))
+	if changed {
+		s.setRate(now)
 	}
 	return changed
 }
@@ -92,7 +94,7 @@
 	if request.Spare {
 		reserve = spareShare * (s.bucket.capacity() - 1)
 	}
-	if !s.announcement.Named || s.bucket.take(now, reserve) {
+	if !s.limited() || s.bucket.take(now, reserve) {
 		reply.Granted = true
 		return reply
 	}
@@ -105,14 +107,16 @@
 
 // message returns the message that announces the server's limit to routers.
 func (s *limitedServer) message(now core.Time) *core.LimitReply {
-	return &core.LimitReply{Server: s.life, Limit: s.announcement.message(now), ColdFor: s.announcement.coldFor(now)}
+	reply := &core.LimitReply{Server: s.life, Limit: s.announcement.message(now), ColdFor: s.announcement.coldFor(now)}
+	reply.Budget, reply.BudgetFor = s.budget.message()
+	return reply
 }
 
 // Active returns the limits in force, for a router that has just connected.
 func (l *Limiter) Active(now core.Time) []core.LimitReply {
 	var all []core.LimitReply
 	for _, instance := range slices.Sorted(maps.Keys(l.servers)) {
-		if s := l.servers[instance]; s.announcement.Named {
+		if s := l.servers[instance]; s.limited() {
 			all = append(all, *s.message(now))
 		}
 	}
@@ -124,6 +128,8 @@
 	Server core.ServerLife
 	// PerSecond is the limit, nil if there is none any more.
 	PerSecond *float64
+	// Budget is the engine's budget in requests per second, 0 without one.
+	Budget float64
 	// Tokens are the requests that may be granted at once, Sent those within the window.
 	Tokens, Sent float64
 }
@@ -133,7 +139,7 @@
 	var states []State
 	for _, instance := range slices.Sorted(maps.Keys(l.servers)) {
 		s := l.servers[instance]
-		state := State{Server: s.life, Tokens: s.bucket.tokens, Sent: s.bucket.sent.Total(now)}
+		state := State{Server: s.life, Budget: s.budget.perSecond, Tokens: s.bucket.tokens, Sent: s.bucket.sent.Total(now)}
 		if s.announcement.Named {
 			state.PerSecond = &s.announcement.PerSecond
 		}
--- a/internal/limit/retry.go
+++ b/internal/limit/retry.go
@@ -28,6 +28,20 @@
 	return r.last.Sub(now)
 }
 
+// rescale moves the retries after a change of the rate by a factor. The retries assigned at a
+// lower rate are due later than requests can be granted at the new one.
+func (r *RetrySchedule) rescale(now core.Time, factor float64) {
+	r.last = rescaled(now, r.last, factor)
+}
+
+// rescaled returns a time that is still to come at the rate changed by a factor.
+func rescaled(now, at core.Time, factor float64) core.Time {
+	if at <= now {
+		return at
+	}
+	return now.Add(time.Duration(float64(at.Sub(now)) / factor))
+}
+
 // permitInterval returns the time between two permits at a rate.
 func permitInterval(perSecond float64) time.Duration {
 	return time.Duration(float64(time.Second) / max(MinPerSecond, perSecond))
--- a/internal/loader/dump.go
+++ b/internal/loader/dump.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"nutmeglane.example/nutmeglane/internal/core"
+	"nutmeglane.example/nutmeglane/internal/enginebudget"
 	"nutmeglane.example/nutmeglane/internal/fleet"
 	"nutmeglane.example/nutmeglane/internal/limit"
 	"nutmeglane.example/nutmeglane/internal/quota"
@@ -20,6 +21,10 @@
 	Told    core.Holdings
 	// Limits are the servers whose request limits this loader enforces.
 	Limits []limit.State
+	// Budget is the engine's request-rate budget with its inputs, nil where the service has
+	// none. BudgetInForce is set while routers are told of it.
+	Budget        *enginebudget.State
+	BudgetInForce bool
 	// QuotaShare is the part of all limits of client accounts that routers lend this
 	// loader, from 0 to 1. Quotas are the accounts that it grants tokens of.
 	QuotaShare float64
@@ -37,6 +42,10 @@
 		Limits: l.limits.Dump(l.now), QuotaShare: l.quotas.Share(l.now), Quotas: l.quotas.Dump(l.now),
 		Origins: l.origins.Len(), OriginsDropped: l.origins.Dropped(),
 	}
+	if l.budget.tracker != nil {
+		budget := l.budget.tracker.Dump(l.now)
+		state.Budget, state.BudgetInForce = &budget, l.budget.inForce
+	}
 	if l.task != nil {
 		state.Task = l.task.order.Kind.String() + " " + l.task.order.Model
 	}
--- a/internal/loader/limits.go
+++ b/internal/loader/limits.go
@@ -11,6 +11,7 @@
 
 func (l *Loader) handleLimitRequest(e LimitRequested) {
 	l.limits.RemoveStale(l.now)
+	l.countAsked(e)
 	answer, broadcast := l.limits.Handle(l.now, e.Request)
 	if answer != nil {
 		l.emit(SendLimit{Routers: []core.HostID{e.Router}, Limit: *answer})
@@ -28,4 +29,7 @@
 	for _, active := range l.limits.Active(l.now) {
 		l.emit(SendLimit{Routers: []core.HostID{router}, Limit: active})
 	}
+	if r := l.routers[router]; r != nil && l.budget.inForce {
+		r.budgetToldAt = l.now
+	}
 }
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -79,6 +79,8 @@
 	// newerSpecOffered is set while a router may have announced a newer engine
 	// configuration.
 	newerSpecOffered bool
+	// specOffers counts the announcements of engine configurations by routers.
+	specOffers int
 
 	readPending  bool
 	lastReadAt   core.Time
@@ -107,6 +109,8 @@
 	quotas *quota.Granter
 	// limits enforces the limits of servers that announce one.
 	limits *limit.Limiter
+	// budget is the engine's request-rate budget.
+	budget engineBudget
 	// origins are the releases that began streams.
 	origins *origin.Table
 	configs configRelay
@@ -208,6 +212,7 @@
 	l.requestSpec()
 	l.sendNextOrder()
 	l.sendUpdates()
+	l.renewBudget()
 	l.scheduleRead()
 	l.emit(Wake{At: l.nextWake()})
 	return l.out
@@ -229,10 +234,11 @@
 		r.processor = e.Demand.Processor
 	}
 	if e.Demand.Spec.Hash != 0 {
-		r.spec, l.newerSpecOffered = e.Demand.Spec, true
+		l.specOffers++
+		r.spec, r.specOffer, l.newerSpecOffered = e.Demand.Spec, l.specOffers, true
 	}
 	if e.Demand.Engine != nil {
-		l.setSpec(e.Demand.Engine)
+		l.setSpec(e.Demand.Engine, r.specOffer)
 	}
 	l.requestSpec()
 	before := r.demand
--- a/internal/loader/report.go
+++ b/internal/loader/report.go
@@ -46,6 +46,7 @@
 			slog.Int("models", len(e.Report.Models)))
 	}
 	l.countUsage()
+	l.sampleBudget()
 	l.checkTask()
 }
 
--- a/internal/loader/restart.go
+++ b/internal/loader/restart.go
@@ -53,6 +53,7 @@
 		attrs = append(attrs, slog.String("order_lost", t.order.Kind.String()+" "+t.order.Model))
 	}
 	l.log("engine restarted", attrs...)
+	l.dropBudget("engine restarted")
 	if report.Born != 0 && report.Born != l.engine.life.Born {
 		l.engine.life = fleet.Incarnation{}
 		l.restoreInstance(report.Born)
--- a/internal/loader/routers.go
+++ b/internal/loader/routers.go
@@ -18,6 +18,10 @@
 	demandAt, connectedAt core.Time
 	// spec identifies the engine configuration that the router has.
 	spec core.SpecID
+	// specOffer is the number of its announcement among those of all routers.
+	specOffer int
+	// budgetToldAt is when it was last told the engine's budget.
+	budgetToldAt core.Time
 	// processor is its share of a processor, 0 before it is reported.
 	processor float64
 	// sentVersion and sentNearVersion are the versions of the holdings that were last
--- a/internal/loader/spec.go
+++ b/internal/loader/spec.go
@@ -22,10 +22,14 @@
 
 // spec is the engine's configuration.
 type spec struct {
-	id           core.SpecID
+	id core.SpecID
+	// offer is the number of the announcement by the router that sent it.
+	offer        int
 	memoryMB     float64
 	adapterSlots int
 	models       map[string]core.ModelSpec
+	// budget is nil if the engine gets no budget.
+	budget *core.BudgetSpec
 }
 
 // specRequestTimeout is how long a router has to send the engine configuration that it
@@ -34,11 +38,11 @@
 
 // setSpec stores a configuration unless it is older than the current one: routers receive
 // a change at different times.
-func (l *Loader) setSpec(in *core.EngineSpec) {
+func (l *Loader) setSpec(in *core.EngineSpec, offer int) {
 	if l.spec != nil && in.ID.Version < l.spec.id.Version {
 		return
 	}
-	s := &spec{id: in.ID, memoryMB: in.MemoryMB, adapterSlots: in.AdapterSlots, models: map[string]core.ModelSpec{}}
+	s := &spec{id: in.ID, offer: offer, memoryMB: in.MemoryMB, adapterSlots: in.AdapterSlots, models: map[string]core.ModelSpec{}, budget: in.Budget}
 	for _, m := range in.Models {
 		s.models[m.Name] = m
 	}
@@ -47,8 +51,17 @@
 
 // isNewerSpec reports whether a router has a newer engine configuration whose contents
 // differ from this loader's.
-func (l *Loader) isNewerSpec(id core.SpecID) bool {
-	return id.Hash != 0 && (l.spec == nil || id.Version > l.spec.id.Version && id.Hash != l.spec.id.Hash)
+//
+// Contents of the same version differ between routers with different settings, or of different
+// builds, as to the budget. The one that was announced last applies, so that a change of the
+// settings takes effect once the routers have it, and a mixed fleet does not make the loader
+// request one after the other forever.
+func (l *Loader) isNewerSpec(r *router) bool {
+	id := r.spec
+	if id.Hash == 0 || l.spec != nil && id.Hash == l.spec.id.Hash {
+		return false
+	}
+	return l.spec == nil || id.Version > l.spec.id.Version || id.Version == l.spec.id.Version && r.specOffer > l.spec.offer
 }
 
 // requestSpec asks one router for a newer configuration of the engine, if any router has
@@ -64,7 +77,7 @@
 	}
 	var holders []core.HostID
 	for _, r := range l.connected {
-		if l.isNewerSpec(r.spec) {
+		if l.isNewerSpec(r) {
 			holders = append(holders, r.name)
 		}
 	}
--- a/internal/router/announced.go
+++ b/internal/router/announced.go
@@ -192,6 +192,7 @@
 func (r *Router) restoreDeparted(b *backend) {
 	if d, known := r.departed[b.Instance]; known && d.Compare(b.Incarnation) == 0 {
 		b.announced, b.limit = d.announced, d.limit
+		b.limit.gate.ExpireBudget(r.now)
 		if b.limited() {
 			r.limited = with(r.limited, b)
 		}
--- a/internal/router/permit.go
+++ b/internal/router/permit.go
@@ -70,7 +70,7 @@
 	switch {
 	case !answer.Granted:
 		b.limit.gate.RecordRefusal(r.now, answer.Room, answer.Spare)
-		r.countPermit(b, "refused")
+		r.countPermit(b, b.refusal())
 		r.noRoom(req, b, "the loader that counts")
 	case !r.serves(b, req):
 		r.countPermit(b, "unused")
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -368,6 +368,7 @@
 	r.checkReleases()
 	r.tickQuotas()
 	r.checkRequests()
+	r.expireBudgets()
 	r.logLimitedSends()
 	r.tellHarmless()
 	r.findPoison()
--- a/internal/router/serverlimit.go
+++ b/internal/router/serverlimit.go
@@ -64,6 +64,7 @@
 	incarnation := fleet.Incarnation{Instance: e.Answer.Server.Instance, Born: e.Answer.Server.Born}
 	if incarnation.Compare(b.Incarnation) == 0 {
 		r.applyLimit(b, "loader "+string(e.Loader), limit.FromMessage(r.now, e.Answer.Limit, e.Answer.ColdFor))
+		r.applyBudget(b, e.Loader, e.Answer)
 	}
 	if e.Answer.RequestID != 0 {
 		r.permitAnswered(b, e.Answer)
@@ -73,12 +74,22 @@
 // applyLimit applies a report on a server's limit. A change is logged and sent to the
 // loader that counts.
 func (r *Router) applyLimit(b *backend, source string, word limit.Announcement) {
-	before, wasLimited := b.limit.gate.Limit()
+	before, wasLimited := b.limit.gate.Announced()
 	if !b.limit.gate.Update(r.now, word) {
 		return
 	}
-	now, limited := b.limit.gate.Limit()
-	if limited {
+	now, limited := b.limit.gate.Announced()
+	r.noteLimited(b, wasLimited)
+	change := limitChange(wasLimited, before, limited, now)
+	r.emit(Count{core.Count{Name: metricServerLimits, Labels: []string{b.Service, change}, Add: 1}})
+	r.log(StateChange, "backend server's limit", b.attrs("born", b.Born, "change", change, "per_second", now, "before", before,
+		"known_for", r.now.Sub(b.limit.gate.KnownSince()).String(), "source", source, "under_way", len(b.sent))...)
+	r.sendLimit(b)
+}
+
+// noteLimited updates the list of servers with a limit after a change.
+func (r *Router) noteLimited(b *backend, wasLimited bool) {
+	if b.limited() {
 		r.limited = with(r.limited, b)
 	} else {
 		r.limited = without(r.limited, b)
@@ -86,11 +97,6 @@
 	if !wasLimited {
 		b.limit.countedAt, b.limit.sent = r.now, 0
 	}
-	change := limitChange(wasLimited, before, limited, now)
-	r.emit(Count{core.Count{Name: metricServerLimits, Labels: []string{b.Service, change}, Add: 1}})
-	r.log(StateChange, "backend server's limit", b.attrs("born", b.Born, "change", change, "per_second", now, "before", before,
-		"known_for", r.now.Sub(b.limit.gate.KnownSince()).String(), "source", source, "under_way", len(b.sent))...)
-	r.sendLimit(b)
 }
 
 // limitChange classifies the change of a limit, for logs and metrics.
--- a/internal/router/spec.go
+++ b/internal/router/spec.go
@@ -19,7 +19,7 @@
 func (r *Router) setSpecs() {
 	for name := range r.config.Services {
 		if engine := r.engine(name); engine != nil {
-			r.service(name).spec = engineSpec(r.config.Version, engine)
+			r.service(name).spec = engineSpec(r.config.Version, engine, r.budgetSpec(name))
 		}
 	}
 	for _, l := range r.loaders {
@@ -30,8 +30,8 @@
 	}
 }
 
-func engineSpec(version int64, engine *fleet.Engine) *core.EngineSpec {
-	spec := &core.EngineSpec{MemoryMB: engine.MemoryMB, AdapterSlots: engine.AdapterSlots}
+func engineSpec(version int64, engine *fleet.Engine, budget *core.BudgetSpec) *core.EngineSpec {
+	spec := &core.EngineSpec{MemoryMB: engine.MemoryMB, AdapterSlots: engine.AdapterSlots, Budget: budget}
 	for _, name := range slices.Sorted(maps.Keys(engine.Models)) {
 		m := engine.Models[name]
 		spec.Models = append(spec.Models, core.ModelSpec{
--- a/internal/router/wait.go
+++ b/internal/router/wait.go
@@ -342,11 +342,14 @@
 // predicted after eta. Held longer, each would only time out, and its caller could not retry
 // elsewhere.
 func (r *Router) refuseLate(w *wait, eta time.Duration) {
-	for _, req := range slices.Clone(w.requests) {
+	for i, req := range slices.Clone(w.requests) {
 		if !r.endsInTime(req, eta) {
 			r.refuseAtStop(req)
 			continue
 		}
+		if r.refuseAtBudget(w, req, i) {
+			continue
+		}
 		if r.now.Add(eta) < req.firstEventDeadline {
 			continue
 		}
