--- a/internal/loader/fixture_test.go
+++ b/internal/loader/fixture_test.go
@@ -30,6 +30,8 @@
 	specRequests []core.HostID
 	// orders are all orders sent, in order.
 	orders []fleet.Order
+	// observe gets each effect, nil if nothing is observed.
+	observe func(Effect)
 	// loseNext is how many answers to orders are lost from now on.
 	loseNext int
 }
@@ -100,6 +102,9 @@
 	w.t.Helper()
 	effects := append([]Effect(nil), w.loader.Step(w.now, event)...)
 	for _, effect := range effects {
+		if w.observe != nil {
+			w.observe(effect)
+		}
 		switch e := effect.(type) {
 		case Wake:
 			w.wake = e.At
