--- a/internal/soak/engine_test.go
+++ b/internal/soak/engine_test.go
@@ -47,6 +47,12 @@
 	// life counts restarts; an order of an earlier life has no effect.
 	life    int
 	running int
+	// streams are the runs that have begun to send events, by number. nextStream is the number
+	// of the next one.
+	streams    map[int]startedStream
+	nextStream int
+	// full is set while the engine reports that its KV memory is full.
+	full bool
 }
 
 func (e *engine) restart(release string) {
@@ -113,7 +119,10 @@
 		Seq     int64       `json:"seq"`
 		Running int         `json:"running"`
 		AtHand  atHand      `json:"atHand"`
-	}{e.heldLocked(), e.busy, e.seq, e.running, atHand{[]string{}, e.onDisk}})
+		Runs    [][]any     `json:"runs"`
+		KVUsed  int         `json:"kvUsed"`
+		KVTotal int         `json:"kvTotal"`
+	}{e.heldLocked(), e.busy, e.seq, e.running, atHand{[]string{}, e.onDisk}, e.runsLocked(), e.kvUsedLocked(), kvTotal})
 }
 
 func (e *engine) order(w http.ResponseWriter, r *http.Request) {
@@ -182,6 +191,7 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
+	defer e.beginStream(id)()
 	w.Header().Set("Content-Type", "text/event-stream")
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	e.reply(id, last, m).send(w, r)
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -143,6 +143,7 @@
 			"storeLoadWindow": "5s", "storeLoadSlack": 1.1,
 			"quotaWindow": "%s", "quotaOver": %g, "quotaSlack": %d,
 		},
+		"crowding": {"fromPause": "500ms", "budget": true},
 	}`, i, host, i%2, host, callersPort, host, readyPort, host, operatorsPort, loaderPort, host, storePort, stopLimit, drain, quotaWindow, quotaOver, quotaSlack)))
 }
 
