--- a/internal/enginebudget/budget.go
+++ b/internal/enginebudget/budget.go
@@ -15,6 +15,9 @@
 	// usableShare is the part of a measured rate that the engine may begin: the streams that
 	// run need the rest of its time.
 	usableShare = 0.8
+	// loadedShare is the part of the samples with unread prompts from which an engine counts as
+	// reading most of the time.
+	loadedShare = 0.6
 	// backlogTime is the time within which prompts that are too many are to be read.
 	backlogTime = time.Second
 	// stepInterval is the time between two steps of the limit, stepShare its relative change
@@ -49,6 +52,8 @@
 	// threshold of pauses or memory at that time.
 	steppedAt core.Time
 	excess    float64
+	// pausesSince is since when pauses have been too long, 0 while they are not.
+	pausesSince core.Time
 	// aboveSince is since when the limit is far above the demand, 0 while it is not.
 	aboveSince core.Time
 }
@@ -164,13 +169,31 @@
 		}
 	}
 	if b.targets.Pause > 0 && b.history.complete() {
-		if ratio := float64(b.history.pause()) / (objectiveShare * float64(b.targets.Pause)); ratio > 1 {
+		ratio := float64(b.history.pause()) / (objectiveShare * float64(b.targets.Pause))
+		if b.pausesLast(s.At, ratio > 1) {
 			return CausePauses, ratio
 		}
 	}
 	return CauseNone, 0
 }
 
+// pausesLast reports whether pauses that are too long count as overload: while the engine reads
+// prompts most of the time, or once they have lasted for a rateWindow.
+//
+// It guards against a single long prompt, which stretches all pauses for half a second at an
+// engine that is otherwise idle: a limit by the few requests that it begins kept the callers of
+// its other models waiting for five seconds.
+func (b *Budget) pausesLast(now core.Time, tooLong bool) bool {
+	if !tooLong {
+		b.pausesSince = 0
+		return false
+	}
+	if b.pausesSince == 0 {
+		b.pausesSince = now
+	}
+	return b.history.readingShare() > loadedShare || now.Sub(b.pausesSince) >= rateWindow
+}
+
 // slowDown lowers the limit of an engine that is crowded by pauses or memory.
 func (b *Budget) slowDown(now core.Time, wasSlow bool, excess float64) {
 	switch {
@@ -178,7 +201,7 @@
 		if !b.history.complete() {
 			return
 		}
-		start := max(minPerSecond, usableShare*b.history.begun())
+		start := max(minPerSecond, usableShare*max(b.history.begun(), b.history.capacity()))
 		if b.limited {
 			start = min(start, b.perSecond)
 		}
--- a/internal/enginebudget/history.go
+++ b/internal/enginebudget/history.go
@@ -117,6 +117,17 @@
 	return ran / time.Duration(max(1, events))
 }
 
+// readingShare returns the part of the samples of the window that had unread prompts.
+func (h *history) readingShare() float64 {
+	n := 0
+	for i := range h.intervals {
+		if h.intervals[i].sample.Unread > 0 {
+			n++
+		}
+	}
+	return float64(n) / float64(max(1, len(h.intervals)))
+}
+
 // capacity returns the rate at which the engine begins requests while it always has unread
 // prompts, 0 if that is unknown.
 //
