Settings and router options for the overload protection of engines

The router's settings get the block crowding with three switches. A service qualifies if all its streams declare a pause objective of at least fromPause; the result is computed when a configuration arrives or the settings change.

--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -86,7 +86,7 @@
 	notes := newNoteWriter(store, p.log)
 	p.gateway = gateway.New(router.New(router.Options{
 		Host: core.HostID(p.settings.Address), Zone: p.settings.Zone, LoaderPort: p.settings.LoaderPort, Processor: p.settings.Processor,
-		Bounds: p.settings.FleetBounds(), Seed: randomUint64(),
+		Bounds: p.settings.FleetBounds(), Crowding: router.CrowdingOptions(p.settings.Crowding), Seed: randomUint64(),
 	}), gateway.Options{Links: p.links, Publish: notes.put, PublishReleases: notes.putReleases, RequestStoreRead: p.readStoreNow, Metrics: p.metrics, Log: p.log, Requests: p.requests})
 	p.reader = newStoreReader(store, p.gateway, maxReadInterval(p.settings.Bounds), p.log)
 	p.reader.spreadConfig = p.spreadConfig
@@ -205,7 +205,10 @@
 	if err != nil {
 		return err
 	}
-	p.gateway.Inspect(func(r *router.Router) { r.SetBounds(s.FleetBounds()) })
+	p.gateway.Inspect(func(r *router.Router) {
+		r.SetBounds(s.FleetBounds())
+		r.SetCrowding(router.CrowdingOptions(s.Crowding))
+	})
 	p.reader.setMaxInterval(maxReadInterval(s.Bounds))
 	return nil
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -33,6 +33,8 @@
 	// LoaderPort is the port of the loader on each engine's host.
 	LoaderPort int
 	Bounds     fleet.Bounds
+	// Crowding are the switches of the protection of engines from overload.
+	Crowding CrowdingOptions
 	// Seed seeds the random spread of Retry-After.
 	Seed uint64
 }
@@ -155,6 +157,8 @@
 	busyUntil map[string]core.Time
 	// releases is what is known of its servers' releases.
 	releases releaseHistory
+	// crowding are the switches in force for it, set with each configuration.
+	crowding CrowdingOptions
 	// spec is the configuration of its engines that loaders receive, nil for a plain
 	// service.
 	spec *core.EngineSpec
@@ -317,6 +321,7 @@
 		r.service(name)
 	}
 	r.setStreamLives()
+	r.setCrowding()
 	r.setSpecs()
 	r.setQuotas(config.Accounts)
 	r.setAccounts(config.Accounts)
--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -73,6 +73,9 @@
 		return `"IP:port", such as "127.0.0.1:8080"`, isString && err == nil
 	}
 	switch into.Kind() {
+	case reflect.Bool:
+		into.SetBool(string(literal) == "true")
+		return "true or false", literal.Kind() == 't' || literal.Kind() == 'f'
 	case reflect.String:
 		into.SetString(text)
 		return "a string", isString
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -51,6 +51,23 @@
 	Store netip.AddrPort `json:"store"`
 	// Bounds are the limits that the deployment guarantees.
 	Bounds RouterBounds `json:"bounds"`
+	// Crowding configures what protects engines from more work than they can finish.
+	// Default: off.
+	Crowding Crowding `json:"crowding"`
+}
+
+// Crowding are the switches of the protection of engines from overload. They apply to the
+// services all of whose streams declare a pause objective of at least FromPause. A switch
+// that is left out is off.
+type Crowding struct {
+	// FromPause is the shortest pause objective. 0, the default, turns all switches off.
+	FromPause time.Duration `json:"fromPause"`
+	// Budget limits the rate of requests to engines whose running streams fall behind.
+	Budget bool `json:"budget"`
+	// CopyPlan decides by a common plan which engines load which models.
+	CopyPlan bool `json:"copyPlan"`
+	// RunCopies continues runs whose engine is lost from a copy of their memory.
+	RunCopies bool `json:"runCopies"`
 }
 
 // RouterBounds are the fields of fleet.Bounds, which documents them. All are required
@@ -138,6 +155,7 @@
 	c.require(r.LoaderPort > 0 && r.LoaderPort < 1<<16, "loaderPort", r.LoaderPort, "a port")
 	c.require(r.Processor >= 0, "processor", r.Processor, "0 or more")
 	b := r.Bounds
+	c.require(r.Crowding.FromPause >= 0, "crowding.fromPause", r.Crowding.FromPause, "0 or more")
 	c.positive("bounds.drain", b.Drain)
 	c.positive("bounds.configDelay", b.ConfigDelay)
 	c.positive("bounds.retryWindow", b.RetryWindow)
