--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -96,6 +96,11 @@
 	// over all engines.
 	StoreLoadsPerSecond float64
 	Models              map[string]Model
+	// Backups is set if the engines can copy the KV memory of a running request to each other,
+	// and continue it there. CopyLife is how long a copy is kept after its last part, above 0
+	// if Backups is set.
+	Backups  bool
+	CopyLife time.Duration
 }
 
 // Model describes a model and its load times.
