Continue lost single-attempt streams from a copy of their memory (in work)

Router chooses the engine of the copy and continues a lost run there; the gateway joins only events whose ids follow the last forwarded one.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -143,7 +143,9 @@
 	// A part of a stream was forwarded, its server failed, and the next server responded
 	// with an error instead of resuming it. Forwarding that response would end the stream
 	// normally with events missing, so that it would look complete.
-	if c.started {
+	// An engine that should continue a run must not answer in another way, also before its
+	// first event.
+	if c.started || a.send.CopyFrom != "" {
 		return c.reportBroken(a, errors.Newf("received status %d instead of the rest of the stream", a.head.Status))
 	}
 	c.writeHead(a)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -173,6 +173,11 @@
 		c.reportFailure(router.AttemptFailed{Attempt: d.Attempt, Failure: router.Withdrawn, End: end}, errInexact)
 		return
 	}
+	if d.CopyFrom != "" && !c.position.Numbered() {
+		end := router.AnswerEnd{Unresumable: true}
+		c.reportFailure(router.AttemptFailed{Attempt: d.Attempt, Failure: router.Withdrawn, End: end}, errUnnumbered)
+		return
+	}
 	limit := d.Until.Sub(c.now())
 	deadline := time.Now().Add(limit + attemptSlack)
 	conn, err := c.connect(d, limit)
@@ -196,6 +201,7 @@
 	header := platform.RequestHeader(c.request.Header, platform.RequestOptions{
 		Instance: d.Instance, Remaining: limit, Priority: d.Priority, LastEvent: c.position.ID,
 		HideCredentials: d.HideCredentials, Account: d.Account,
+		CopyTo: d.CopyTo, CopyFrom: d.CopyFrom,
 	})
 	wrote, err := c.write(conn, header)
 	if err != nil && wrote == 0 && !conn.used {
@@ -319,7 +325,7 @@
 // reportFailure reports a failed attempt with its cause.
 func (c *call) reportFailure(failed router.AttemptFailed, cause error) {
 	failed.Key, failed.Peer, failed.Cause = c.key, peerState(failed.End, cause), cause.Error()
-	failed.NothingGiven = !c.started
+	failed.NothingGiven, failed.LastEvent = !c.started, c.position.ID
 	c.gateway.Step(failed)
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -25,6 +25,8 @@
 	errEventTooLarge = errors.New("an event is too large")
 	// errInexact means that an attempt can't continue a stream where it is.
 	errInexact = errors.New("the last event has no id")
+	// errUnnumbered means that it can't be checked whether a stream continues where it is.
+	errUnnumbered = errors.New("the last event's id is no number")
 )
 
 // eventTiming measures the intervals between the events of a stream.
@@ -52,7 +54,7 @@
 // relayStream forwards complete events as they arrive. It sends the head with the first
 // event, so that until then the request can still get a different response.
 func (c *call) relayStream(a *answer) (ended bool) {
-	s := sse.Resume(c.position)
+	s := c.scanner(a)
 	chunk := make([]byte, streamChunk)
 	stall := c.newStallTimer(a)
 	defer stall.Stop()
@@ -68,12 +70,24 @@
 		if len(s.Remainder())+len(a.heldBlocks) > maxEventBytes {
 			err = errEventTooLarge
 		}
+		if s.Err() != nil {
+			err = s.Err()
+		}
 		if err != nil {
 			return c.endStream(a, s, err)
 		}
 	}
 }
 
+// scanner returns the scanner of a stream that follows what was forwarded. The events of a run that
+// continues from its copy are checked: nothing of a stream that does not fit may be joined.
+func (c *call) scanner(a *answer) *sse.Scanner {
+	if a.send.CopyFrom != "" {
+		return sse.Continue(c.position)
+	}
+	return sse.Resume(c.position)
+}
+
 // relayBlocks forwards complete blocks of a stream and reports its first event. It forwards
 // nothing of an attempt that was abandoned: closing its connection does not take back what was
 // read from it before, and the attempt that follows sends the same events.
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -41,6 +41,10 @@
 	r.log(SingleRequest, "attempt failed", req.attrs(append([]any{"instance", b.Instance, "attempt", e.Attempt,
 		"failure", e.Failure.String(), "cause", e.Cause, "fingerprint", req.fingerprint.String(), "parts", partNames(req.prompt)}, e.End.logAttrs()...)...)...)
 	r.noteConnection(b, req, e)
+	if req.continuation != nil {
+		r.continuationBroke(req, e)
+		return
+	}
 	if e.End.Unresumable {
 		r.giveUp(req, code.AnswerCut, "the answer broke off where no other can continue it")
 		return
@@ -53,6 +57,9 @@
 	req.arrivals++
 	req.mayHaveRun = true
 	req.forwarded = req.forwarded && !e.NothingGiven
+	if r.continueLost(req, b, e) {
+		return
+	}
 	r.retry(req, "the attempt failed: "+e.Failure.String())
 }
 
@@ -82,6 +89,8 @@
 	r.noteLimit(req, e.Answer)
 	r.widenWindow(b, req.attempt, e.Answer)
 	switch {
+	case req.continuation != nil && (e.Answer.NotRun || e.Answer.Status != statusOK):
+		r.answeredContinuation(req, e)
 	case e.Answer.NotRun:
 		r.rejected(req, e)
 	case e.Answer.Status >= 500 && r.mayRetry(req):
@@ -126,10 +135,7 @@
 	r.log(SingleRequest, "backend server refused the request", req.attrs("instance", b.Instance,
 		"attempt", e.Attempt, "status", e.Answer.Status, "backoff", e.Answer.Backoff.Period.String())...)
 	if e.Answer.Absent && req.prompt != nil {
-		// The registry entry is out of date. Without a report from the loader it would
-		// direct the next request there too.
-		b.Models = slices.DeleteFunc(slices.Clone(b.Models), func(m fleet.LoadedModel) bool { return m.Name == req.prompt.Model })
-		r.reindex(b)
+		r.forgetModel(b, req.prompt.Model)
 	}
 	if req.sends < req.route.MaxAttempts {
 		r.dispatch(req)
@@ -146,6 +152,13 @@
 	r.giveUp(req, code.NoBackend, "the backend server refused it")
 }
 
+// forgetModel removes a model that an engine answered not to have from its registry entry. Without
+// a report from the loader the entry, which is out of date, would direct the next request there too.
+func (r *Router) forgetModel(b *backend, model string) {
+	b.Models = slices.DeleteFunc(slices.Clone(b.Models), func(m fleet.LoadedModel) bool { return m.Name == model })
+	r.reindex(b)
+}
+
 // servedElsewhere reports whether another server could serve the request immediately.
 func (r *Router) servedElsewhere(req *request) bool {
 	if req.prompt == nil || r.engine(req.service) == nil {
@@ -176,10 +189,14 @@
 	req.first = r.now.Sub(req.arrived)
 	a.concurrent = r.outstanding(req.backend) - 1
 	r.recordSuccess(req.backend)
-	if req.prompt != nil && r.engine(req.service) != nil {
-		r.promptBegan(req, latency)
-	} else {
+	switch {
+	case req.prompt == nil || r.engine(req.service) == nil:
 		r.learnLatency(req.backend, latency, a.slowdown)
+	case req.continuation != nil:
+		// It tells nothing of the engine's speed: most of the prompt was not read.
+		req.backend.queue.Started(r.now, uint64(req.key))
+	default:
+		r.promptBegan(req, latency)
 	}
 	if req.cold != "" {
 		r.emit(Observe{core.Observe{Name: metricColdStart, Labels: []string{req.cold}, Value: req.first.Seconds()}})
@@ -193,7 +210,7 @@
 		return
 	}
 	b := req.backend
-	if req.prompt != nil {
+	if req.prompt != nil && req.continuation == nil {
 		r.service(req.service).speed.answerEnded(answer{
 			model: req.model(), events: e.End.Events, pause: e.Pause,
 			first: req.attempt.first, concurrent: req.attempt.concurrent,
@@ -202,6 +219,7 @@
 	r.lived(req)
 	r.release(req)
 	r.answeredWhole(req)
+	r.endContinuation(req, continuedWhole)
 	delete(r.requests, req.key)
 	r.emit(Count{core.Count{Name: metricRequests, Labels: []string{req.service, code.OK.String()}, Add: 1}})
 	r.countAnswerEnd(req.service, e.End, givenWhole)
--- a/internal/router/backend.go
+++ b/internal/router/backend.go
@@ -117,6 +117,11 @@
 	lived bool
 	// concurrent is how many other requests were at the server at its first event.
 	concurrent int
+	// copy is the copy of a generation's memory that its engine was asked to make, nil for none.
+	copy *runCopy
+	// endedAt is when the engine was found to have ended while its connection had not, 0 before.
+	// It is kept for requests with a copy.
+	endedAt core.Time
 }
 
 // holdings returns the last report of an engine's loader, nil if there is none that is
--- a/internal/router/dump.go
+++ b/internal/router/dump.go
@@ -33,6 +33,10 @@
 	// streams may be resumed.
 	Origins, OriginsDropped int
 	Releases                []ReleasesState
+	// RunCopies is the number of requests with a copy of their memory at another engine, CopiedRuns
+	// the first of them.
+	RunCopies  int
+	CopiedRuns []RunCopyState
 }
 
 // ReleasesState is the dump of the releases of one service.
@@ -84,6 +88,7 @@
 // Dump returns the router's state. It must not be called during a step.
 func (r *Router) Dump() State {
 	state := State{Version: r.ConfigVersion(), Ready: r.Ready(), Requests: len(r.requests), Accounts: r.gate.Dump(r.now), QuotaShare: r.gate.Share(), Suspects: r.ledger.Dump(r.now), AnswerEnds: r.dumpAnswerEnds(), Origins: r.origins.Len(), OriginsDropped: r.origins.Dropped(), Releases: r.dumpReleases()}
+	state.RunCopies, state.CopiedRuns = r.dumpRunCopies()
 	state.Evacuated = slices.Sorted(maps.Keys(r.evacuated))
 	for _, instance := range slices.Sorted(maps.Keys(r.backends)) {
 		b := r.backends[instance]
--- a/internal/router/effect.go
+++ b/internal/router/effect.go
@@ -32,6 +32,13 @@
 	Account string
 	// HideCredentials removes the caller's credentials from the request.
 	HideCredentials bool
+	// CopyTo is the address of the engine to which the request's KV memory is copied while it
+	// runs, "" for none.
+	CopyTo string
+	// CopyFrom, if not "", is the copy from which the server continues the run of the attempt
+	// before, as "IP:port/request id". Its answer is forwarded only if it is a stream whose events
+	// have the ids that follow the last forwarded one.
+	CopyFrom string
 }
 
 // Forward passes the answer of the attempt on to the caller.
--- a/internal/router/ending.go
+++ b/internal/router/ending.go
@@ -30,6 +30,7 @@
 		r.refundQuota(req)
 	}
 	r.leaveQuota(req)
+	r.endContinuation(req, callerLeftIt)
 	delete(r.requests, key)
 	r.emit(Count{core.Count{Name: metricRequests, Labels: []string{req.service, code.Cancelled.String()}, Add: 1}})
 	r.log(SingleRequest, "caller left", attrs...)
@@ -73,6 +74,7 @@
 		r.refundQuota(req)
 	}
 	r.leaveQuota(req)
+	r.endContinuation(req, continuationEnded)
 	delete(r.requests, req.key)
 	r.emit(Finish{Key: req.key, Code: c, RetryAfter: retryAfter, Reason: reason})
 	r.emit(Count{core.Count{Name: metricRequests, Labels: []string{req.service, c.String()}, Add: 1}})
@@ -104,6 +106,8 @@
 			r.giveUp(req, code.DeadlineUnmet, "its model was not loaded in time")
 		case req.backend != nil && r.now >= req.deadline.Add(answerSlack):
 			r.timeOut(req)
+		case req.backend != nil && r.runEnded(req):
+			r.leaveEnded(req)
 		case req.backend != nil && r.overdue(req):
 			r.hedge(req)
 		}
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -174,6 +174,9 @@
 	Peer Peer
 	// End is how the answer ended, its zero value if none began.
 	End AnswerEnd
+	// LastEvent is the id of the last event of a stream that was forwarded, "" if there is none.
+	// It is for logs.
+	LastEvent string
 	// Cause is for logs.
 	Cause string
 }
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -17,6 +17,7 @@
 	metricAnnounced     core.Counter = "router_server_announcements_total"
 	metricOrigins       core.Counter = "router_stream_origins_total"
 	metricResumptions   core.Counter = "router_stream_resumptions_total"
+	metricContinuations core.Counter = "router_run_continuations_total"
 	metricAnswerEnds    core.Counter = "router_answer_ends_total"
 	metricFirstByte     core.Counter = "router_first_byte_seconds"
 )
@@ -35,6 +36,7 @@
 	{Name: metricAnnounced, Help: "Backend servers that were found to be draining, backoffs that they want, and backoffs that can't be read (malformed), by service.", Labels: []string{"service", "what"}},
 	{Name: metricOrigins, Help: "Requests that take up a stream, by service and how the release that began it was found.", Labels: []string{"service", "outcome"}},
 	{Name: metricResumptions, Help: "Streams that broke off after an event, by service and whether a server of the same release could resume them.", Labels: []string{"service", "outcome"}},
+	{Name: metricContinuations, Help: "Running requests with a copy of their memory that were lost at their engine, by service and outcome of the continuation or why there was none.", Labels: []string{"service", "outcome"}},
 	{Name: metricAnswerEnds, Help: "Answers of backend servers that ended, by service, how they mark their end, how it came, whether bytes followed the last complete event of a stream, and what callers were given.", Labels: []string{"service", "framing", "end", "leftover", "outcome"}},
 	{Name: metricColdStart, Help: "Time from a request's arrival to its first event, of requests that waited for a load, by where the nearest copy lay.", Labels: []string{"tier"}},
 	{Name: metricFirstByte, Help: "Time from sending a request to its first byte or event, by service.", Labels: []string{"service"}},
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -106,6 +106,9 @@
 	// waited is how long the request waited for its model, first the time to its first
 	// answer or event. Both count from its arrival.
 	waited, first time.Duration
+	// continuation is set once the request was lost at its engine and continues at another one,
+	// which holds a copy of its memory.
+	continuation *continuation
 	// cold is where the nearest copy of the model was when the request began to wait:
 	// memory, disk, store, or adapter. It is "" if the request did not wait.
 	cold string
@@ -170,6 +173,10 @@
 
 // dispatch sends a request, queues it until its model is loaded, or ends it.
 func (r *Router) dispatch(req *request) {
+	if req.continuation != nil {
+		r.loseContinuation(req, continuationUnsent)
+		return
+	}
 	if r.now >= req.deadline {
 		r.giveUp(req, code.DeadlineUnmet, "no time is left")
 		return
@@ -244,6 +251,12 @@
 
 func (r *Router) send(req *request, c *choice) {
 	b := c.backend
+	if req.continuation != nil {
+		if problem := r.continuationProblem(req, req.continuation); problem != "" {
+			r.loseContinuation(req, problem)
+			return
+		}
+	}
 	if suspect, poison := r.poisonIn(req); poison {
 		r.refusePoison(req, suspect)
 		return
@@ -260,11 +273,13 @@
 		return
 	}
 	r.leaveWait(req)
-	req.sends++
+	if req.continuation == nil {
+		req.sends++ // a continuation is part of the same run
+	}
 	req.number++
 	req.backend = b
 	req.tried = append(req.tried, b.Instance)
-	req.attempt = &attempt{at: r.now, incarnation: b.Incarnation, release: b.Release, slowdown: r.slowdown(b), forecast: c.forecast}
+	req.attempt = &attempt{at: r.now, incarnation: b.Incarnation, release: b.Release, slowdown: r.slowdown(b), forecast: c.forecast, copy: r.copyFor(req, b)}
 	b.sent[req.key] = req.attempt
 	if req.prompt != nil && r.engine(req.service) != nil {
 		r.promptSent(req)
@@ -274,13 +289,14 @@
 		MaxConns: r.connShare(req.service), Until: req.deadline,
 		Priority: enginePriority(req.rank()),
 		Account:  req.accountName(), HideCredentials: len(r.config.Accounts) > 0,
+		CopyTo: req.attempt.copy.copyAddress(), CopyFrom: req.copySource(),
 	}
 	if req.route.Kind == fleet.Stream && req.route.Resumable {
 		send.StallAfter = max(minStall, stallPauses*req.route.PauseObjective)
 	}
 	r.emit(send)
 	r.countLimited(b)
-	if req.bound {
+	if req.bound && req.continuation == nil {
 		r.noteResumption(req, resumedAtRelease)
 	}
 	if req.number > 1 {
--- a/internal/router/restart.go
+++ b/internal/router/restart.go
@@ -89,5 +89,8 @@
 	r.log(SingleRequest, "attempt failed", req.attrs("instance", b.Instance, "attempt", req.number,
 		"failure", Broken.String(), "cause", "the server started again")...)
 	r.recordLost(b, req)
+	if r.continueRun(req, b, r.now, "") {
+		return
+	}
 	r.retry(req, "the server started again")
 }
--- a/internal/sse/scanner.go
+++ b/internal/sse/scanner.go
@@ -27,6 +27,11 @@
 	begun    bool
 	events   int
 	position Position
+
+	// checked is set if the ids of events must follow each other. err is set at the first event
+	// whose id does not.
+	checked bool
+	err     error
 }
 
 // Resume returns a scanner of a stream that continues another one after a position, which is
@@ -53,7 +58,7 @@
 func (s *Scanner) Feed(data []byte) []byte {
 	s.drop()
 	s.buffer = append(s.buffer, data...)
-	for s.scanned < len(s.buffer) {
+	for s.err == nil && s.scanned < len(s.buffer) {
 		if s.skipLF() {
 			continue
 		}
@@ -135,6 +140,10 @@
 }
 
 func (s *Scanner) endBlock() {
+	if s.checked && s.inEvent && !(s.blockHasID && s.position.precedes(s.blockID)) {
+		s.err = ErrOutOfOrder
+		return
+	}
 	switch {
 	case !s.inEvent:
 	case s.blockHasID && s.blockID != "":
