--- a/internal/router/runcopy.go
+++ b/internal/router/runcopy.go
@@ -175,13 +175,13 @@
 		return copyOff
 	case r.now.Sub(c.lostAt) >= life:
 		return copyTooOld
-	case r.backends[b.Instance] != b || c.incarnation.Compare(b.Incarnation) != 0 || b.endedAt >= req.attempt.at:
+	case r.backends[b.Instance] != b || c.incarnation != b.Incarnation || b.endedAt >= req.attempt.at:
 		return copyEngineGone
 	case !r.usable(b):
 		return copyEngineExcluded
 	case !c.release.Same(b.Release) || req.bound && !req.release.Same(c.release) || !r.hasLoaded(b, req):
 		return copyEngineChanged
-	case r.suspected(req, c.from):
+	case r.suspected(req):
 		return runSuspected
 	case r.now >= req.deadline || !r.endsInTime(req, 0):
 		return runNotInTime
@@ -192,25 +192,30 @@
 	}
 }
 
-// suspected reports whether another server than the given one ended under a request, or under a
-// part of its prompt on which the given one may have crashed.
+// suspected reports whether another server than the request's last one ended under the request, or
+// under a part of its prompt on which the last one may have crashed.
 //
 // It guards against a request that crashes engines: its continuation would end the next one
 // together with the requests of all callers there.
-func (r *Router) suspected(req *request, instance string) bool {
-	if r.ledger.Clean() {
+func (r *Router) suspected(req *request) bool {
+	if r.ledger.Empty() {
 		return false
 	}
-	if _, poison := r.poisonIn(req); poison || r.endedElsewhere(req.fingerprint, instance) {
+	if _, poison := r.poisonIn(req); poison || r.endedElsewhere(req.fingerprint, req.attempt.incarnation) {
 		return true
 	}
-	return slices.ContainsFunc(r.suspectParts(req), func(p promptPart) bool { return r.endedElsewhere(p.fingerprint, instance) })
+	return slices.ContainsFunc(r.suspectParts(req), func(p promptPart) bool {
+		return r.endedElsewhere(p.fingerprint, req.attempt.incarnation)
+	})
 }
 
-// endedElsewhere reports whether servers ended under a suspect other than the given one.
-func (r *Router) endedElsewhere(f core.Fingerprint, instance string) bool {
-	other := func(end core.ServerEnd) bool { return end.Life.Instance != instance }
-	return f != 0 && r.ledger.Ends(f) > 0 && slices.ContainsFunc(r.ledger.Evidence(r.now, f), other)
+// endedElsewhere reports whether servers ended under a suspect other than the given incarnation.
+func (r *Router) endedElsewhere(f core.Fingerprint, incarnation fleet.Incarnation) bool {
+	other := func(end core.ServerEnd) bool {
+		life := fleet.Incarnation{Instance: end.Life.Instance, Born: end.Life.Born}
+		return life.Instance != incarnation.Instance || life.Compare(incarnation) != 0
+	}
+	return f != 0 && slices.ContainsFunc(r.ledger.Evidence(r.now, f), other)
 }
 
 // runEnded reports whether the engine at which a request is was found to have ended since the
