--- a/internal/gateway/runcopy_test.go
+++ b/internal/gateway/runcopy_test.go
@@ -318,6 +318,20 @@
 	run("before events", "", any)
 }
 
+// Guards against a caller who waits for an engine that does not end its answer, although the events
+// do not fit.
+func TestAnswerThatDoesNotFitIsLeftAtOnce(t *testing.T) {
+	head := answerHead("r1", streamHead)
+	f := newCopiesFixture(t, send(head, chunk(events(1, 2))), func(conn net.Conn) {
+		send(head, chunk(events(4, 5)))(conn)
+		_, _ = io.Copy(io.Discard, conn) // until the gateway closes the connection
+	})
+	begun := time.Now()
+	if _, _, body, err := f.run("r1"); body != events(1, 2) || err == nil || time.Since(begun) >= runTimeout {
+		t.Errorf("body %q, %v after %v", body, err, time.Since(begun))
+	}
+}
+
 // Guards against a continuation that can't be checked: the events' ids are no numbers, or the last
 // event has none.
 func TestRunWithoutNumbersIsNotContinued(t *testing.T) {
--- a/internal/router/backend.go
+++ b/internal/router/backend.go
@@ -57,8 +57,10 @@
 	// replaced is set if another instance has taken over the server's address.
 	replaced bool
 	loader   *loader
-	// sent holds the attempts in progress at this server.
-	sent map[Key]*attempt
+	// sent holds the attempts in progress at this server. copies is the number of attempts at other
+	// engines whose memory is copied to this one.
+	sent   map[Key]*attempt
+	copies int
 
 	// latency is the moving average of a plain service's time to its answer, corrected for
 	// the load at the time.
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -281,6 +281,7 @@
 	req.tried = append(req.tried, b.Instance)
 	req.attempt = &attempt{at: r.now, incarnation: b.Incarnation, release: b.Release, slowdown: r.slowdown(b), forecast: c.forecast, copy: r.copyFor(req, b)}
 	b.sent[req.key] = req.attempt
+	req.attempt.copy.count(1)
 	if req.prompt != nil && r.engine(req.service) != nil {
 		r.promptSent(req)
 	}
@@ -339,6 +340,7 @@
 		return
 	}
 	delete(b.sent, req.key)
+	req.attempt.copy.count(-1)
 	b.queue.Remove(r.now, uint64(req.key))
 	if held := r.holdings(b); held != nil && req.prompt != nil {
 		if m := findHeld(held, req.prompt.Model); m != nil && m.State == core.HoldUnloading {
--- a/internal/router/runcopy.go
+++ b/internal/router/runcopy.go
@@ -97,7 +97,8 @@
 		if other == b || other.Address == b.Address || !r.mayHoldCopy(req, other, b.Release) {
 			continue
 		}
-		load := r.outstanding(other)
+		// Copies count as well: they take memory, and after a crash their requests go there.
+		load := r.outstanding(other) + other.copies
 		if best == nil || load < least || load == least && scoresHigher(req.id, other, best) {
 			best, least = other, load
 		}
@@ -119,6 +120,13 @@
 	return hasModel && hasAdapter
 }
 
+// count adds to the number of copies at the engine of a copy, if there is one.
+func (c *runCopy) count(n int) {
+	if c != nil {
+		c.backend.copies += n
+	}
+}
+
 // copyAddress is the address to which the memory is copied, "" without a copy.
 func (c *runCopy) copyAddress() string {
 	if c == nil {
@@ -145,8 +153,8 @@
 // continueRun sends a request that was lost at an engine to the engine that holds its copy, if it
 // has one that can be used. The attempt has ended, and its connection is closed.
 func (r *Router) continueRun(req *request, from *backend, lostAt core.Time, lastEvent string) bool {
-	if req.attempt.copy == nil || req.continuation != nil {
-		return false
+	if req.attempt.copy == nil {
+		return false // also if it was a continuation, which has no copy
 	}
 	c := &continuation{runCopy: req.attempt.copy, from: from.Instance, lostAt: lostAt, lastEvent: lastEvent}
 	if problem := r.continuationProblem(req, c); problem != "" {
@@ -175,7 +183,7 @@
 		return copyOff
 	case r.now.Sub(c.lostAt) >= life:
 		return copyTooOld
-	case r.backends[b.Instance] != b || c.incarnation != b.Incarnation || b.endedAt >= req.attempt.at:
+	case c.incarnation != b.Incarnation || b.endedAt >= req.attempt.at:
 		return copyEngineGone
 	case !r.usable(b):
 		return copyEngineExcluded
