Soak: engines keep copies of running requests

The stand-in engines copy runs on demand, continue them from a copy, and answer 503 without one. The checker fails on a continuation of a run that is repeatable, has not run or was continued before.

--- a/internal/soak/backend_test.go
+++ b/internal/soak/backend_test.go
@@ -260,10 +260,13 @@
 	if err != nil {
 		return // the request did not arrive completely
 	}
-	b.checker.runStarted(instance, id, sentRequest{
+	runs := b.startRun(w, r, instance, id, sentRequest{
 		method: r.Method, path: r.RequestURI, body: string(body), model: r.Header.Get("Nutmeglane-Model"),
 		account: strings.Join(r.Header.Values("Nutmeglane-Tenant"), ","), shown: r.Header.Get("Authorization"),
 	})
+	if !runs {
+		return
+	}
 	if string(body) == poisonBody {
 		b.crashAndReturn()
 		<-r.Context().Done()
--- a/internal/soak/engine_test.go
+++ b/internal/soak/engine_test.go
@@ -191,7 +191,10 @@
 func (e *engine) reply(id string, last int, m serverFault) reply {
 	p := reply{
 		pause: eventPause, stream: true, framing: framing(rand.IntN(int(framings))),
-		completes: func() { e.checker.answerCompleted(id) },
+		completes: func() {
+			e.checker.answerCompleted(id)
+			e.checker.copies.end(id)
+		},
 	}
 	release := e.softwareRelease()
 	for n := last + 1; n <= events; n++ {
--- a/internal/soak/result_checker_test.go
+++ b/internal/soak/result_checker_test.go
@@ -46,6 +46,9 @@
 	// the first runs of these requests.
 	sent     map[string]time.Time
 	busyRuns []use
+	// copies are the copies of runs. continuedRuns counts how often a run continued from one.
+	copies        *runCopies
+	continuedRuns map[string]int
 	// limits checks the requests that reach servers with a limit.
 	limits *limits
 	// announcements checks the requests that reach servers that announced that they want
@@ -54,7 +57,7 @@
 }
 
 func newChecker() *checker {
-	return &checker{asked: map[string]sentRequest{}, sentAt: map[string]time.Time{}, runs: map[string]int{}, notRun: map[string]string{}, completed: map[string]bool{}, served: map[string]int{}, sent: map[string]time.Time{}, limits: newLimits(), announcements: newAnnouncements()}
+	return &checker{asked: map[string]sentRequest{}, sentAt: map[string]time.Time{}, runs: map[string]int{}, continuedRuns: map[string]int{}, copies: newCopies(), notRun: map[string]string{}, completed: map[string]bool{}, served: map[string]int{}, sent: map[string]time.Time{}, limits: newLimits(), announcements: newAnnouncements()}
 }
 
 func (r *checker) reportViolation(format string, args ...any) {
@@ -77,6 +80,16 @@
 func (r *checker) runStarted(server, id string, got sentRequest) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	want := r.checkSent(server, id, got)
+	r.runs[id]++
+	if want.account == busyAccount && r.runs[id] == 1 {
+		r.busyRuns = append(r.busyRuns, use{sent: r.sent[id], began: time.Now(), tokens: want.tokens()})
+	}
+}
+
+// checkSent checks that a request which a server runs is the one that its caller sent, and returns
+// that. The caller holds r.mu.
+func (r *checker) checkSent(server, id string, got sentRequest) sentRequest {
 	want, known := r.asked[id]
 	got.repeatable, got.router = want.repeatable, want.router
 	switch {
@@ -87,10 +100,7 @@
 	case got != want:
 		r.recorded = append(r.recorded, fmt.Sprintf("%s ran %s as %+v, sent was %+v", server, id, got, want))
 	}
-	r.runs[id]++
-	if want.account == busyAccount && r.runs[id] == 1 {
-		r.busyRuns = append(r.busyRuns, use{sent: r.sent[id], began: time.Now(), tokens: want.tokens()})
-	}
+	return want
 }
 
 // arrived records that a request reached a server through its router.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -280,8 +280,8 @@
 	broken = append(broken, w.checker.limits.violations(w.exempt)...)
 	broken = append(broken, w.checker.announcements.violations(w.disturbedBetween)...)
 	served := w.checker.counts()
-	t.Logf("seed %d: %d faults, %d requests, served %v, answers broken off: %d, servers crashed by a poison request: %d, worst window of the busy account: %d of %d",
-		seed, len(f.log), w.checker.requests(), served, w.checker.cutAnswers(), w.checker.poisonEnds(), w.checker.busiest(), int(busyBound))
+	t.Logf("seed %d: %d faults, %d requests, served %v, answers broken off: %d, runs continued from a copy: %d, servers crashed by a poison request: %d, worst window of the busy account: %d of %d",
+		seed, len(f.log), w.checker.requests(), served, w.checker.cutAnswers(), w.checker.copies.count(), w.checker.poisonEnds(), w.checker.busiest(), int(busyBound))
 	if len(broken) == 0 && !*keepLogs {
 		if err := os.RemoveAll(w.dir); err != nil {
 			t.Error(err)
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -113,6 +113,7 @@
 	w.resettingLink(name, b.address, at)
 	w.link("loader"+name, host, loaderPort, fmt.Sprintf("%s:%d", host, loaderPort+relayOffset))
 	w.engines = append(w.engines, b)
+	w.checker.copies.add(b.address, b.engine)
 	w.check(b.start())
 	w.loaders = append(w.loaders, w.startProcess("loader", "loader-"+name, fmt.Sprintf(`{
 		"role": "loader", "host": "loader-%s", "address": "%s", "zone": "z", "peers": "%s:%d",
@@ -143,7 +144,8 @@
 			"storeLoadWindow": "5s", "storeLoadSlack": 1.1,
 			"quotaWindow": "%s", "quotaOver": %g, "quotaSlack": %d,
 		},
-	}`, i, host, i%2, host, callersPort, host, readyPort, host, operatorsPort, loaderPort, host, storePort, stopLimit, drain, quotaWindow, quotaOver, quotaSlack)))
+		"crowding": { "fromPause": "%s", "runCopies": true },
+	}`, i, host, i%2, host, callersPort, host, readyPort, host, operatorsPort, loaderPort, host, storePort, stopLimit, drain, quotaWindow, quotaOver, quotaSlack, copiesFrom)))
 }
 
 func (w *world) startProcess(role, name, text string) *process {
@@ -219,7 +221,7 @@
 func routeConfig(name, kind, service string, attempts int, resumable bool) map[string]any {
 	return map[string]any{
 		"name": name, "host": "callers.example", "prefix": "/" + name + "/", "kind": kind, "service": service,
-		"timeoutMs": 8000, "targetLatencyMs": 1000, "gapAimMs": 500, "maxAttempts": attempts, "resumable": resumable,
+		"timeoutMs": 8000, "targetLatencyMs": 1000, "gapAimMs": copiesFrom.Milliseconds(), "maxAttempts": attempts, "resumable": resumable,
 	}
 }
 
@@ -233,6 +235,7 @@
 	}
 	return map[string]any{
 		"slots": slots, "kvCapacityTokens": 100000, "weightsMb": engineMB, "adapterSlots": 4, "loadsPerS": 20, "models": models,
+		"backups": true, "handle_s": copyLife.Seconds(),
 	}
 }
 
