--- a/internal/router/backend.go
+++ b/internal/router/backend.go
@@ -64,8 +64,10 @@
 	// replaced is set if another instance has taken over the server's address.
 	replaced bool
 	loader   *loader
-	// sent holds the attempts in progress at this server.
-	sent map[Key]*attempt
+	// sent holds the attempts in progress at this server. copies is the number of attempts at other
+	// engines whose memory is copied to this one.
+	sent   map[Key]*attempt
+	copies int
 
 	// latency is the moving average of a plain service's time to its answer, corrected for
 	// the load at the time.
@@ -126,6 +128,11 @@
 	lived bool
 	// concurrent is how many other requests were at the server at its first event.
 	concurrent int
+	// copy is the copy of a generation's memory that its engine was asked to make, nil for none.
+	copy *runCopy
+	// endedAt is when the engine was found to have ended while its connection had not, 0 before.
+	// It is kept for requests with a copy.
+	endedAt core.Time
 }
 
 // holdings returns the last report of an engine's loader, nil if there is none that is
