Fair shares of an engine's permits; account fields of permit requests

Cause: an account that sends several times its usual rate fills the engines' queues for all. Change: package fairshare divides the permits of an engine with a budget among client accounts by water-filling over 2 s and reserves permits for more urgent ranks. core.LimitRequest gets the account, weight, rank and slack, core.LimitReply the cause of a refusal. limit.Limiter uses the shares only for a server with a budget; nothing sets one yet.

--- a/internal/core/limit.go
+++ b/internal/core/limit.go
@@ -36,8 +36,30 @@
 	// ColdFor is the remaining time for which the limit holds in any case, as the server is
 	// cold after its start.
 	ColdFor time.Duration `cbor:"6,keyasint,omitempty"`
+	// Account is the client account of the request that needs a permit, "" without one. This
+	// field and the following ones are set if RequestID is; see package fairshare.
+	Account string `cbor:"7,keyasint,omitempty"`
+	// Weight is the account's declared rate, 0 or 1 where it has none.
+	Weight float64 `cbor:"8,keyasint,omitempty"`
+	// Rank is the request's priority, 0 highest.
+	Rank int `cbor:"9,keyasint,omitempty"`
+	// Slack is the time until the request's objective is missed, 0 once it is.
+	Slack time.Duration `cbor:"10,keyasint,omitempty"`
 }
 
+// RefusalCause is why a permit was refused.
+type RefusalCause uint8
+
+// The causes of refusals. Receivers treat other values as NoCapacity.
+const (
+	// NoCapacity means that the server has no permit left for any such request.
+	NoCapacity RefusalCause = 0
+	// ShareUsed means that the client account has its share.
+	ShareUsed RefusalCause = 1
+	// UrgentFirst means that the permits that are left are reserved for more urgent requests.
+	UrgentFirst RefusalCause = 2
+)
+
 // LimitReply is sent by a loader to routers and reports a server's limit, in answer to a
 // LimitRequest or because the limit has changed.
 type LimitReply struct {
@@ -52,6 +74,8 @@
 	Spare bool `cbor:"6,keyasint,omitempty"`
 	// ColdFor is as in LimitRequest.
 	ColdFor time.Duration `cbor:"7,keyasint,omitempty"`
+	// Cause is why the permit was refused.
+	Cause RefusalCause `cbor:"10,keyasint,omitempty"`
 }
 
 func (LimitRequest) message() {}
--- a/internal/core/limit_test.go
+++ b/internal/core/limit_test.go
@@ -13,6 +13,10 @@
 	const most = 100
 	for _, m := range []Message{
 		LimitRequest{Server: server, Limit: limit, RequestID: 123456, Spare: true},
+		LimitRequest{
+			Server: server, Limit: limit, RequestID: 123456, Spare: true,
+			Account: "bapu793", Weight: 29741.25, Rank: 2, Slack: 980 * time.Millisecond,
+		},
 		LimitReply{Server: server, Limit: limit, RequestID: 123456, Room: 380 * time.Millisecond},
 	} {
 		data, err := EncodeMessage(m)
--- a/internal/limit/bucket.go
+++ b/internal/limit/bucket.go
@@ -56,10 +56,15 @@
 	b.at = now
 }
 
+// has reports whether take would succeed.
+func (b *bucket) has(now core.Time, reserve float64) bool {
+	b.fill(now)
+	return b.tokens >= 1+reserve && b.sent.Total(now)+1 <= b.windowLimit()
+}
+
 // take takes a token if at least reserve tokens remain and the window has room.
 func (b *bucket) take(now core.Time, reserve float64) bool {
-	b.fill(now)
-	if b.tokens < 1+reserve || b.sent.Total(now)+1 > b.windowLimit() {
+	if !b.has(now, reserve) {
 		return false
 	}
 	b.tokens--
--- a/internal/limit/limiter.go
+++ b/internal/limit/limiter.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"nutmeglane.example/nutmeglane/internal/core"
+	"nutmeglane.example/nutmeglane/internal/fairshare"
 )
 
 const (
@@ -29,6 +30,7 @@
 	retries RetrySchedule
 	// updatedAt is when a router last reported anything about the server.
 	updatedAt core.Time
+	budgeted
 }
 
 // NewLimiter returns a limiter without servers.
@@ -92,6 +94,10 @@
 	if request.Spare {
 		reserve = spareShare * (s.bucket.capacity() - 1)
 	}
+	if s.hasBudget() {
+		s.answerByShares(now, request, reserve, reply)
+		return reply
+	}
 	if !s.announcement.Named || s.bucket.take(now, reserve) {
 		reply.Granted = true
 		return reply
@@ -126,6 +132,8 @@
 	PerSecond *float64
 	// Tokens are the requests that may be granted at once, Sent those within the window.
 	Tokens, Sent float64
+	// Shares are the client accounts that asked for permits of an engine with a budget.
+	Shares []fairshare.State
 }
 
 // Dump returns the state of all servers, sorted by instance.
@@ -133,7 +141,7 @@
 	var states []State
 	for _, instance := range slices.Sorted(maps.Keys(l.servers)) {
 		s := l.servers[instance]
-		state := State{Server: s.life, Tokens: s.bucket.tokens, Sent: s.bucket.sent.Total(now)}
+		state := State{Server: s.life, Tokens: s.bucket.tokens, Sent: s.bucket.sent.Total(now), Shares: s.shareStates(now)}
 		if s.announcement.Named {
 			state.PerSecond = &s.announcement.PerSecond
 		}
