--- a/internal/fairshare/rank.go
+++ b/internal/fairshare/rank.go
@@ -14,9 +14,9 @@
 	maxReserve     = 0.75
 	// overdueReserve is the part of the bucket that overdue requests of a starved rank leave.
 	overdueReserve = 0.1
-	// overdueSlack is the slack below which the objective of a request counts as missed unless
+	// OverdueSlack is the slack below which the objective of a request counts as missed unless
 	// it is granted.
-	overdueSlack = 500 * time.Millisecond
+	OverdueSlack = 500 * time.Millisecond
 	// starvedShare is the part of an engine's permits below which a rank counts as starved.
 	// Without this bound all requests of a rank that gets too few permits become overdue, and
 	// together they take the reserve of the more urgent ones.
@@ -27,7 +27,7 @@
 func (s *Shares) reserve(now core.Time, request Request, bucket Bucket) float64 {
 	usable := max(0, bucket.Capacity-1) // with the last one the request itself is granted
 	reserve := min(maxReserve, reservePerRank*float64(request.Rank)) * usable
-	if request.Rank > 0 && request.Slack < overdueSlack {
+	if request.Rank > 0 && request.Slack < OverdueSlack {
 		s.account(now, request).overdueAt = now
 		if s.starved(now, request.Rank, bucket) {
 			reserve = min(reserve, overdueReserve*usable)
