--- a/internal/core/limit.go
+++ b/internal/core/limit.go
@@ -70,12 +70,12 @@
 	// Granted permits the request; otherwise Room is the time until one can be permitted.
 	Granted bool          `cbor:"4,keyasint,omitempty"`
 	Room    time.Duration `cbor:"5,keyasint,omitempty"`
+	// Cause is why the permit was refused.
+	Cause RefusalCause `cbor:"10,keyasint,omitempty"`
 	// Spare is that of the LimitRequest.
 	Spare bool `cbor:"6,keyasint,omitempty"`
 	// ColdFor is as in LimitRequest.
 	ColdFor time.Duration `cbor:"7,keyasint,omitempty"`
-	// Cause is why the permit was refused.
-	Cause RefusalCause `cbor:"10,keyasint,omitempty"`
 }
 
 func (LimitRequest) message() {}
--- a/internal/fairshare/episode.go
+++ b/internal/fairshare/episode.go
@@ -38,7 +38,7 @@
 
 // refuseForShare records that an account's request is refused for its share.
 func (s *Shares) refuseForShare(now core.Time, a *account) {
-	s.Refused(now)
+	s.shortUntil = now.Add(shortFor)
 	a.refused++
 	e := &a.episode
 	e.lastAt = now
--- a/internal/fairshare/fixture_test.go
+++ b/internal/fairshare/fixture_test.go
@@ -13,7 +13,6 @@
 type engine struct {
 	shares *Shares
 	bucket Bucket
-	left   float64
 	now    core.Time
 }
 
@@ -23,7 +22,7 @@
 
 func (e *engine) pass(d time.Duration) {
 	e.now = e.now.Add(d)
-	e.left = min(e.bucket.Capacity, e.left+e.bucket.PerSecond*d.Seconds())
+	e.bucket.Left = min(e.bucket.Capacity, e.bucket.Left+e.bucket.PerSecond*d.Seconds())
 }
 
 // outcome is the answer to a request for a permit.
@@ -40,11 +39,11 @@
 	switch {
 	case decision.OverShare:
 		return overShare
-	case e.left < 1+decision.Reserve:
-		e.shares.Refused(e.now)
+	case e.bucket.Left < 1+decision.Reserve:
+		e.shares.Refused(e.now, request, e.bucket.Left < 1)
 		return noPermit
 	}
-	e.left--
+	e.bucket.Left--
 	e.shares.Granted(e.now, request)
 	return granted
 }
--- a/internal/fairshare/request_test.go
+++ b/internal/fairshare/request_test.go
@@ -83,7 +83,7 @@
 	s, bucket := New(), Bucket{Capacity: 25, PerSecond: 24}
 	other := Request{Account: request.Account + "x", Weight: 1, Rank: request.Rank}
 	for range 60 {
-		s.Refused(start)
+		s.Refused(start, other, true)
 		s.Decide(start, request, bucket)
 		s.Granted(start, request)
 		s.Decide(start, other, bucket)
--- a/internal/fairshare/shares.go
+++ b/internal/fairshare/shares.go
@@ -18,9 +18,18 @@
 	MaxAccounts = 256
 	// shortFor is how long permits count as short after a refusal.
 	shortFor = time.Second
+	// shortBelow is the part of the bucket below which permits count as short even if none was
+	// refused. Without it an account's burst takes all permits before the shares apply.
+	shortBelow = 0.5
+	// minShareReserve is the least part of the bucket that an account over its share leaves.
+	minShareReserve = 0.25
 	// maxPace is the maximum time between two permits of an account whose share of a window is
 	// less than one permit.
 	maxPace = 10 * time.Second
+	// tolerance is the number of requests by which an account may exceed its share without a
+	// refusal. Requests come at random times: of an account that asks for one permit in a window
+	// on average, 8 in 100 windows have three or more.
+	tolerance = 2
 	// An account that asks for at least pacedAbove times its share gets its permits one after
 	// another, paceFactor of the mean time apart, and paceTolerance early after a pause. The
 	// factor is below 1 so that the window and not the pace determines how many it gets, and
@@ -36,12 +45,16 @@
 
 // Bucket describes the engine's token bucket.
 type Bucket struct {
-	// Capacity is the maximum number of permits that can be granted at once.
-	Capacity float64
+	// Left is the number of permits that can be granted at once, Capacity its maximum.
+	Left, Capacity float64
 	// PerSecond is the rate at which the bucket fills.
 	PerSecond float64
 }
 
+// usable is the part of the capacity that reserves refer to: with the last permit the request
+// itself is granted.
+func (b Bucket) usable() float64 { return max(0, b.Capacity-1) }
+
 // Shares decides on the permits of one engine. The zero value is not usable; see New.
 type Shares struct {
 	// accounts are in no particular order; index is the position of each.
@@ -74,6 +87,8 @@
 	// overdueAt is when a request last asked whose objective counts as missed unless it is
 	// granted, and which is not of the most urgent rank.
 	overdueAt core.Time
+	// refusedAt is when a request was last refused for want of permits.
+	refusedAt core.Time
 	// share is its share at its last request, +Inf if it was not bounded. nextAt is when it
 	// may get its next permit if it is paced by that share.
 	share  float64
@@ -104,10 +119,10 @@
 	a := s.account(now, request)
 	a.asked.Add(now, 1)
 	a.share = math.Inf(1)
-	if now < s.shortUntil {
+	if s.Short(now, bucket) {
 		a.share = s.share(now, a, bucket)
 	}
-	if !a.allowed(now, a.share) {
+	if !a.allowed(now, a.share) && bucket.Left < 1+a.reserve(now)*bucket.usable() {
 		s.refuseForShare(now, a)
 		return Decision{OverShare: true, Room: a.room(now, a.share)}
 	}
@@ -122,8 +137,19 @@
 	a.nextAt = max(now, a.nextAt).Add(time.Duration(paceFactor * float64(Window) / max(1, a.share)))
 }
 
-// Refused records that a request was refused for want of permits.
-func (s *Shares) Refused(now core.Time) { s.shortUntil = now.Add(shortFor) }
+// Refused records that a request was refused for want of permits: for want of any if noneLeft is
+// set, otherwise because of its reserve.
+func (s *Shares) Refused(now core.Time, request Request, noneLeft bool) {
+	s.shortUntil = now.Add(shortFor)
+	if noneLeft {
+		s.account(now, request).refusedAt = now
+	}
+}
+
+// Short reports whether permits are short, so that accounts are held to their shares.
+func (s *Shares) Short(now core.Time, bucket Bucket) bool {
+	return now < s.shortUntil || bucket.Left < shortBelow*bucket.Capacity
+}
 
 // share returns how many permits an account may get within the window, +Inf if it is not
 // bounded.
@@ -132,10 +158,9 @@
 }
 
 // level returns the fair level of the accounts of a rank. More urgent ranks come first: what
-// they were granted is not divided, except for the part below which a rank counts as starved.
+// they were granted is not divided, except for the permit below which a rank counts as starved.
 func (s *Shares) level(now core.Time, rank int, bucket Bucket) float64 {
 	capacity := bucket.PerSecond * Window.Seconds()
-	least := starvedShare * capacity
 	s.demands = s.demands[:0]
 	for _, a := range s.accounts {
 		switch {
@@ -150,7 +175,7 @@
 	if len(s.demands) < 2 {
 		return math.Inf(1)
 	}
-	return level(s.demands, max(least, capacity))
+	return level(s.demands, max(starvedBelow, capacity))
 }
 
 // allowed reports whether an account may get another permit with the given share of the
@@ -161,12 +186,24 @@
 // phase, between the two whole numbers around its share. A share of less than one permit
 // determines the time between two permits instead.
 func (a *account) allowed(now core.Time, share float64) bool {
+	if recent := a.episode.lastAt != 0 && now.Sub(a.episode.lastAt) < Window; !recent && a.asked.Total(now) < share+tolerance {
+		return true
+	}
 	if share < 1 {
 		return a.grantedAt == 0 || now >= a.grantedAt.Add(pace(share))
 	}
 	return a.granted.Total(now)+a.phase(now) < share && now >= a.pacedUntil(now, share)
 }
 
+// reserve returns the part of the bucket that an account leaves to others once it has its share:
+// the more, the more it asks for.
+//
+// Otherwise requests of accounts that exceed their shares by chance are refused while permits
+// are left that only an account far over its share would take.
+func (a *account) reserve(now core.Time) float64 {
+	return min(maxReserve, max(minShareReserve, a.asked.Total(now)/a.share-1))
+}
+
 // pacedUntil returns the time before which an account that asks for much more than its share
 // gets no permit.
 //
--- a/internal/fairshare/shares_test.go
+++ b/internal/fairshare/shares_test.go
@@ -13,7 +13,7 @@
 // keeps its permits once others are refused.
 func TestSharesApplyWhilePermitsAreShort(t *testing.T) {
 	e := newEngine(10)
-	e.left = 11
+	e.bucket.Left = 11
 	busy, other := Request{Account: "busy", Weight: 1}, Request{Account: "other", Weight: 1}
 	for i := range 11 {
 		if got := e.ask(busy); got != granted {
@@ -89,7 +89,7 @@
 	for range 14 {
 		s.Granted(start, Request{Account: "a", Weight: 1})
 	}
-	s.Refused(start)
+	s.Refused(start, low, false)
 	for range 20 {
 		s.Decide(start, low, bucket)
 	}
@@ -285,7 +285,7 @@
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
 		e.pass(200 * time.Microsecond)
-		e.shares.Refused(e.now)
+		e.shares.Refused(e.now, requests[0], true)
 		e.ask(requests[i%len(requests)])
 	}
 	if n := len(e.shares.Dump(e.now, e.bucket)); b.N > len(requests) && n != MaxAccounts {
--- a/internal/fairshare/state.go
+++ b/internal/fairshare/state.go
@@ -38,6 +38,3 @@
 	})
 	return states
 }
-
-// Short reports whether permits are short, so that accounts are held to their shares.
-func (s *Shares) Short(now core.Time) bool { return now < s.shortUntil }
--- a/internal/limit/limiter.go
+++ b/internal/limit/limiter.go
@@ -30,7 +30,8 @@
 	retries RetrySchedule
 	// updatedAt is when a router last reported anything about the server.
 	updatedAt core.Time
-	budgeted
+	shareState
+	budgeted bool // see hasBudget
 }
 
 // NewLimiter returns a limiter without servers.
@@ -88,16 +89,15 @@
 }
 
 func (s *limitedServer) answer(now core.Time, request core.LimitRequest) *core.LimitReply {
+	if s.hasBudget() {
+		return s.answerByShares(now, request)
+	}
 	reply := s.message(now)
 	reply.RequestID, reply.Spare = request.RequestID, request.Spare
 	reserve := 0.0
 	if request.Spare {
 		reserve = spareShare * (s.bucket.capacity() - 1)
 	}
-	if s.hasBudget() {
-		s.answerByShares(now, request, reserve, reply)
-		return reply
-	}
 	if !s.announcement.Named || s.bucket.take(now, reserve) {
 		reply.Granted = true
 		return reply
@@ -141,10 +141,11 @@
 	var states []State
 	for _, instance := range slices.Sorted(maps.Keys(l.servers)) {
 		s := l.servers[instance]
-		state := State{Server: s.life, Tokens: s.bucket.tokens, Sent: s.bucket.sent.Total(now), Shares: s.shareStates(now)}
+		state := State{Server: s.life, Tokens: s.bucket.tokens, Sent: s.bucket.sent.Total(now)}
 		if s.announcement.Named {
 			state.PerSecond = &s.announcement.PerSecond
 		}
+		state.Shares = s.shareStates(now)
 		states = append(states, state)
 	}
 	return states
--- a/internal/limit/shares.go
+++ b/internal/limit/shares.go
@@ -12,10 +12,8 @@
 // accounts. See package fairshare. The limits that servers announce themselves are granted to
 // whoever asks first.
 
-// budgeted is the state of a server that has a budget. Its zero value is a server without one.
-type budgeted struct {
-	// budget is set while the server has a budget.
-	budget bool
+// shareState is the state of the shares of a server's permits. Its zero value is ready for use.
+type shareState struct {
 	// shares is nil until the first permit of a budget is requested.
 	shares *fairshare.Shares
 	// shareRetries and rankRetries schedule the retries of requests that were refused for their
@@ -23,41 +21,49 @@
 	shareRetries, rankRetries RetrySchedule
 }
 
-// hasBudget reports whether permits are granted by rank and shares.
-func (b *budgeted) hasBudget() bool { return b.budget }
-
-// answerByShares grants or refuses a request for a permit. The reserve is the part of the
-// bucket that the request leaves in any case.
-func (s *limitedServer) answerByShares(now core.Time, request core.LimitRequest, reserve float64, reply *core.LimitReply) {
+// answerByShares grants or refuses a request for a permit by rank and shares.
+func (s *limitedServer) answerByShares(now core.Time, request core.LimitRequest) *core.LimitReply {
 	if s.shares == nil {
 		s.shares = fairshare.New()
 	}
-	ask, _ := fairshare.FromMessage(request) // malformed fields are counted by the loader
-	decision := s.shares.Decide(now, ask, s.shareBucket())
-	interval := permitInterval(s.bucket.rate)
-	switch {
+	reply := s.message(now)
+	reply.RequestID, reply.Spare = request.RequestID, request.Spare
+	ask, _ := fairshare.FromMessage(request) // the loader counts the malformed fields
+	decision := s.shares.Decide(now, ask, s.shareBucket(now))
+	switch reserve := s.spareReserve(request); {
 	case decision.OverShare:
 		reply.Cause = core.ShareUsed
-		reply.Room = s.shareRetries.Next(now, max(minDelay, decision.Room), interval)
+		reply.Room = s.shareRetries.Next(now, max(minDelay, decision.Room), permitInterval(s.bucket.rate))
 	case s.bucket.take(now, max(reserve, decision.Reserve)):
 		s.shares.Granted(now, ask)
 		reply.Granted = true
 	case s.bucket.has(now, reserve):
-		s.shares.Refused(now)
+		s.shares.Refused(now, ask, false)
 		reply.Cause = core.UrgentFirst
-		reply.Room = s.rankRetries.Next(now, s.bucket.delay(now, decision.Reserve), interval)
+		reply.Room = s.rankRetries.Next(now, s.bucket.delay(now, max(reserve, decision.Reserve)), permitInterval(s.bucket.rate))
 	default:
-		s.shares.Refused(now)
+		s.shares.Refused(now, ask, true)
 		reply.Room = s.bucket.delay(now, reserve)
 		if !request.Spare {
-			reply.Room = s.retries.Next(now, reply.Room, interval)
+			reply.Room = s.retries.Next(now, reply.Room, permitInterval(s.bucket.rate))
 		}
 	}
+	return reply
+}
+
+// spareReserve returns how many permits a request leaves to those that no other server can
+// serve.
+func (s *limitedServer) spareReserve(request core.LimitRequest) float64 {
+	if !request.Spare {
+		return 0
+	}
+	return spareShare * (s.bucket.capacity() - 1)
 }
 
-// shareBucket describes the token bucket.
-func (s *limitedServer) shareBucket() fairshare.Bucket {
-	return fairshare.Bucket{Capacity: s.bucket.capacity(), PerSecond: s.bucket.rate}
+// shareBucket returns the state of the token bucket.
+func (s *limitedServer) shareBucket(now core.Time) fairshare.Bucket {
+	s.bucket.fill(now)
+	return fairshare.Bucket{Left: s.bucket.tokens, Capacity: s.bucket.capacity(), PerSecond: s.bucket.rate}
 }
 
 // ShareChanges returns the starts and ends of the periods in which client accounts are refused
@@ -87,5 +93,5 @@
 	if s.shares == nil || !s.hasBudget() {
 		return nil
 	}
-	return s.shares.Dump(now, s.shareBucket())
+	return s.shares.Dump(now, s.shareBucket(now))
 }
--- a/internal/limit/shares_test.go
+++ b/internal/limit/shares_test.go
@@ -11,8 +11,12 @@
 	"nutmeglane.example/nutmeglane/internal/core"
 )
 
-// setBudget makes a limiter grant a server's limit by shares.
-func setBudget(l *Limiter, instance string) { l.servers[instance].budget = true }
+// setTestBudget gives a server a budget in requests per second.
+func setTestBudget(l *Limiter, now core.Time, server core.ServerLife, perSecond float64) {
+	named := core.ReportedLimit{Named: true, PerSecond: perSecond, SentAgo: 2, ReceivedAgo: 1}
+	l.Handle(now, core.LimitRequest{Server: server, Limit: named})
+	l.servers[server.Instance].budgeted = true
+}
 
 // permitRequest returns a request of an account for a permit of a server with a limit.
 func permitRequest(perSecond float64, account string, weight float64, rank int, slack time.Duration) core.LimitRequest {
@@ -59,8 +63,7 @@
 // tell the caller the wrong reason.
 func TestRefusalsNameTheirCause(t *testing.T) {
 	l := NewLimiter()
-	l.Handle(start, limitRequest(0, 8, 0))
-	setBudget(l, "s")
+	setTestBudget(l, start, life(0), 8)
 	now := start.Add(2 * time.Second) // 9 permits
 	ask := func(account string, rank int, slack time.Duration) *core.LimitReply {
 		answer, _ := l.Handle(now, permitRequest(8, account, 1, rank, slack))
