Routers request permits with account, rank and slack, and hold back only what is refused

A refusal for an account's share or for a rank no longer holds back other requests of the router. A request over its account's share goes to another engine with its model, waits if the account gets its next permit before the objective is missed, or is refused with AtLimit. Counted by router_share_refusals_total and new outcomes of router_limit_permits_total.

--- a/internal/core/limit.go
+++ b/internal/core/limit.go
@@ -78,5 +78,8 @@
 	ColdFor time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
+// Partial reports whether the refusal concerns only requests of the same account or rank.
+func (c RefusalCause) Partial() bool { return c == ShareUsed || c == UrgentFirst }
+
 func (LimitRequest) message() {}
 func (LimitReply) message()   {}
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -13,6 +13,7 @@
 	metricAccountUnits  core.Counter = "router_account_units_total"
 	metricServerLimits  core.Counter = "router_server_limits_total"
 	metricLimitPermits  core.Counter = "router_limit_permits_total"
+	metricShareRefusals core.Counter = "router_share_refusals_total"
 	metricLimitedSends  core.Counter = "router_limited_sends_total"
 	metricAnnounced     core.Counter = "router_server_announcements_total"
 	metricOrigins       core.Counter = "router_stream_origins_total"
@@ -31,6 +32,7 @@
 	{Name: metricAccountUnits, Help: "Units of client accounts' quotas (tokens or requests) that were admitted, refused, or returned as not run, by account.", Labels: []string{"account", "outcome"}},
 	{Name: metricServerLimits, Help: "Changes of the limits that backend servers name, and limits that can't be read, by service.", Labels: []string{"service", "change"}},
 	{Name: metricLimitPermits, Help: "Requests that needed a permit of a server with a limit, by service and outcome.", Labels: []string{"service", "outcome"}},
+	{Name: metricShareRefusals, Help: "Permits that were refused because the client account had its share, by service and account.", Labels: []string{"service", "account"}},
 	{Name: metricLimitedSends, Help: "Requests sent to backend servers while they named a limit, by service.", Labels: []string{"service"}},
 	{Name: metricAnnounced, Help: "Backend servers that were found to be draining, backoffs that they want, and backoffs that can't be read (malformed), by service.", Labels: []string{"service", "what"}},
 	{Name: metricOrigins, Help: "Requests that take up a stream, by service and how the release that began it was found.", Labels: []string{"service", "outcome"}},
--- a/internal/router/permit.go
+++ b/internal/router/permit.go
@@ -55,6 +55,7 @@
 	req.permitServer, req.permitRequestedAt = b, r.now
 	ask := r.limitMessage(b)
 	ask.RequestID, ask.Spare = uint64(req.key), spare
+	r.addShareFields(&ask, req)
 	r.emit(SendLimitRequest{Loader: limiting.name, Request: ask})
 }
 
@@ -68,6 +69,8 @@
 	}
 	req.permitServer = nil
 	switch {
+	case !answer.Granted && answer.Cause.Partial():
+		r.heldBack(req, b, answer)
 	case !answer.Granted:
 		b.limit.gate.RecordRefusal(r.now, answer.Room, answer.Spare)
 		r.countPermit(b, "refused")
@@ -89,6 +92,7 @@
 	b := req.permitServer
 	req.permitServer = nil
 	b.limit.gate.RecordTimeout(r.now)
+	b.limit.holds.Clear()
 	r.countPermit(b, "unanswered")
 	r.log(SingleRequest, "permit request not answered in time by the loader", req.attrs("instance", b.Instance)...)
 	r.dispatch(req)
@@ -144,7 +148,7 @@
 
 // canServe reports whether any server can take the request now.
 func (r *Router) canServe(req *request) bool {
-	return slices.ContainsFunc(r.serversOf(req.service), func(b *backend) bool { return r.eligible(b, req) && r.hasRoom(b) })
+	return slices.ContainsFunc(r.serversOf(req.service), func(b *backend) bool { return r.eligible(b, req) && r.hasRoomFor(b, req) })
 }
 
 // refuseAtLimit refuses a request for which no server of a plain service has room, with the
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -226,7 +226,7 @@
 func (r *Router) candidatesOf(req *request, servers []*backend) []*backend {
 	var usable, ejected []*backend
 	for _, b := range servers {
-		if !req.mayTry(b) || !r.hasRoom(b) {
+		if !req.mayTry(b) || !r.hasRoomFor(b, req) {
 			continue
 		}
 		switch r.exclusion(b) {
--- a/internal/router/serverlimit.go
+++ b/internal/router/serverlimit.go
@@ -20,6 +20,8 @@
 // serverLimit is this router's state of one server's limit.
 type serverLimit struct {
 	gate *limit.Gate
+	// holds are the accounts and ranks that get no permits there for now.
+	holds limit.Holds
 	// sent counts the requests sent to the server since countedAt.
 	sent      int
 	countedAt core.Time
@@ -161,6 +163,7 @@
 	for _, b := range r.limited {
 		if r.limitLoader(b) == l {
 			b.limit.gate.LoaderReconnected(r.now)
+			b.limit.holds.Clear()
 			r.sendLimit(b)
 		}
 	}
--- a/internal/router/wait.go
+++ b/internal/router/wait.go
@@ -56,6 +56,9 @@
 		r.send(req, r.choose(req, holders))
 		return
 	}
+	if r.refusedForShare(req) {
+		return
+	}
 	if r.onlyTriedHave(req) {
 		r.giveUp(req, code.NoBackend, "the engines that have its model did not take it")
 		return
@@ -232,7 +235,7 @@
 func (r *Router) isLoaded(w *wait) bool {
 	key := w.key
 	for _, b := range r.holders(key.service, key.model) {
-		if !r.usable(b) || !r.hasRoom(b) || !key.fits(b) || w.bound() && w.triedByAll(b) {
+		if !r.usable(b) || !r.hasRoomForAny(b, w) || !key.fits(b) || w.bound() && w.triedByAll(b) {
 			continue
 		}
 		if hasModel, hasAdapter := r.loaded(b, key.model, key.adapter); hasModel && hasAdapter {
