--- a/internal/limit/shares.go
+++ b/internal/limit/shares.go
@@ -69,6 +69,9 @@
 // ShareChanges returns the starts and ends of the periods in which client accounts are refused
 // for their shares, by server instance, since the last call. The loader logs them.
 func (l *Limiter) ShareChanges(now core.Time) []ShareChange {
+	if !l.sharing() {
+		return nil
+	}
 	var all []ShareChange
 	for _, instance := range slices.Sorted(maps.Keys(l.servers)) {
 		s := l.servers[instance]
@@ -82,6 +85,16 @@
 	return all
 }
 
+// sharing reports whether the permits of any server are shared.
+func (l *Limiter) sharing() bool {
+	for _, s := range l.servers {
+		if s.shares != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // ShareChange is a change at one server.
 type ShareChange struct {
 	Server core.ServerLife
--- a/internal/loader/event.go
+++ b/internal/loader/event.go
@@ -202,6 +202,7 @@
 
 // Counters declares the metrics of a loader.
 var Counters = []core.CounterDef{
+	{Name: metricMalformedPermits, Help: "Fields of requests for a permit that were out of bounds, so that their defaults were used.", Labels: []string{"field"}},
 	{Name: metricOrders, Help: "Orders to the engine by kind and result.", Labels: []string{"kind", "result"}},
 	{Name: metricModelSeconds, Help: "Seconds that models were loaded, by whether a request ran on them lately.", Labels: []string{"use"}},
 	{Name: metricEngineSeconds, Help: "Seconds of the engine, by whether anything ran on it.", Labels: []string{"use"}},
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -150,6 +150,7 @@
 	l.now, l.out = now, l.out[:0]
 	l.merged.invalidate()
 	l.coordinatorSelected = false
+	l.logShareChanges()
 	switch e := event.(type) {
 	case Tick:
 	case ReportRead:
@@ -192,6 +193,7 @@
 		l.emit(SendQuota{Router: e.Router, Answer: *l.quotas.HandleRequest(now, e.Router, e.Request)})
 		return l.out
 	case LimitRequested:
+		l.countMalformedFields(e.Request)
 		l.handleLimitRequest(e)
 		return l.out
 	case OriginsTold:
