--- a/internal/core/limitcompat_test.go
+++ b/internal/core/limitcompat_test.go
@@ -7,9 +7,9 @@
 	"github.com/google/go-cmp/cmp"
 )
 
-// previousLimitRequest and previousLimitReply are the messages of the previous build.
+// requestBeforeShares and replyBeforeShares are the messages of the previous build.
 type (
-	previousLimitRequest struct {
+	requestBeforeShares struct {
 		Server    ServerLife    `cbor:"1,keyasint"`
 		Limit     ReportedLimit `cbor:"2,keyasint"`
 		RequestID uint64        `cbor:"3,keyasint,omitempty"`
@@ -17,7 +17,7 @@
 		Uncounted []float64     `cbor:"5,keyasint,omitempty"`
 		ColdFor   time.Duration `cbor:"6,keyasint,omitempty"`
 	}
-	previousLimitReply struct {
+	replyBeforeShares struct {
 		Server    ServerLife    `cbor:"1,keyasint"`
 		Limit     ReportedLimit `cbor:"2,keyasint"`
 		RequestID uint64        `cbor:"3,keyasint,omitempty"`
@@ -28,14 +28,14 @@
 	}
 )
 
-func previousMessages() *catalog {
-	return newCatalog(map[uint16]any{31: previousLimitRequest{}, 32: previousLimitReply{}})
+func messagesBeforeShares() *catalog {
+	return newCatalog(map[uint16]any{31: requestBeforeShares{}, 32: replyBeforeShares{}})
 }
 
 // Guards against an update during which routers and loaders can't decode each other's
 // messages: the previous build must ignore the new fields, and its own messages must be
 // decoded with the new fields empty.
-func TestLimitMessagesOfThePreviousBuild(t *testing.T) {
+func TestLimitMessagesBeforeShares(t *testing.T) {
 	server := ServerLife{Instance: "i-4f6d9f84b0", Born: 1764745965123}
 	limit := ReportedLimit{Named: true, PerSecond: 4.7, SentAgo: 2, ReceivedAgo: 1}
 	for _, test := range []struct {
@@ -45,7 +45,7 @@
 	}{
 		{
 			"request",
-			previousLimitRequest{Server: server, Limit: limit, RequestID: 7, Spare: true, Uncounted: []float64{1, 0}, ColdFor: 3},
+			requestBeforeShares{Server: server, Limit: limit, RequestID: 7, Spare: true, Uncounted: []float64{1, 0}, ColdFor: 3},
 			LimitRequest{Server: server, Limit: limit, RequestID: 7, Spare: true, Uncounted: []float64{1, 0}, ColdFor: 3},
 			LimitRequest{
 				Server: server, Limit: limit, RequestID: 7, Spare: true, Uncounted: []float64{1, 0}, ColdFor: 3,
@@ -54,13 +54,13 @@
 		},
 		{
 			"reply",
-			previousLimitReply{Server: server, Limit: limit, RequestID: 7, Room: 5, Spare: true, ColdFor: 3},
+			replyBeforeShares{Server: server, Limit: limit, RequestID: 7, Room: 5, Spare: true, ColdFor: 3},
 			LimitReply{Server: server, Limit: limit, RequestID: 7, Room: 5, Spare: true, ColdFor: 3},
 			LimitReply{Server: server, Limit: limit, RequestID: 7, Room: 5, Spare: true, ColdFor: 3, Cause: ShareUsed},
 		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			data, err := previousMessages().encode(test.previous)
+			data, err := messagesBeforeShares().encode(test.previous)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -77,7 +77,7 @@
 			if data, err = EncodeMessage(test.withNewFields); err != nil {
 				t.Fatal(err)
 			}
-			old, err := previousMessages().decode(data)
+			old, err := messagesBeforeShares().decode(data)
 			if err != nil {
 				t.Fatal(err)
 			}
