--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -98,9 +98,9 @@
 	case "request served":
 		return s.servedCause(&last)
 	case "caller left":
-		return fmt.Sprintf("the caller left after %s%s", last.stringField("took"), s.loadsMeanwhile())
+		return fmt.Sprintf("the caller left after %s%s", last.stringField("took"), s.permitRefusals("it was refused a permit")+s.loadsMeanwhile())
 	case "request ended without a server's answer":
-		return fmt.Sprintf("ended with %s after %s: %s%s%s", last.stringField("name"), last.stringField("took"), last.stringField("reason"), s.failedAttempts(), s.loadsMeanwhile())
+		return fmt.Sprintf("ended with %s after %s: %s%s%s", last.stringField("name"), last.stringField("took"), last.stringField("reason"), s.permitRefusals("it was refused a permit")+s.failedAttempts(), s.loadsMeanwhile())
 	default:
 		return fmt.Sprintf("no end was logged; the last line is %q%s", last.Message, s.failedAttempts())
 	}
@@ -113,7 +113,7 @@
 	if waited > 0 {
 		text += fmt.Sprintf(", of which it waited %s for its model", waited)
 	}
-	return text + s.failedAttempts() + s.loadsMeanwhile()
+	return text + s.permitRefusals("it was delayed") + s.failedAttempts() + s.loadsMeanwhile()
 }
 
 // failedAttempts describes the failed, refused and timed-out attempts.
