--- a/internal/limit/limiter.go
+++ b/internal/limit/limiter.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"nutmeglane.example/nutmeglane/internal/core"
+	"nutmeglane.example/nutmeglane/internal/fairshare"
 )
 
 const (
@@ -31,6 +32,8 @@
 	retries RetrySchedule
 	// updatedAt is when a router last reported anything about the server.
 	updatedAt core.Time
+	shareState
+	budgeted bool // see hasBudget
 }
 
 // NewLimiter returns a limiter without servers.
@@ -88,6 +91,9 @@
 }
 
 func (s *limitedServer) answer(now core.Time, request core.LimitRequest) *core.LimitReply {
+	if s.hasBudget() {
+		return s.answerByShares(now, request)
+	}
 	reply := s.message(now)
 	reply.RequestID, reply.Spare = request.RequestID, request.Spare
 	reserve := 0.0
@@ -132,6 +138,8 @@
 	Budget float64
 	// Tokens are the requests that may be granted at once, Sent those within the window.
 	Tokens, Sent float64
+	// Shares are the client accounts that asked for permits of an engine with a budget.
+	Shares []fairshare.State
 }
 
 // Dump returns the state of all servers, sorted by instance.
@@ -143,6 +151,7 @@
 		if s.announcement.Named {
 			state.PerSecond = &s.announcement.PerSecond
 		}
+		state.Shares = s.shareStates(now)
 		states = append(states, state)
 	}
 	return states
