--- a/internal/limit/budget.go
+++ b/internal/limit/budget.go
@@ -63,6 +63,10 @@
 	return b
 }
 
+// hasBudget reports whether an engine has a budget, so that its permits are granted by rank and
+// shares.
+func (s *limitedServer) hasBudget() bool { return s.budget.perSecond > 0 }
+
 // limited reports whether any limit applies.
 func (s *limitedServer) limited() bool { return s.announcement.Named || s.budget.perSecond > 0 }
 
--- a/internal/limit/limiter.go
+++ b/internal/limit/limiter.go
@@ -33,7 +33,6 @@
 	// updatedAt is when a router last reported anything about the server.
 	updatedAt core.Time
 	shareState
-	budgeted bool // see hasBudget
 }
 
 // NewLimiter returns a limiter without servers.
