Fair shares: bound the pace; refusals of spare requests raise no reserve

Change: the pace lasts at most a window. A refusal while permits are left does not make less urgent requests leave the maximum reserve.

--- a/internal/fairshare/shares.go
+++ b/internal/fairshare/shares.go
@@ -134,7 +134,9 @@
 	a := s.account(now, request)
 	a.granted.Add(now, 1)
 	a.grantedAt = now
-	a.nextAt = max(now, a.nextAt).Add(time.Duration(paceFactor * float64(Window) / max(1, a.share)))
+	pause := time.Duration(paceFactor * float64(Window) / max(1, a.share))
+	// The share may have grown since earlier permits were counted.
+	a.nextAt = min(now.Add(Window), max(now, a.nextAt).Add(pause))
 }
 
 // Refused records that a request was refused for want of permits: for want of any if noneLeft is
--- a/internal/fairshare/shares_test.go
+++ b/internal/fairshare/shares_test.go
@@ -163,6 +163,34 @@
 	}
 }
 
+// Guards against a pace that outlasts its reason: an account that got many permits while its share
+// was small must get its share soon after that has grown.
+func TestPaceFollowsTheShare(t *testing.T) {
+	e := newEngine(1)
+	busy, other := Request{Account: "busy", Weight: 1}, Request{Account: "other", Weight: 1}
+	e.shares.Refused(e.now, other, true)
+	for range 40 {
+		e.ask(other)
+		e.ask(busy)
+		e.shares.Granted(e.now, busy)
+	}
+	e.bucket = Bucket{Left: 100, Capacity: 101, PerSecond: 100}
+	e.pass(Window + 100*time.Millisecond)
+	got := 0
+	for i := range 1200 { // 6 s
+		e.pass(5 * time.Millisecond)
+		for range 2 {
+			e.ask(other)
+			if e.ask(busy) == granted && i >= 400 {
+				got++
+			}
+		}
+	}
+	if got < 180 {
+		t.Errorf("%d permits in 4 s with a share of 50 a second", got)
+	}
+}
+
 // drawCallers returns accounts of one rank that ask for up to several times the rate together.
 func drawCallers(t *rapid.T, least int, perSecond float64) []*caller {
 	var callers []*caller
--- a/internal/limit/shares.go
+++ b/internal/limit/shares.go
@@ -38,11 +38,11 @@
 		s.shares.Granted(now, ask)
 		reply.Granted = true
 	case s.bucket.has(now, reserve):
-		s.shares.Refused(now, ask, false)
+		s.shares.Refused(now, ask, !s.bucket.has(now, 0))
 		reply.Cause = core.UrgentFirst
 		reply.Room = s.rankRetries.Next(now, s.bucket.delay(now, max(reserve, decision.Reserve)), permitInterval(s.bucket.rate))
 	default:
-		s.shares.Refused(now, ask, true)
+		s.shares.Refused(now, ask, !s.bucket.has(now, 0))
 		reply.Room = s.bucket.delay(now, reserve)
 		if !request.Spare {
 			reply.Room = s.retries.Next(now, reply.Room, permitInterval(s.bucket.rate))
--- a/internal/limit/shares_test.go
+++ b/internal/limit/shares_test.go
@@ -52,6 +52,25 @@
 	}
 }
 
+// Guards against less urgent requests that leave the maximum reserve for 30 s although the urgent
+// request that was refused could be served elsewhere and permits are left.
+func TestRefusedSpareRequestRaisesNoReserve(t *testing.T) {
+	l := NewLimiter()
+	l.SetBudget(start, life(0), 20, time.Second)
+	now := start.Add(2 * time.Second) // 21 permits
+	for range 12 {
+		l.Handle(now, permitRequest(20, "a", 1, 0, time.Second))
+	}
+	spare := permitRequest(20, "a", 1, 0, time.Second)
+	spare.Spare = true
+	if answer, _ := l.Handle(now, spare); answer.Granted || answer.Cause != core.NoCapacity {
+		t.Fatalf("spare with 9 of 21 left: %+v", answer)
+	}
+	if answer, _ := l.Handle(now, permitRequest(20, "b", 1, 1, time.Second)); !answer.Granted {
+		t.Errorf("rank 1 with 9 of 21 left: %+v", answer)
+	}
+}
+
 // Guards against a refusal without its cause: the router would hold back all its requests, or
 // tell the caller the wrong reason.
 func TestRefusalsNameTheirCause(t *testing.T) {
