--- a/internal/limit/doc.go
+++ b/internal/limit/doc.go
@@ -16,6 +16,12 @@
 // when it was sent more than it takes. The bucket prevents everything that the window has
 // room for from being sent at once.
 //
+// # Shares
+//
+// The permits of an engine with a budget are granted by rank and by the shares of client accounts
+// (package fairshare). A router that is refused for one of these reasons holds back only the
+// requests that the refusal concerns (Holds).
+//
 // # Propagation
 //
 // A router reports to the loader the limits that answers contain, and the loader sends
