--- a/internal/code/table.go
+++ b/internal/code/table.go
@@ -47,7 +47,7 @@
 	{Starved, "Starved", 503, "the process gets too little processor time for its work; another entry host may serve the request"},
 	{KeyUnsure, "KeyUnsure", 503, "the API key is unknown here, and the process can't tell whether it is a new one"},
 	{OverQuota, "OverQuota", 429, "the client account asks for more than its rate and burst allow; Retry-After tells when it has room again"},
-	{AtLimit, "AtLimit", 503, "each server of the service takes no more requests now, by the limit that it names or by its budget; Retry-After tells when the first has room"},
+	{AtLimit, "AtLimit", 503, "each server of the service takes no more requests now, by the limit that it names, its budget or the client account's share of that; Retry-After tells when the first has room"},
 	{BackingOff, "BackingOff", 503, "each server of the service has turned a request away and wants none for some time; Retry-After tells when the first takes some again"},
 	{UnknownOrigin, "UnknownOrigin", 503, "the stream to take up was begun by servers of one of several software versions, and it isn't known which"},
 	{ReleaseGone, "ReleaseGone", 503, "no server of the software version that began the stream takes requests; a new stream would be served"},
--- a/internal/limit/shareload_test.go
+++ b/internal/limit/shareload_test.go
@@ -76,7 +76,7 @@
 func (f *shareFleet) startBudget() {
 	f.limiter.SetBudget(f.now, sharedServer, f.perSecond, time.Second)
 	for _, r := range f.routers {
-		r.gate.Update(f.now, Announcement{Named: true, PerSecond: f.perSecond, Sent: f.now, Received: f.now})
+		r.gate.UpdateBudget(f.now, f.perSecond, BudgetLife)
 	}
 }
 
