LimitRequest carries the load of a plain service's server

The loader that counts for a server computes its budget from the loads that the server states in its answers. Each router receives only few of them, so that routers report them.

--- a/internal/core/limit.go
+++ b/internal/core/limit.go
@@ -45,6 +45,9 @@
 	Rank int `cbor:"9,keyasint,omitempty"`
 	// Slack is the time until the request's objective is missed, 0 once it is.
 	Slack time.Duration `cbor:"10,keyasint,omitempty"`
+	// Load is the load that the server stated last, nil unless the loader may need it to
+	// compute a budget for the server.
+	Load *ServerLoad `cbor:"11,keyasint,omitempty"`
 }
 
 // RefusalCause is why a permit was refused.
