Request-rate budget of a plain service's server

A server whose queue is always full answers nearly all requests late, although it could answer in time what it finishes. Package serverbudget computes from the loads that the server states how many requests per second it can be sent.

--- /dev/null
+++ b/internal/serverbudget/serverbudget.go
@@ -0,0 +1,208 @@
+// Package serverbudget computes the request-rate budget of one server of a plain service, so
+// that the requests that are admitted are answered within their objective.
+//
+// The input is the load that the server states in its answers. The server is crowded if its
+// waiting requests take more than a third of the objective: the rest is left for the work
+// itself and for the variation of both.
+//
+// The package has no I/O and no clock.
+package serverbudget
+
+import (
+	"time"
+
+	"nutmeglane.example/nutmeglane/internal/core"
+)
+
+const (
+	// crowdedShare is the part of the objective that waiting requests may take.
+	crowdedShare = 1.0 / 3
+	// calmShare is the part of crowdedShare below which the budget rises. Between both it is
+	// kept: with one threshold, the queue's random variation alone changes the direction.
+	calmShare = 0.5
+	// firstShare is the part of the nominal rate with which a budget begins. Work is slower
+	// with all slots in use than the time of a usual answer tells.
+	firstShare = 0.9
+	// drainTime is the time within which the waiting requests beyond crowdedShare are to
+	// be worked off.
+	drainTime = time.Second
+	// stepInterval is the time between two steps, and stepShare their size. A queue of some
+	// tens of requests shows the effect of a step within that time.
+	stepInterval = 300 * time.Millisecond
+	stepShare    = 0.1
+	// turnInterval is the minimum time between two changes of direction, unless the server has
+	// become so slow that the initial budget is below slowerShare of the one in force. The
+	// random variation of a queue does not reach that share.
+	turnInterval = time.Second
+	slowerShare  = 0.5
+	// loadInterval is the time over which stated loads are averaged. A single one tells
+	// little: the queue changes by several requests within the time of an answer.
+	loadInterval = 100 * time.Millisecond
+	// maxLoadAge is the age of the last load beyond which no step is made.
+	maxLoadAge = 500 * time.Millisecond
+	// usualWeight is the weight of a new report in the moving average of the usual time.
+	usualWeight = 0.1
+	// endFactor and endAfter: a budget ends once it has been above endFactor times the rate
+	// of requests for permits for endAfter.
+	endFactor = 1.5
+	endAfter  = 2 * time.Second
+	// minPerSecond is the lowest budget: only answers show that the server has recovered.
+	minPerSecond = 1
+)
+
+// Sample is what a router's message tells: a load that the server stated, requests for
+// permits, or both.
+type Sample struct {
+	At core.Time
+	// Running and Waiting are numbers of requests, Slots that of requests that run at once.
+	// Slots is 0 if the sample has no load.
+	Running, Waiting, Slots int
+	// Usual is the present time of an answer without waiting. It is above 0 with a load.
+	Usual time.Duration
+	// Asked is the number of permits that routers asked for since the last sample.
+	Asked int
+}
+
+// Budget is the budget of one incarnation of a server. Create it with New.
+type Budget struct {
+	target time.Duration
+	usual  time.Duration
+	loads  loads
+	asked  askedRate
+
+	limited   bool
+	perSecond float64
+	// since is when the budget began, steppedAt when it last changed.
+	since, steppedAt core.Time
+	// rising is the direction of the last change, 0 before the first; turnedAt is when the
+	// direction last changed.
+	rising   bool
+	turnedAt core.Time
+	// lastWaiting is the number of waiting requests at the last step.
+	lastWaiting float64
+	// ampleSince is since when the budget has been above endFactor times what is asked for,
+	// 0 while it is not.
+	ampleSince core.Time
+}
+
+// New returns the budget of a server without a limit. The target is the shortest objective of
+// the routes to its service, above 0.
+func New(target time.Duration) *Budget { return &Budget{target: target} }
+
+// SetTarget replaces the target after a change of the configuration.
+func (b *Budget) SetTarget(target time.Duration) { b.target = target }
+
+// Limit returns the budget in requests per second, and false if there is none.
+func (b *Budget) Limit() (perSecond float64, limited bool) { return b.perSecond, b.limited }
+
+// Observe processes a sample. Samples must come in the order of their times.
+func (b *Budget) Observe(s Sample) {
+	b.asked.add(s.At, s.Asked)
+	if s.Slots > 0 {
+		b.addLoad(s)
+	}
+	b.Advance(s.At)
+}
+
+// Advance makes the steps that are due. It is to be called at least every stepInterval while
+// there is a budget.
+func (b *Budget) Advance(now core.Time) {
+	if b.loads.complete(now) {
+		b.evaluate(now, b.loads.take())
+	}
+	if b.limited {
+		b.endIfAmple(now)
+	}
+}
+
+// addLoad adds a stated load to the averages.
+func (b *Budget) addLoad(s Sample) {
+	if b.usual == 0 {
+		b.usual = s.Usual
+	}
+	b.usual += time.Duration(usualWeight * float64(s.Usual-b.usual))
+	b.loads.add(s)
+}
+
+// evaluate begins the budget or makes a step, by the mean load since the last evaluation.
+func (b *Budget) evaluate(now core.Time, load meanLoad) {
+	wait := load.waitTime(b.usual)
+	allowed := crowdedShare * float64(b.target)
+	crowded := wait > allowed
+	switch {
+	case !b.limited && crowded && b.mayTurn(now):
+		b.begin(now, load)
+	case !b.limited || now.Sub(b.steppedAt) < stepInterval:
+	case crowded && load.waiting < b.lastWaiting:
+		b.lastWaiting = load.waiting
+	case crowded:
+		b.lower(now, load)
+	case wait < calmShare*allowed:
+		b.raise(now, load)
+	}
+}
+
+// begin begins the budget of a server that has become crowded.
+func (b *Budget) begin(now core.Time, load meanLoad) {
+	b.limited, b.since = true, now
+	b.change(now, b.initial(load), false)
+	b.lastWaiting, b.ampleSince = load.waiting, 0
+}
+
+// initial returns the budget for a load: a part of the nominal rate, less what is needed to
+// work off the waiting requests beyond those allowed.
+func (b *Budget) initial(load meanLoad) float64 {
+	nominal := load.slots / b.usual.Seconds()
+	allowed := crowdedShare * b.target.Seconds() * nominal
+	excess := max(0, load.waiting-allowed)
+	return firstShare*nominal - excess/drainTime.Seconds()
+}
+
+// lower makes a step down. The first one after a rise goes to the initial budget if that is
+// lower, since the server may have become slower.
+func (b *Budget) lower(now core.Time, load meanLoad) {
+	next := b.perSecond * (1 - stepShare)
+	if b.rising {
+		initial := b.initial(load)
+		if !b.mayTurn(now) && initial > slowerShare*b.perSecond {
+			return
+		}
+		next = min(next, initial)
+	}
+	b.lastWaiting = load.waiting
+	b.change(now, next, false)
+}
+
+// raise makes a step up.
+func (b *Budget) raise(now core.Time, load meanLoad) {
+	if !b.rising && !b.mayTurn(now) {
+		return
+	}
+	b.lastWaiting = load.waiting
+	b.change(now, b.perSecond*(1+stepShare), true)
+}
+
+func (b *Budget) mayTurn(now core.Time) bool {
+	return b.turnedAt == 0 || now.Sub(b.turnedAt) >= turnInterval
+}
+
+// change sets the budget.
+func (b *Budget) change(now core.Time, perSecond float64, rising bool) {
+	if b.rising != rising || b.turnedAt == 0 {
+		b.rising, b.turnedAt = rising, now
+	}
+	b.perSecond, b.steppedAt = max(minPerSecond, perSecond), now
+}
+
+// endIfAmple ends a budget that has been far above what is asked for.
+func (b *Budget) endIfAmple(now core.Time) {
+	switch {
+	case b.perSecond <= endFactor*b.asked.perSecond(now):
+		b.ampleSince = 0
+	case b.ampleSince == 0:
+		b.ampleSince = now
+	case now.Sub(b.ampleSince) >= endAfter:
+		b.limited, b.perSecond = false, 0
+		b.rising, b.turnedAt = true, now
+	}
+}
