Budgets of plain services' servers at routers and loaders

Routers report the loads that such servers state to the loader that counts; the loader computes a budget and enforces it by the request limits, like that of an engine.

--- a/internal/loader/dump.go
+++ b/internal/loader/dump.go
@@ -25,6 +25,8 @@
 	// none. BudgetInForce is set while routers are told of it.
 	Budget        *enginebudget.State
 	BudgetInForce bool
+	// ServerBudgets are the budgets of plain services' servers, with their inputs.
+	ServerBudgets []ServerBudgetState
 	// QuotaShare is the part of all limits of client accounts that routers lend this
 	// loader, from 0 to 1. Quotas are the accounts that it grants tokens of.
 	QuotaShare float64
@@ -39,7 +41,7 @@
 	state := State{
 		Life: l.engine.life, Report: l.engine.report, Ordering: l.orderPending,
 		Routers: slices.Clone(l.names), Told: l.announced.holdings,
-		Limits: l.limits.Dump(l.now), QuotaShare: l.quotas.Share(l.now), Quotas: l.quotas.Dump(l.now),
+		Limits: l.limits.Dump(l.now), ServerBudgets: l.dumpServerBudgets(), QuotaShare: l.quotas.Share(l.now), Quotas: l.quotas.Dump(l.now),
 		Origins: l.origins.Len(), OriginsDropped: l.origins.Dropped(),
 	}
 	if l.budget.tracker != nil {
--- a/internal/loader/event.go
+++ b/internal/loader/event.go
@@ -194,13 +194,16 @@
 
 // The metrics of a loader.
 const (
-	metricOrders         core.Counter = "loader_orders_total"
-	metricLoadSeconds    core.Counter = "loader_load_seconds"
-	metricModelSeconds   core.Counter = "loader_model_seconds_total"
-	metricEngineSeconds  core.Counter = "loader_engine_seconds_total"
-	metricBudgetSeconds  core.Counter = "loader_budget_seconds_total"
-	metricCrowdedSeconds core.Counter = "loader_crowded_seconds_total"
-	metricMalformedRuns  core.Counter = "loader_malformed_runs_total"
+	metricOrders               core.Counter = "loader_orders_total"
+	metricLoadSeconds          core.Counter = "loader_load_seconds"
+	metricModelSeconds         core.Counter = "loader_model_seconds_total"
+	metricEngineSeconds        core.Counter = "loader_engine_seconds_total"
+	metricBudgetSeconds        core.Counter = "loader_budget_seconds_total"
+	metricCrowdedSeconds       core.Counter = "loader_crowded_seconds_total"
+	metricServerBudgetSeconds  core.Counter = "loader_server_budget_seconds_total"
+	metricServerCrowdedSeconds core.Counter = "loader_server_crowded_seconds_total"
+	metricMalformedLoads       core.Counter = "loader_malformed_loads_total"
+	metricMalformedRuns        core.Counter = "loader_malformed_runs_total"
 )
 
 // Counters declares the metrics of a loader.
@@ -211,6 +214,9 @@
 	{Name: metricEngineSeconds, Help: "Seconds of the engine, by whether anything ran on it.", Labels: []string{"use"}},
 	{Name: metricBudgetSeconds, Help: "Seconds in which a request-rate budget of the engine was in force."},
 	{Name: metricCrowdedSeconds, Help: "Seconds in which the engine was crowded, by cause (prompts, pauses, memory).", Labels: []string{"cause"}},
+	{Name: metricServerBudgetSeconds, Help: "Seconds in which a request-rate budget of a plain service's server was in force."},
+	{Name: metricServerCrowdedSeconds, Help: "Seconds in which a plain service's server was crowded."},
+	{Name: metricMalformedLoads, Help: "Reported loads of servers that were malformed or out of range."},
 	{Name: metricMalformedRuns, Help: "Entries of the engine's reports of its runs that could not be decoded."},
 	{Name: metricLoadSeconds, Help: "Time of a model's load by where its copy lay.", Labels: []string{"tier"}},
 }
--- a/internal/loader/limits.go
+++ b/internal/loader/limits.go
@@ -12,6 +12,7 @@
 func (l *Loader) handleLimitRequest(e LimitRequested) {
 	l.limits.RemoveStale(l.now)
 	l.countAsked(e)
+	l.noteServerLoad(e)
 	answer, broadcast := l.limits.Handle(l.now, e.Request)
 	if answer != nil {
 		l.emit(SendLimit{Routers: []core.HostID{e.Router}, Limit: *answer})
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -111,6 +111,8 @@
 	limits *limit.Limiter
 	// budget is the engine's request-rate budget.
 	budget engineBudget
+	// serverBudgets are the budgets of plain services' servers, by instance.
+	serverBudgets map[string]*serverBudget
 	// origins are the releases that began streams.
 	origins *origin.Table
 	configs configRelay
@@ -146,7 +148,7 @@
 
 // New returns a loader without any state of the engine or routers.
 func New(opts Options) *Loader {
-	return &Loader{opts: opts, routers: map[core.HostID]*router{}, loadedAt: map[string]core.Time{}, retiring: map[string]core.Time{}, ledger: poison.New(), quotas: quota.NewGranter(), limits: limit.NewLimiter(), origins: origin.NewTable(maxOrigins), configs: configRelay{waiting: map[core.HostID]int64{}}, useSums: map[modelKey]*useSum{}}
+	return &Loader{opts: opts, routers: map[core.HostID]*router{}, loadedAt: map[string]core.Time{}, retiring: map[string]core.Time{}, ledger: poison.New(), quotas: quota.NewGranter(), limits: limit.NewLimiter(), origins: origin.NewTable(maxOrigins), configs: configRelay{waiting: map[core.HostID]int64{}}, useSums: map[modelKey]*useSum{}, serverBudgets: map[string]*serverBudget{}}
 }
 
 // Step handles an event. The effects are valid until the next step.
@@ -215,6 +217,7 @@
 	l.sendNextOrder()
 	l.sendUpdates()
 	l.renewBudget()
+	l.advanceServerBudgets()
 	l.scheduleRead()
 	l.emit(Wake{At: l.nextWake()})
 	return l.out
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -85,6 +85,7 @@
 	req.attempt.began = !e.Answer.NotRun
 	if e.Answer.Load != nil {
 		b.load, b.loadAt, b.ownAtLoad = e.Answer.Load, r.now, len(b.sent)
+		r.noteServerLoad(req, e.Answer)
 	}
 	r.noteLimit(req, e.Answer)
 	r.widenWindow(b, req.attempt, e.Answer)
--- a/internal/router/backend.go
+++ b/internal/router/backend.go
@@ -89,6 +89,9 @@
 	load      *fleet.Load
 	loadAt    core.Time
 	ownAtLoad int
+	// stated is what is reported of load to the loader that counts for a plain service's
+	// server.
+	stated statedLoad
 
 	// lost holds requests that ran here when their connection was closed. endedAt is when
 	// the router noticed that this incarnation of the server has ended, 0 while it has not.
--- a/internal/router/choose.go
+++ b/internal/router/choose.go
@@ -45,7 +45,7 @@
 // plainLatency predicts the latency of one more request at a plain service.
 func (r *Router) plainLatency(b *backend) time.Duration {
 	usual := r.baseLatency(b)
-	latency := time.Duration(float64(usual) * r.slowdown(b))
+	latency := time.Duration(float64(usual) * r.slowdown(b) * r.hostPace(b))
 	// Guards against a server that hangs: its average latency stays good because no answers
 	// arrive. The age of its oldest unanswered request shows the hang.
 	if wait := r.oldestWait(b); wait > max(minSuspectWait, suspectAfter*usual) {
--- a/internal/router/crowding.go
+++ b/internal/router/crowding.go
@@ -54,6 +54,8 @@
 			s.crowding = r.opts.Crowding
 		}
 	}
+	r.setServerBudgets()
+	r.dropServerBudgets()
 }
 
 // qualifiesForCrowding reports whether a service has streams and all of them declare a pause
--- a/internal/router/dump.go
+++ b/internal/router/dump.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"nutmeglane.example/nutmeglane/internal/core"
+	"nutmeglane.example/nutmeglane/internal/fleet"
 	"nutmeglane.example/nutmeglane/internal/poison"
 	"nutmeglane.example/nutmeglane/internal/quota"
 )
@@ -69,9 +70,13 @@
 	// has known it.
 	LimitPerSecond *float64
 	LimitKnownFor  time.Duration
-	// Budget is the engine's request-rate budget per second, 0 if it has none. The limit is
+	// Budget is the server's request-rate budget per second, 0 if it has none. The limit is
 	// the lower of it and the one that the server names.
 	Budget float64
+	// Load is the last load that the server stated, nil before the first. UsualTime is the time
+	// of its answers without waiting; it is kept only where servers of plain services get budgets.
+	Load      *fleet.Load
+	UsualTime time.Duration
 	// DrainingFor is for how long this router has known that the server is draining, 0 if it
 	// is not, and DrainingBy from whom. BackoffLeft is the remaining time in which the server
 	// wants no requests from this host. BackoffWindow is how many requests it may have at
@@ -100,7 +105,7 @@
 			Instance: instance, Service: b.Service, Address: b.Address, Zone: b.Zone, Release: b.Release.String(),
 			Listed: b.unlistedAt == 0, Draining: r.draining(b), LeftOut: r.now < b.ejectedUntil,
 			Requests: len(b.sent), Latency: b.latency, Ahead: b.queue.Delay(r.now), Pace: b.pace, Failing: b.failureRate, Holdings: r.holdings(b),
-			LimitPerSecond: perSecond, LimitKnownFor: knownFor, Budget: b.limit.gate.Budget(),
+			LimitPerSecond: perSecond, LimitKnownFor: knownFor, Budget: b.limit.gate.Budget(), Load: b.load, UsualTime: b.stated.usual,
 			DrainingFor: b.announced.drainingFor(r.now), DrainingBy: b.announced.drainingBy,
 			BackoffLeft: b.announced.backoff.left(r.now), BackoffWindow: b.announced.backoff.window,
 		})
--- a/internal/router/enginebudget.go
+++ b/internal/router/enginebudget.go
@@ -39,7 +39,11 @@
 // message without a budget ends it. Changes of a budget in force are not logged here: the loader
 // logs its start and end, and its dump shows the value.
 func (r *Router) applyBudget(b *backend, from core.HostID, answer core.LimitReply) {
-	if b.loader == nil || b.loader.name != from {
+	if b.loader == nil {
+		r.applyServerBudget(b, from, answer)
+		return
+	}
+	if b.loader.name != from {
 		return
 	}
 	before, wasLimited := b.limit.gate.Budget(), b.limited()
@@ -51,6 +55,10 @@
 // or is frozen or unreachable. This router then decides by its own predictions.
 func (r *Router) expireBudgets() {
 	for _, b := range slices.Clone(r.limited) {
+		if len(b.limit.budgets) > 0 {
+			r.updateServerBudget(b, "expired")
+			continue
+		}
 		before := b.limit.gate.Budget()
 		if b.limit.gate.ExpireBudget(r.now) {
 			r.budgetChanged(b, before, true, "expired")
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -16,6 +16,7 @@
 	metricShareRefusals core.Counter = "router_share_refusals_total"
 	metricLimitedSends  core.Counter = "router_limited_sends_total"
 	metricEngineBudgets core.Counter = "router_engine_budgets_total"
+	metricServerBudgets core.Counter = "router_server_budgets_total"
 	metricAnnounced     core.Counter = "router_server_announcements_total"
 	metricOrigins       core.Counter = "router_stream_origins_total"
 	metricResumptions   core.Counter = "router_stream_resumptions_total"
@@ -37,6 +38,7 @@
 	{Name: metricShareRefusals, Help: "Permits that were refused because the client account had its share, by service and account.", Labels: []string{"service", "account"}},
 	{Name: metricLimitedSends, Help: "Requests sent to backend servers while they named a limit, by service.", Labels: []string{"service"}},
 	{Name: metricEngineBudgets, Help: "Request-rate budgets of engines that began, were over or expired without a message, by service.", Labels: []string{"service", "change"}},
+	{Name: metricServerBudgets, Help: "Request-rate budgets of plain services' servers that began, were over or expired without a message, by service.", Labels: []string{"service", "change"}},
 	{Name: metricAnnounced, Help: "Backend servers that were found to be draining, backoffs that they want, and backoffs that can't be read (malformed), by service.", Labels: []string{"service", "what"}},
 	{Name: metricOrigins, Help: "Requests that take up a stream, by service and how the release that began it was found.", Labels: []string{"service", "outcome"}},
 	{Name: metricResumptions, Help: "Streams that broke off after an event, by service and whether a server of the same release could resume them.", Labels: []string{"service", "outcome"}},
--- a/internal/router/permit.go
+++ b/internal/router/permit.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
@@ -166,9 +165,7 @@
 		r.giveUp(req, code.AtLimit, "no server has room within its limit")
 		return
 	}
-	perSecond, _ := first.limit.gate.Limit()
-	r.finish(req, code.AtLimit, r.retryAfterIn(first.limit.gate.RetryAfter(r.now)), fmt.Sprintf("no server has room within its limit; the first is %s, which has named %g a second for %v",
-		first.Instance, perSecond, r.now.Sub(first.limit.gate.KnownSince())))
+	r.finish(req, code.AtLimit, r.retryAfterIn(first.limit.gate.RetryAfter(r.now)), "no server has room within its limit; the first is "+r.limitText(first))
 }
 
 // roomFor is how long the last of the given number of requests waits for its permit at a
--- a/internal/router/restart.go
+++ b/internal/router/restart.go
@@ -49,7 +49,7 @@
 	b.Born, b.Models, b.Draining, b.SlowFor = incarnation.Born, nil, false, 0
 	b.Release, r.releasesChanged = fleet.Release{}, true
 	b.queue, b.cache, b.pace = work.Queue{}, work.NewCache(r.kvTokens(b.Service)), 1
-	b.latency, b.load = 0, nil
+	b.latency, b.load, b.stated = 0, nil, statedLoad{}
 	r.dropLimit(b)
 	b.announced = announced{}
 	b.failureRate, b.failures, b.ejectedUntil = 0, 0, 0
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -159,6 +159,9 @@
 	releases releaseHistory
 	// crowding are the switches in force for it, set with each configuration.
 	crowding CrowdingOptions
+	// budgetObjective is the shortest objective of the routes to a plain service whose servers
+	// get budgets, 0 for others.
+	budgetObjective time.Duration
 	// spec is the configuration of its engines that loaders receive, nil for a plain
 	// service.
 	spec *core.EngineSpec
--- a/internal/router/serverlimit.go
+++ b/internal/router/serverlimit.go
@@ -22,6 +22,8 @@
 	gate *limit.Gate
 	// holds are the accounts and ranks that get no permits there for now.
 	holds limit.Holds
+	// budgets are the budgets of a plain service's server that loaders announced.
+	budgets serverBudgets
 	// sent counts the requests sent to the server since countedAt.
 	sent      int
 	countedAt core.Time
@@ -178,7 +180,7 @@
 func (r *Router) limitMessage(b *backend) core.LimitRequest {
 	return core.LimitRequest{
 		Server: serverLife(b.Incarnation), Limit: b.limit.gate.Message(r.now), Uncounted: b.limit.gate.TakeUncounted(r.now),
-		ColdFor: b.limit.gate.ColdFor(r.now),
+		ColdFor: b.limit.gate.ColdFor(r.now), Load: r.takeServerLoad(b),
 	}
 }
 
--- a/internal/serverbudget/serverbudget.go
+++ b/internal/serverbudget/serverbudget.go
@@ -78,6 +78,11 @@
 	// direction last changed.
 	rising   bool
 	turnedAt core.Time
+	// last is the load at the last evaluation, crowded whether the server was crowded then.
+	// loadAt is when the last load arrived.
+	last    meanLoad
+	crowded bool
+	loadAt  core.Time
 	// lastWaiting is the number of waiting requests at the last step.
 	lastWaiting float64
 	// ampleSince is since when the budget has been above endFactor times what is asked for,
@@ -97,7 +102,9 @@
 
 // Observe processes a sample. Samples must come in the order of their times.
 func (b *Budget) Observe(s Sample) {
-	b.asked.add(s.At, s.Asked)
+	if s.Asked > 0 {
+		b.asked.add(s.At, s.Asked)
+	}
 	if s.Slots > 0 {
 		b.addLoad(s)
 	}
@@ -107,6 +114,9 @@
 // Advance makes the steps that are due. It is to be called at least every stepInterval while
 // there is a budget.
 func (b *Budget) Advance(now core.Time) {
+	if now.Sub(b.loadAt) > maxLoadAge {
+		b.crowded = false
+	}
 	if b.loads.complete(now) {
 		b.evaluate(now, b.loads.take())
 	}
@@ -122,13 +132,15 @@
 	}
 	b.usual += time.Duration(usualWeight * float64(s.Usual-b.usual))
 	b.loads.add(s)
+	b.loadAt = s.At
 }
 
 // evaluate begins the budget or makes a step, by the mean load since the last evaluation.
 func (b *Budget) evaluate(now core.Time, load meanLoad) {
 	wait := load.waitTime(b.usual)
-	allowed := crowdedShare * float64(b.target)
+	allowed := float64(b.AllowedWait())
 	crowded := wait > allowed
+	b.last, b.crowded = load, crowded
 	switch {
 	case !b.limited && crowded && b.mayTurn(now):
 		b.begin(now, load)
@@ -153,7 +165,7 @@
 // work off the waiting requests beyond those allowed.
 func (b *Budget) initial(load meanLoad) float64 {
 	nominal := load.slots / b.usual.Seconds()
-	allowed := crowdedShare * b.target.Seconds() * nominal
+	allowed := b.AllowedWait().Seconds() * nominal
 	excess := max(0, load.waiting-allowed)
 	return firstShare*nominal - excess/drainTime.Seconds()
 }
