--- a/internal/router/serverlimit.go
+++ b/internal/router/serverlimit.go
@@ -136,6 +136,10 @@
 // server, nil while it can't be reached. For an engine it is the loader beside it. A plain
 // service's server has none: all routers that know the same engines choose the same loader
 // by rendezvous hashing.
+//
+// A loader that can't be reached still counts for a server that names a limit, since two loaders
+// would grant twice the limit. For a budget alone another one is chosen: without a loader there
+// is none, and of two budgets each follows the server's load.
 func (r *Router) limitLoader(b *backend) *loader {
 	limiting := b.loader
 	if limiting == nil {
@@ -149,7 +153,12 @@
 
 func (r *Router) plainLimitLoader(b *backend) (limiting *loader) {
 	var best uint64
+	_, named := b.limit.gate.Announced()
+	onlyUp := !named && r.budgetObjective(b) > 0
 	for _, l := range r.sortedLoaders() {
+		if onlyUp && !l.up {
+			continue
+		}
 		score := core.Score(b.Instance, string(l.name))
 		if (limiting == nil || score > best) && r.engineAt(l) != nil {
 			limiting, best = l, score
--- a/internal/serverbudget/serverbudget.go
+++ b/internal/serverbudget/serverbudget.go
@@ -35,6 +35,9 @@
 	// random variation of a queue does not reach that share.
 	turnInterval = time.Second
 	slowerShare  = 0.5
+	// turnShare is the least size of the first step down after a rise. The initial budget alone
+	// does not suffice where two loaders count, each for a part of the requests.
+	turnShare = 0.25
 	// loadInterval is the time over which stated loads are averaged. A single one tells
 	// little: the queue changes by several requests within the time of an answer.
 	loadInterval = 100 * time.Millisecond
@@ -164,36 +167,46 @@
 // initial returns the budget for a load: a part of the nominal rate, less what is needed to
 // work off the waiting requests beyond those allowed.
 func (b *Budget) initial(load meanLoad) float64 {
-	nominal := load.slots / b.usual.Seconds()
+	nominal := b.nominal(load)
 	allowed := b.AllowedWait().Seconds() * nominal
 	excess := max(0, load.waiting-allowed)
 	return firstShare*nominal - excess/drainTime.Seconds()
 }
 
-// lower makes a step down. The first one after a rise goes to the initial budget if that is
-// lower, since the server may have become slower.
+// lower makes a step down. The first one after a rise, and one of a server that has become much
+// slower, go to the initial budget if that is lower.
 func (b *Budget) lower(now core.Time, load meanLoad) {
+	initial := b.initial(load)
+	slower := initial < slowerShare*b.perSecond
+	if b.rising && !slower && !b.mayTurn(now) {
+		return
+	}
 	next := b.perSecond * (1 - stepShare)
-	if b.rising {
-		initial := b.initial(load)
-		if !b.mayTurn(now) && initial > slowerShare*b.perSecond {
-			return
-		}
-		next = min(next, initial)
+	if b.rising || slower {
+		next = min(initial, b.perSecond*(1-turnShare))
 	}
 	b.lastWaiting = load.waiting
 	b.change(now, next, false)
 }
 
-// raise makes a step up.
+// raise makes a step up. Beyond the nominal rate steps are half as large: the queue grows within
+// one step by what the budget is too high, and the next step down comes a turnInterval later.
 func (b *Budget) raise(now core.Time, load meanLoad) {
 	if !b.rising && !b.mayTurn(now) {
 		return
 	}
+	share := stepShare
+	if b.perSecond > b.nominal(load) {
+		share /= 2
+	}
 	b.lastWaiting = load.waiting
-	b.change(now, b.perSecond*(1+stepShare), true)
+	b.change(now, b.perSecond*(1+share), true)
 }
 
+// nominal returns the rate at which the server finishes requests of the usual time with all slots
+// in use.
+func (b *Budget) nominal(load meanLoad) float64 { return load.slots / b.usual.Seconds() }
+
 func (b *Budget) mayTurn(now core.Time) bool {
 	return b.turnedAt == 0 || now.Sub(b.turnedAt) >= turnInterval
 }
