Tests of server budgets at routers and loaders

A loader keeps a server's next life without a load too: a late report on the earlier life otherwise began a budget that nobody enforced. TestServerBudgetEndsWithTheServersLife failed before.

Tests of loader and router pass.

--- a/internal/loader/serverbudget.go
+++ b/internal/loader/serverbudget.go
@@ -78,14 +78,19 @@
 		return nil
 	}
 	if s != nil && life.Born > s.life.Born {
+		// Kept without a load too, so that late messages on the earlier life are recognized.
 		l.dropServerBudget(s, "server restarted")
-		s = nil
+		return l.addServerBudget(life, s.objective)
 	}
 	if s != nil || load == nil || life.Instance == l.engine.life.Instance || len(l.serverBudgets) >= maxServerBudgets {
 		return s
 	}
-	s = &serverBudget{
-		life: life, budget: serverbudget.New(load.Objective), objective: load.Objective,
+	return l.addServerBudget(life, load.Objective)
+}
+
+func (l *Loader) addServerBudget(life core.ServerLife, objective time.Duration) *serverBudget {
+	s := &serverBudget{
+		life: life, budget: serverbudget.New(objective), objective: objective,
 		advancedAt: l.now, toldAt: map[core.HostID]core.Time{},
 	}
 	l.serverBudgets[life.Instance] = s
