--- a/internal/router/serverbudget_load_test.go
+++ b/internal/router/serverbudget_load_test.go
@@ -24,7 +24,12 @@
 
 // newOverloadedFleet returns a fleet with three servers of which two were removed 5 s ago.
 func newOverloadedFleet(seed uint64, offered float64, crowding CrowdingOptions) *budgetFleet {
-	f := newBudgetFleet(seed, budgetRouters, budgetEngines, 3, crowding)
+	return newOverloadedFleetOf(budgetRouters, seed, offered, crowding)
+}
+
+// newOverloadedFleetOf is newOverloadedFleet with another number of routers.
+func newOverloadedFleetOf(routers int, seed uint64, offered float64, crowding CrowdingOptions) *budgetFleet {
+	f := newBudgetFleet(seed, routers, budgetEngines, 3, crowding)
 	f.offered = offered
 	f.run(5 * time.Second)
 	f.removeServer("plain1")
@@ -70,6 +75,16 @@
 	}
 }
 
+// Of 470 routers each gets an answer about every three seconds, so that each knows little of the
+// load.
+func TestLastServerAnswersOnTimeWithManyRouters(t *testing.T) {
+	f := newOverloadedFleetOf(470, 1, 190, budgetOnly)
+	from, messages := f.now, f.limitMessages
+	f.run(10 * time.Second)
+	t.Logf("%d messages on limits a second", (f.limitMessages-messages)/10)
+	f.checkTargets(t, from)
+}
+
 // Removal of two of three servers must be followed within budgetSettling.
 func TestBudgetFollowsARemoval(t *testing.T) {
 	for seed := range uint64(5) {
--- a/internal/router/serverbudget_test.go
+++ b/internal/router/serverbudget_test.go
@@ -11,12 +11,12 @@
 	"nutmeglane.example/nutmeglane/internal/limit"
 )
 
-// countingLoader is the loader that counts in newBudgetFixture, otherLoader another one.
+// countingLoader is the loader that counts in newServerBudgetFixture, otherLoader another one.
 const countingLoader, otherLoader = core.HostID("10.9.0.1"), core.HostID("10.9.0.2")
 
-// newBudgetFixture returns a router with an engine that has a loader, and with the given number
+// newServerBudgetFixture returns a router with an engine that has a loader, and with the given number
 // of servers of a plain service, which get budgets.
-func newBudgetFixture(t *testing.T, plain int) *fixture {
+func newServerBudgetFixture(t *testing.T, plain int) *fixture {
 	w := newFixture(t)
 	w.router.SetCrowding(CrowdingOptions{FromPause: 400 * time.Millisecond, Budget: true})
 	list := map[string]fleet.Backend{"engine": {
@@ -63,7 +63,7 @@
 // An answer states that requests wait. The loader that counts must receive that with the time of
 // an answer without waiting at the host's present pace, and not again within loadReportInterval.
 func TestLoadIsReported(t *testing.T) {
-	w := newBudgetFixture(t, 1)
+	w := newServerBudgetFixture(t, 1)
 	key := w.call("once", nil)
 	w.now = w.now.Add(120 * time.Millisecond)
 	w.answerLoad(key, fleet.Load{Running: 6, Waiting: 12, Slots: 6, HostPace: 2})
@@ -89,7 +89,7 @@
 // A server without waiting requests must cost no message, and an answer of an earlier
 // incarnation tells nothing of the present one.
 func TestLoadIsNotReported(t *testing.T) {
-	w := newBudgetFixture(t, 1)
+	w := newServerBudgetFixture(t, 1)
 	w.answerLoad(w.call("once", nil), fleet.Load{Running: 6, Slots: 6})
 	key := w.call("once", nil)
 	w.router.requests[key].attempt.incarnation.Born = 5
@@ -103,7 +103,7 @@
 // nothing waits, so that the budget can rise. A load must be reported once, and not when it is
 // old: the loader takes it for the present one.
 func TestPermitRequestReportsLoad(t *testing.T) {
-	w := newBudgetFixture(t, 1)
+	w := newServerBudgetFixture(t, 1)
 	first, second := w.call("once", nil), w.call("once", nil)
 	w.tellBudget(countingLoader, 100)
 	w.answerLoad(first, fleet.Load{Running: 3, Slots: 6})
@@ -126,7 +126,7 @@
 // Requests to a server with a budget need permits. One that is refused must be refused as not
 // run at once, with a time, and with a reason that names the budget.
 func TestRequestBeyondTheServersBudgetIsRefused(t *testing.T) {
-	w := newBudgetFixture(t, 1)
+	w := newServerBudgetFixture(t, 1)
 	w.tellBudget(countingLoader, 100)
 	key := w.call("once", nil)
 	ask := w.lastPermitRequest()
@@ -141,7 +141,7 @@
 
 // An idempotent request that one server refuses must go to a second one.
 func TestRefusedRequestGoesToASecondServer(t *testing.T) {
-	w := newBudgetFixture(t, 2)
+	w := newServerBudgetFixture(t, 2)
 	w.router.backends["s1"].failureRate = 0.5 // so that s0 is chosen first
 	key := w.call("again", nil)
 	send := w.lastSend(key)
@@ -156,7 +156,7 @@
 
 // A loader that counts is gone. Its budget must end limit.BudgetLife after its last message.
 func TestServerBudgetExpires(t *testing.T) {
-	w := newBudgetFixture(t, 1)
+	w := newServerBudgetFixture(t, 1)
 	w.tellBudget(countingLoader, 100)
 	w.run(limit.BudgetLife - 2*tickInterval)
 	if got := w.budgetOfS0(); got != 100 {
@@ -174,7 +174,7 @@
 // Two loaders count for a short time. The lower budget must apply until it ends or expires, and
 // then the other one.
 func TestLowerOfTwoServerBudgetsApplies(t *testing.T) {
-	w := newBudgetFixture(t, 1)
+	w := newServerBudgetFixture(t, 1)
 	w.tellBudget(countingLoader, 100)
 	w.tellBudget(otherLoader, 50)
 	w.tellBudget(countingLoader, 120)
@@ -198,7 +198,7 @@
 // A server that starts again, or another one with its name, must not inherit the budget, and a
 // late message on the earlier life must not bring it back.
 func TestServerBudgetEndsWithTheServer(t *testing.T) {
-	w := newBudgetFixture(t, 1)
+	w := newServerBudgetFixture(t, 1)
 	w.tellBudget(countingLoader, 100)
 	next := w.server(plainService, 0)
 	next.Born = 2
@@ -212,7 +212,7 @@
 // Where budgets are off, a loader's message must change nothing; once they are turned off, those
 // in force must end.
 func TestNoServerBudgetWhereTheyAreOff(t *testing.T) {
-	w := newBudgetFixture(t, 1)
+	w := newServerBudgetFixture(t, 1)
 	w.tellBudget(countingLoader, 100)
 	w.router.SetCrowding(CrowdingOptions{})
 	if got := w.budgetOfS0(); got != 0 {
@@ -229,7 +229,7 @@
 // before.
 func TestHostPaceChangesTheChoice(t *testing.T) {
 	predict := func(on bool, pace float64, age time.Duration) time.Duration {
-		w := newBudgetFixture(t, 1)
+		w := newServerBudgetFixture(t, 1)
 		if !on {
 			w.router.SetCrowding(CrowdingOptions{})
 		}
