Limiter: a budget says whether its permits are shared

Budgets of plain services' servers are granted to whoever asks first: all their routes may have one rank, whose reserve would leave half of the bucket unused.

--- a/internal/limit/budget.go
+++ b/internal/limit/budget.go
@@ -7,8 +7,8 @@
 	"nutmeglane.example/nutmeglane/internal/core"
 )
 
-// This file enforces the budget of an engine: a limit that the loader beside it computes (see
-// package enginebudget). It is kept apart from the limit that the server itself announces, so
+// This file enforces the budget of a server: a limit that the loader that counts computes (see
+// packages enginebudget and serverbudget). It is kept apart from the limit that the server itself announces, so
 // that an answer without a limit does not end it. The lower of the two applies.
 //
 // A budget has no window: the requests that the engine received before are part of the state
@@ -24,35 +24,39 @@
 	minBudgetBurst = 100 * time.Millisecond
 )
 
-// budget is an engine's budget at the loader beside it.
-type budget struct {
-	// perSecond is 0 without a budget.
-	perSecond float64
-	// burst is how long the bucket takes to fill.
-	burst time.Duration
+// Budget is the budget of a server at the loader that counts.
+type Budget struct {
+	// PerSecond is in requests per second, 0 without a budget.
+	PerSecond float64
+	// Burst is the time in which the bucket of an unused budget fills. It is bounded by
+	// minBudgetBurst and burstTime.
+	Burst time.Duration
+	// Shared is set if permits are granted by rank and by the shares of client accounts,
+	// instead of to whoever asks first.
+	Shared bool
 }
 
 // message returns the budget as a message states it.
-func (b budget) message() (perSecond float64, lasts time.Duration) {
-	if b.perSecond == 0 {
+func (b Budget) message() (perSecond float64, lasts time.Duration) {
+	if b.PerSecond == 0 {
 		return 0, 0
 	}
-	return b.perSecond, BudgetLife
+	return b.PerSecond, BudgetLife
 }
 
-// SetBudget sets the budget of a server's life in requests per second, 0 to end it. burst is
-// the time in which the bucket of an unused budget fills. It returns the message that announces
-// the budget to routers, nil if the server has begun another life.
-func (l *Limiter) SetBudget(now core.Time, life core.ServerLife, perSecond float64, burst time.Duration) *core.LimitReply {
+// SetBudget sets the budget of a server's life, one of 0 ends it. It returns the message that
+// announces the budget to routers, nil if the server has begun another life.
+func (l *Limiter) SetBudget(now core.Time, life core.ServerLife, b Budget) *core.LimitReply {
 	s, current := l.server(now, life)
 	if !current {
 		return nil
 	}
 	s.updatedAt = now
-	if begins := s.budget.perSecond == 0 && perSecond > 0; begins && !s.announcement.Named {
+	if begins := s.budget.PerSecond == 0 && b.PerSecond > 0; begins && !s.announcement.Named {
 		s.bucket = emptied(s.bucket, now)
 	}
-	s.budget = budget{perSecond: perSecond, burst: min(burstTime, max(minBudgetBurst, burst))}
+	b.Burst = min(burstTime, max(minBudgetBurst, b.Burst))
+	s.budget = b
 	s.setRate(now)
 	return s.message(now)
 }
@@ -63,12 +67,11 @@
 	return b
 }
 
-// hasBudget reports whether an engine has a budget, so that its permits are granted by rank and
-// shares.
-func (s *limitedServer) hasBudget() bool { return s.budget.perSecond > 0 }
+// grantsByShares reports whether a server's permits are granted by rank and shares.
+func (s *limitedServer) grantsByShares() bool { return s.budget.PerSecond > 0 && s.budget.Shared }
 
 // limited reports whether any limit applies.
-func (s *limitedServer) limited() bool { return s.announcement.Named || s.budget.perSecond > 0 }
+func (s *limitedServer) limited() bool { return s.announcement.Named || s.budget.PerSecond > 0 }
 
 // setRate sets the bucket to the limits in force. Retries move with the rate.
 func (s *limitedServer) setRate(now core.Time) {
@@ -78,13 +81,13 @@
 	before := s.bucket.rate
 	named := max(MinPerSecond, s.announcement.PerSecond)
 	switch {
-	case s.budget.perSecond == 0:
+	case s.budget.PerSecond == 0:
 		s.bucket.setRate(now, named, named, burstTime)
 		return
 	case !s.announcement.Named:
-		s.bucket.setRate(now, s.budget.perSecond, 0, s.budget.burst)
-	case s.budget.perSecond < named:
-		s.bucket.setRate(now, s.budget.perSecond, named, s.budget.burst)
+		s.bucket.setRate(now, s.budget.PerSecond, 0, s.budget.Burst)
+	case s.budget.PerSecond < named:
+		s.bucket.setRate(now, s.budget.PerSecond, named, s.budget.Burst)
 	default:
 		s.bucket.setRate(now, named, named, burstTime)
 	}
--- a/internal/limit/budget_test.go
+++ b/internal/limit/budget_test.go
@@ -18,7 +18,7 @@
 // budgeted returns a limiter with a budget and a bucket that has been filled.
 func budgeted(perSecond float64) (*Limiter, core.Time) {
 	l := NewLimiter()
-	l.SetBudget(start, life(1), perSecond, testBurst)
+	l.SetBudget(start, life(1), Budget{PerSecond: perSecond, Burst: testBurst, Shared: true})
 	return l, start.Add(time.Second)
 }
 
@@ -42,7 +42,7 @@
 		t.Errorf("%d granted in 10 s at a budget of 20", n)
 	}
 	now = now.Add(10 * time.Second)
-	l.SetBudget(now, life(1), 0, testBurst)
+	l.SetBudget(now, life(1), Budget{PerSecond: 0, Burst: testBurst, Shared: true})
 	if n := countGranted(l, now, time.Second, ask(4)); n != 100 {
 		t.Errorf("%d of 100 granted without any limit", n)
 	}
@@ -55,7 +55,7 @@
 	before := ask(0)
 	before.Uncounted = []float64{50, 50, 50, 50, 50, 50, 50, 50}
 	l.Handle(start, before)
-	l.SetBudget(start, life(1), 10, testBurst)
+	l.SetBudget(start, life(1), Budget{PerSecond: 10, Burst: testBurst, Shared: true})
 	if n := countGranted(l, start, time.Second, ask(1)); n < 9 || n > 11 {
 		t.Errorf("%d granted in 1 s at a budget of 10", n)
 	}
@@ -65,9 +65,9 @@
 func TestBudgetBeginsWithoutTokens(t *testing.T) {
 	l, now := budgeted(20)
 	now = now.Add(time.Minute)
-	l.SetBudget(now, life(1), 0, testBurst)
+	l.SetBudget(now, life(1), Budget{PerSecond: 0, Burst: testBurst, Shared: true})
 	now = now.Add(time.Minute)
-	l.SetBudget(now, life(1), 20, testBurst)
+	l.SetBudget(now, life(1), Budget{PerSecond: 20, Burst: testBurst, Shared: true})
 	if answer, _ := l.Handle(now, ask(1)); answer.Granted {
 		t.Error("granted at the moment in which the budget begins")
 	}
@@ -83,7 +83,7 @@
 	for i := range 5 {
 		l.Handle(now, ask(uint64(i+1)))
 	}
-	l.SetBudget(now, life(1), 20, testBurst)
+	l.SetBudget(now, life(1), Budget{PerSecond: 20, Burst: testBurst, Shared: true})
 	answer, _ := l.Handle(now, ask(9))
 	if answer.Granted || answer.Room > 500*time.Millisecond {
 		t.Errorf("answer %+v at 20 a second", answer)
@@ -94,7 +94,7 @@
 func TestBudgetEndsWithTheLife(t *testing.T) {
 	l, now := budgeted(20)
 	l.Handle(now, core.LimitRequest{Server: life(2)})
-	if message := l.SetBudget(now, life(1), 20, testBurst); message != nil {
+	if message := l.SetBudget(now, life(1), Budget{PerSecond: 20, Burst: testBurst, Shared: true}); message != nil {
 		t.Errorf("message %+v on an earlier life", message)
 	}
 	if active := l.Active(now); len(active) > 0 {
--- a/internal/limit/limiter.go
+++ b/internal/limit/limiter.go
@@ -25,9 +25,8 @@
 type limitedServer struct {
 	life         core.ServerLife
 	announcement Announcement
-	// budget is the engine's budget in requests per second, 0 without one.
-	budget budget
-	bucket bucket
+	budget       Budget
+	bucket       bucket
 	// retries schedules the retries of routers that were refused.
 	retries RetrySchedule
 	// updatedAt is when a router last reported anything about the server.
@@ -90,7 +89,7 @@
 }
 
 func (s *limitedServer) answer(now core.Time, request core.LimitRequest) *core.LimitReply {
-	if s.hasBudget() {
+	if s.grantsByShares() {
 		return s.answerByShares(now, request)
 	}
 	reply := s.message(now)
@@ -146,7 +145,7 @@
 	var states []State
 	for _, instance := range slices.Sorted(maps.Keys(l.servers)) {
 		s := l.servers[instance]
-		state := State{Server: s.life, Budget: s.budget.perSecond, Tokens: s.bucket.tokens, Sent: s.bucket.sent.Total(now)}
+		state := State{Server: s.life, Budget: s.budget.PerSecond, Tokens: s.bucket.tokens, Sent: s.bucket.sent.Total(now)}
 		if s.announcement.Named {
 			state.PerSecond = &s.announcement.PerSecond
 		}
--- a/internal/limit/shareload_test.go
+++ b/internal/limit/shareload_test.go
@@ -74,7 +74,7 @@
 
 // startBudget sets the engine's budget and announces it to all routers.
 func (f *shareFleet) startBudget() {
-	f.limiter.SetBudget(f.now, sharedServer, f.perSecond, time.Second)
+	f.limiter.SetBudget(f.now, sharedServer, Budget{PerSecond: f.perSecond, Burst: time.Second, Shared: true})
 	for _, r := range f.routers {
 		r.gate.UpdateBudget(f.now, f.perSecond, BudgetLife)
 	}
--- a/internal/limit/shares.go
+++ b/internal/limit/shares.go
@@ -103,7 +103,7 @@
 
 // shareStates returns the dump of the accounts, nil without a budget.
 func (s *limitedServer) shareStates(now core.Time) []fairshare.State {
-	if s.shares == nil || !s.hasBudget() {
+	if s.shares == nil || !s.grantsByShares() {
 		return nil
 	}
 	return s.shares.Dump(now, s.shareBucket(now))
--- a/internal/limit/shares_test.go
+++ b/internal/limit/shares_test.go
@@ -56,7 +56,7 @@
 // request that was refused could be served elsewhere and permits are left.
 func TestRefusedSpareRequestRaisesNoReserve(t *testing.T) {
 	l := NewLimiter()
-	l.SetBudget(start, life(0), 20, time.Second)
+	l.SetBudget(start, life(0), Budget{PerSecond: 20, Burst: time.Second, Shared: true})
 	now := start.Add(2 * time.Second) // 21 permits
 	for range 12 {
 		l.Handle(now, permitRequest(20, "a", 1, 0, time.Second))
@@ -75,7 +75,7 @@
 // tell the caller the wrong reason.
 func TestRefusalsNameTheirCause(t *testing.T) {
 	l := NewLimiter()
-	l.SetBudget(start, life(0), 8, time.Second)
+	l.SetBudget(start, life(0), Budget{PerSecond: 8, Burst: time.Second, Shared: true})
 	now := start.Add(2 * time.Second) // 9 permits
 	ask := func(account string, rank int, slack time.Duration) *core.LimitReply {
 		answer, _ := l.Handle(now, permitRequest(8, account, 1, rank, slack))
--- a/internal/loader/budget.go
+++ b/internal/loader/budget.go
@@ -145,7 +145,7 @@
 // renewals.
 func (l *Loader) tellBudget(perSecond float64, atOnce bool) {
 	b := &l.budget
-	message := l.limits.SetBudget(l.now, l.budgetLife(), perSecond, b.targets.FirstEvent/2)
+	message := l.limits.SetBudget(l.now, l.budgetLife(), limit.Budget{PerSecond: perSecond, Burst: b.targets.FirstEvent / 2, Shared: true})
 	if message == nil || len(l.names) == 0 {
 		return
 	}
@@ -174,7 +174,7 @@
 		return
 	}
 	perSecond, _ := b.tracker.Limit()
-	if message := l.limits.SetBudget(l.now, l.budgetLife(), perSecond, b.targets.FirstEvent/2); message != nil {
+	if message := l.limits.SetBudget(l.now, l.budgetLife(), limit.Budget{PerSecond: perSecond, Burst: b.targets.FirstEvent / 2, Shared: true}); message != nil {
 		l.sendBudget(due, perSecond, *message)
 	}
 }
--- a/internal/loader/serverbudget.go
+++ b/internal/loader/serverbudget.go
@@ -128,7 +128,7 @@
 // finishes within the time that waiting requests may take.
 func (l *Loader) setServerBudget(s *serverBudget, perSecond float64) *core.LimitReply {
 	s.perSecond = perSecond
-	return l.limits.SetBudget(l.now, s.life, perSecond, s.budget.AllowedWait())
+	return l.limits.SetBudget(l.now, s.life, limit.Budget{PerSecond: perSecond, Burst: s.budget.AllowedWait()})
 }
 
 // sendServerBudget announces a budget to routers.
--- a/internal/loader/shares_test.go
+++ b/internal/loader/shares_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"nutmeglane.example/nutmeglane/internal/core"
+	"nutmeglane.example/nutmeglane/internal/limit"
 )
 
 // Guards against a router's wrong field that nobody notices: each must be counted by its name,
@@ -31,7 +32,7 @@
 	w := newFixture(t)
 	w.step(RouterUp{Router: "r1"})
 	server := core.ServerLife{Instance: "s"}
-	w.loader.limits.SetBudget(w.now, server, 8, time.Second)
+	w.loader.limits.SetBudget(w.now, server, limit.Budget{PerSecond: 8, Burst: time.Second, Shared: true})
 	lines := map[string][]slog.Attr{}
 	step := func(event Event) {
 		for _, effect := range w.loader.Step(w.now, event) {
