--- a/internal/router/backend.go
+++ b/internal/router/backend.go
@@ -29,9 +29,11 @@
 	// smoothing is the weight of a new sample in moving averages: about the last ten
 	// samples count.
 	smoothing = 0.2
-	// latencyMemory is the time constant with which the latency of a server that gets no requests
-	// is forgotten. A slow host or process recovers within some seconds to a minute.
+	// latencyMemory is the time constant with which the latency of a server is forgotten that has
+	// not answered for latencyAge. A slow host or process recovers within some seconds to a
+	// minute. Without latencyAge, servers in use would seem faster than they are.
 	latencyMemory = 10 * time.Second
+	latencyAge    = 3 * time.Second
 	// unknownShare is the forgotten latency of a server relative to that of the service. Below
 	// the latency of the servers in use, it leads to a request to the server; at 0.8, that is
 	// one within half a minute if the server is as fast as the others.
@@ -237,7 +239,8 @@
 	if b.latency == 0 {
 		return usual
 	}
-	known := math.Exp(-float64(r.now.Sub(b.learnedAt)) / float64(latencyMemory))
+	unused := max(0, r.now.Sub(b.learnedAt)-latencyAge)
+	known := math.Exp(-float64(unused) / float64(latencyMemory))
 	forgotten := unknownShare * float64(usual)
 	return time.Duration(forgotten + known*(float64(b.latency)-forgotten))
 }
