Router: the copy plan behind an interface beside the present rules

For services with CopyPlan the plan decides on further copies, loads from the weight store and spare copies; its loads become wants as before, and permits follow its gains. Today's rules remain the other implementation and the default.

--- a/internal/copyplan/fixture_test.go
+++ b/internal/copyplan/fixture_test.go
@@ -134,6 +134,7 @@
 func (s *Snapshot) randomEngine(rng *rand.Rand, i int, memoryMB float64) {
 	e := &s.Engines[i]
 	e.Load, e.Planned, e.Foreign = rng.Float64(), rng.IntN(10) == 0, rng.IntN(10) == 0
+	e.Background = rng.IntN(10) == 0
 	if rng.IntN(4) == 0 {
 		e.FreeIn = time.Duration(rng.Int64N(int64(3 * time.Second)))
 	}
--- a/internal/copyplan/plan_test.go
+++ b/internal/copyplan/plan_test.go
@@ -93,6 +93,9 @@
 			s.Engines[1].Near["m1"], s.Engines[2].Near["m1"] = TierDisk, TierDisk
 			s.Engines[1].Planned = true
 		}, "e002"},
+		{"one with a load that no request needs", func(s *Snapshot) {
+			s.Engines[1].Near["m1"], s.Engines[1].Background = TierDisk, true
+		}, "e001"},
 		{"not one that follows another router", func(s *Snapshot) {
 			s.Engines[1].Near["m1"], s.Engines[2].Near["m1"] = TierDisk, TierDisk
 			s.Engines[1].Foreign = true
--- a/internal/copyplan/planner.go
+++ b/internal/copyplan/planner.go
@@ -64,7 +64,7 @@
 	if !m.Uncertain {
 		known.rates.add(r.now, m.Rate)
 	}
-	m.predict(known.rates.trend())
+	m.predict(known.rates.rise(r.now))
 	m.parts = r.partsOf(m)
 	m.required = m.requiredCopies(0)
 	m.needed = known.update(r.now, m.required, max(m.required, m.requiredCopies(minDifference)), len(m.copies))
--- a/internal/copyplan/property_test.go
+++ b/internal/copyplan/property_test.go
@@ -44,6 +44,9 @@
 			if e.Planned || e.Foreign {
 				t.Errorf("load at %+v", e)
 			}
+			if e.Background && l.Background {
+				t.Errorf("a second load that no request needs at %s", l.Engine)
+			}
 			if slices.ContainsFunc(e.Held, func(h Held) bool { return h.Model == l.Model }) {
 				t.Errorf("%s is at %s already", l.Model, l.Engine)
 			}
--- a/internal/copyplan/rates.go
+++ b/internal/copyplan/rates.go
@@ -10,12 +10,14 @@
 )
 
 const (
-	// trendSamples is the number of rates that a trend is derived from: at four plans a
-	// second they cover one second.
+	// trendSamples is the most rates that a trend is derived from.
 	trendSamples = 5
 	// trendWindow is the time that they cover at least. Over a shorter one the change of a
 	// rate is mostly chance.
 	trendWindow = 800 * time.Millisecond
+	// trendMaxAge is how long a rate may be unchanged before it counts as steady. Loaders of
+	// large fleets report once a second.
+	trendMaxAge = 1250 * time.Millisecond
 	// chance is how many standard deviations a rate has to rise within the window to count
 	// as a trend. At two, a steady rate shows a trend in one plan of forty.
 	chance = 2.0
@@ -26,7 +28,7 @@
 	mostGrowth = 2.0
 )
 
-// rateHistory holds the last rates of a model, oldest first.
+// rateHistory holds the last different rates of a model, oldest first.
 type rateHistory struct {
 	samples [trendSamples]rateSample
 	count   int
@@ -37,7 +39,12 @@
 	rate float64
 }
 
+// add records a rate. One that is unchanged comes from the same report of a loader and is no
+// new sample.
 func (h *rateHistory) add(now core.Time, rate float64) {
+	if h.count > 0 && h.samples[h.count-1].rate == rate {
+		return
+	}
 	if h.count > 0 && h.samples[h.count-1].at >= now {
 		h.count--
 	}
@@ -49,30 +56,63 @@
 	h.count++
 }
 
-// trend returns the rise of the rate per second, 0 if it does not rise or may do so by
-// chance.
-//
-// The mean of the two middle slopes is used, at most that of the whole window. It guards against a sum that jumps because a
-// loader begins to report: after a restart a model's rate appears within one report, and the
-// slope of that report would predict ten times the rate. Two middle ones are needed, since
-// loaders may report at every second plan.
-func (h *rateHistory) trend() float64 {
-	first, last := h.samples[0], h.samples[max(0, h.count-1)]
-	if h.count < trendSamples || last.at.Sub(first.at) < trendWindow {
-		return 0
+// rise is a rise of a rate.
+type rise struct {
+	// perSecond is the rise per second, 0 if the rate does not rise or may do so by chance.
+	perSecond float64
+	// age is how long ago the rate rose at that pace: the middle of the time that it was
+	// derived from.
+	age time.Duration
+}
+
+// rise returns the present rise of the rate.
+func (h *rateHistory) rise(now core.Time) rise {
+	samples := h.window()
+	if len(samples) < 3 {
+		return rise{}
+	}
+	first, last := samples[0], samples[len(samples)-1]
+	window, lag := last.at.Sub(first.at), now.Sub(last.at)
+	perSecond := typicalSlope(samples)
+	if lag > trendMaxAge || perSecond*window.Seconds() < chance*deviation(first.rate, window) {
+		return rise{}
 	}
-	var slopes [trendSamples - 1]float64
-	for i := range slopes {
-		a, b := h.samples[i], h.samples[i+1]
-		slopes[i] = (b.rate - a.rate) / b.at.Sub(a.at).Seconds()
+	return rise{perSecond: perSecond, age: lag + window/2}
+}
+
+// window returns the newest samples, at least three, that cover trendWindow; nil if there are
+// none.
+func (h *rateHistory) window() []rateSample {
+	for from := h.count - 3; from >= 0; from-- {
+		if h.samples[h.count-1].at.Sub(h.samples[from].at) >= trendWindow {
+			return h.samples[from:h.count]
+		}
+	}
+	return nil
+}
+
+// typicalSlope returns the median of the slopes between samples, at most that between the
+// first and the last one. Of two slopes the larger counts as at most three times the smaller.
+//
+// It guards against a sum that jumps because a loader begins to report: after a restart a
+// model's rate appears within one report, and the slope of that report would predict ten
+// times the rate.
+func typicalSlope(samples []rateSample) float64 {
+	first, last := samples[0], samples[len(samples)-1]
+	slopes := make([]float64, 0, trendSamples-1)
+	for i := 1; i < len(samples); i++ {
+		a, b := samples[i-1], samples[i]
+		slopes = append(slopes, (b.rate-a.rate)/b.at.Sub(a.at).Seconds())
 	}
-	slices.SortFunc(slopes[:], cmp.Compare[float64])
-	window := last.at.Sub(first.at)
-	trend := max(0, min((slopes[1]+slopes[2])/2, (last.rate-first.rate)/window.Seconds()))
-	if trend*window.Seconds() < chance*deviation(first.rate, window) {
-		return 0
+	slices.SortFunc(slopes, cmp.Compare[float64])
+	middle := slopes[len(slopes)/2]
+	switch {
+	case len(slopes) == 2:
+		middle = 2 * slopes[0]
+	case len(slopes)%2 == 0:
+		middle = (middle + slopes[len(slopes)/2-1]) / 2
 	}
-	return trend
+	return max(0, min(middle, (last.rate-first.rate)/last.at.Sub(first.at).Seconds()))
 }
 
 // deviation is the standard deviation of the change, within a window, of a decaying mean of
@@ -85,14 +125,14 @@
 
 // predict sets the rate that the model will have when a copy that is ordered now is ready.
 //
-// Rate is a decaying mean, which lags behind a rise by its time constant, and the trend
-// derived from several rates is that of half their window ago. Without that correction the
-// copies for a rise from 15 to 77 requests a second in four seconds came one after another.
-func (m *modelState) predict(derived float64) {
+// Rate is a decaying mean, which lags behind a rise by its time constant, and a derived trend
+// is that of some time ago. Without these corrections the copies for a rise from 15 to 77
+// requests a second in four seconds came one after another.
+func (m *modelState) predict(derived rise) {
 	present, trend := m.Rate, m.Trend
-	if trend == 0 && derived > 0 {
-		trend = derived
-		present += trend * (core.FastRateMemory + time.Second/2).Seconds()
+	if trend == 0 {
+		trend = derived.perSecond
+		present += trend * (core.FastRateMemory + derived.age).Seconds()
 	}
 	ahead := (m.nearestLoad + spareTime).Seconds()
 	m.predicted = max(0, min(mostGrowth*present, present+max(0, trend)*ahead))
--- a/internal/copyplan/snapshot.go
+++ b/internal/copyplan/snapshot.go
@@ -65,6 +65,9 @@
 	Budget float64
 	// Planned is set if a load is ordered there that its loader has not completed.
 	Planned bool
+	// Background is set if a load is ordered there that no request needs. A needed one
+	// replaces it.
+	Background bool
 	// Foreign is set if its loader follows another router: what it holds counts, and nothing
 	// is planned there.
 	Foreign bool
--- a/internal/copyplan/store.go
+++ b/internal/copyplan/store.go
@@ -135,7 +135,7 @@
 	var best *choice
 	for i := range r.engines {
 		e := &r.engines[i]
-		if e.taken || e.FreeIn > 0 || e.listed(m.Name) || e.Near[m.Name] != TierStore || e.atBudget() {
+		if e.taken || e.Background || e.FreeIn > 0 || e.listed(m.Name) || e.Near[m.Name] != TierStore || e.atBudget() {
 			continue
 		}
 		evict, _, ok := r.makeRoom(e, m, min(m.Rate/2, backgroundEvictRate))
--- a/internal/router/background.go
+++ b/internal/router/background.go
@@ -46,6 +46,11 @@
 	}
 	// Reads from the store come first: they take longest, and an engine that is filling its
 	// memory can't begin one.
+	r.fillMemories(s, engines, models)
+}
+
+// fillMemories loads models that no engine has loaded from near copies where memory is free.
+func (r *Router) fillMemories(s *service, engines []*backend, models []fleet.Model) {
 	for _, model := range models {
 		if near, loaded := r.nearCopies(s.name, model.Name); !loaded && near > 0 {
 			r.fillMemory(s, engines, model)
@@ -165,7 +170,11 @@
 }
 
 func (r *Router) startBackground(s *service, b *backend, model fleet.Model, store bool) {
-	s.store.planned[grantKey{b.loader.name, model.Name}] = plannedLoad{since: r.now, until: r.now.Add(backgroundLife), store: store}
+	planned := plannedLoad{since: r.now, until: r.now.Add(backgroundLife), store: store}
+	if store {
+		planned.dropAt = 1
+	}
+	s.store.planned[grantKey{b.loader.name, model.Name}] = planned
 	b.loader.dirty = true
 	r.log(StateChange, "model is loaded ahead of demand", b.attrs("model", model.Name, "free_mb", r.holdings(b).FreeMB)...)
 }
@@ -187,7 +196,7 @@
 			continue
 		}
 		planned := s.store.planned[key]
-		if planned.store && !planned.spread && r.hasElsewhere(b, key.model) {
+		if planned.dropAt > 0 && r.placesElsewhere(b, key.model) >= planned.dropAt {
 			delete(s.store.planned, key)
 			continue
 		}
@@ -204,23 +213,34 @@
 	return wants
 }
 
-// hasElsewhere reports whether an engine other than b holds a model, loads it or has a near
+// placesElsewhere counts the engines other than b that hold a model, load it or have a near
 // copy.
 //
 // It guards against reading a model from the weight store twice: while a fleet starts, two
 // routers coordinate for some ms and plan the same models at different engines. Of the five
 // models that were read within the 14 s before the first caller, two were read for the
 // second time, while twenty models that no engine had were left waiting.
-func (r *Router) hasElsewhere(b *backend, model string) bool {
+func (r *Router) placesElsewhere(b *backend, model string) int {
 	there := func(other *backend) bool {
 		return other != b && r.stays(other)
 	}
+	count := 0
 	engines := r.service(b.Service).enginesOf(model)
 	for _, other := range engines.holders {
-		m := r.heldAt(other, model)
-		if there(other) && m != nil && (m.State == core.HoldLoaded || m.State == core.HoldLoading || m.State == core.HoldStoreLoading) {
-			return true
+		if there(other) && r.holdsOrLoads(other, model) {
+			count++
 		}
 	}
-	return slices.ContainsFunc(engines.near, func(other *backend) bool { return there(other) && r.near(other, model) })
+	for _, other := range engines.near {
+		if there(other) && r.near(other, model) && !r.holdsOrLoads(other, model) {
+			count++
+		}
+	}
+	return count
+}
+
+// holdsOrLoads reports whether an engine has a model loaded or is loading it.
+func (r *Router) holdsOrLoads(b *backend, model string) bool {
+	m := r.heldAt(b, model)
+	return m != nil && (m.State == core.HoldLoaded || m.State == core.HoldLoading || m.State == core.HoldStoreLoading)
 }
--- a/internal/router/coordinate.go
+++ b/internal/router/coordinate.go
@@ -66,6 +66,9 @@
 	spread bool
 	// store is set if there is no near copy. seen is set once the loader reports the load.
 	store, seen bool
+	// dropAt is the number of other engines that have the model at which the load is no
+	// longer requested, 0 if it is requested in any case.
+	dropAt int
 }
 
 type grantKey struct {
@@ -235,9 +238,10 @@
 		if !r.coordinatesAny(name) {
 			continue
 		}
-		r.grantPermits(s, engine)
-		r.spread(s, engine)
-		r.planBackground(s, engine)
+		planner := r.copyPlanner(s, engine)
+		planner.prepare()
+		r.grantPermits(s, engine, planner)
+		planner.orderLoads()
 	}
 }
 
@@ -257,7 +261,7 @@
 
 // grantPermits grants permits to the store loads that help most requests, as many as the
 // store serves at full speed and the ceiling allows.
-func (r *Router) grantPermits(s *service, engine *fleet.Engine) {
+func (r *Router) grantPermits(s *service, engine *fleet.Engine, planner copyPlanner) {
 	active, _ := r.storeLoads(s.name)
 	var requests []permitRequest
 	for _, b := range r.serversOf(s.name) {
@@ -276,8 +280,7 @@
 			requests = append(requests, permitRequest{b.loader, m})
 		}
 	}
-	gain := func(p permitRequest) float64 { return r.permitGain(s, p, engine) }
-	slices.SortStableFunc(requests, func(a, b permitRequest) int { return cmp.Compare(gain(b), gain(a)) })
+	slices.SortStableFunc(requests, func(a, b permitRequest) int { return cmp.Compare(planner.storeGain(b), planner.storeGain(a)) })
 	for _, p := range requests {
 		if active >= s.storeLimit() || !s.store.takeStoreLoad(r.now, engine, r.opts.Bounds) {
 			return
@@ -307,15 +310,23 @@
 // takeStoreLoad records the start of a load, or returns false if the ceiling on loads
 // within its window is reached.
 func (s *storeState) takeStoreLoad(now core.Time, engine *fleet.Engine, bounds fleet.Bounds) bool {
-	s.starts = slices.DeleteFunc(s.starts, func(at core.Time) bool { return now.Sub(at) > bounds.StoreLoadWindow })
-	most := engine.StoreLoadsPerSecond * bounds.StoreLoadWindow.Seconds() * bounds.StoreLoadSlack
-	if engine.StoreLoadsPerSecond > 0 && float64(len(s.starts)+1) > max(1, most) {
+	if s.storeLoadsLeft(now, engine, bounds) <= 0 {
 		return false
 	}
 	s.starts = append(s.starts, now)
 	return true
 }
 
+// storeLoadsLeft returns how many loads may start now by the ceiling within its window.
+func (s *storeState) storeLoadsLeft(now core.Time, engine *fleet.Engine, bounds fleet.Bounds) int {
+	s.starts = slices.DeleteFunc(s.starts, func(at core.Time) bool { return now.Sub(at) > bounds.StoreLoadWindow })
+	if engine.StoreLoadsPerSecond <= 0 {
+		return math.MaxInt
+	}
+	most := engine.StoreLoadsPerSecond * bounds.StoreLoadWindow.Seconds() * bounds.StoreLoadSlack
+	return int(max(1, most)) - len(s.starts)
+}
+
 // permits returns the models that a loader may load from the store now.
 func (r *Router) permits(l *loader) []string {
 	if !r.coordinates(l) {
--- a/internal/router/dump.go
+++ b/internal/router/dump.go
@@ -38,6 +38,8 @@
 	// the first of them.
 	RunCopies  int
 	CopiedRuns []RunCopyState
+	// CopyPlans are the last plans of the services for which this router plans copies.
+	CopyPlans []CopyPlanState
 }
 
 // ReleasesState is the dump of the releases of one service.
@@ -97,6 +99,7 @@
 func (r *Router) Dump() State {
 	state := State{Version: r.ConfigVersion(), Ready: r.Ready(), Requests: len(r.requests), Accounts: r.gate.Dump(r.now), QuotaShare: r.gate.Share(), Suspects: r.ledger.Dump(r.now), AnswerEnds: r.dumpAnswerEnds(), Origins: r.origins.Len(), OriginsDropped: r.origins.Dropped(), Releases: r.dumpReleases()}
 	state.RunCopies, state.CopiedRuns = r.dumpRunCopies()
+	state.CopyPlans = r.dumpCopyPlans()
 	state.Evacuated = slices.Sorted(maps.Keys(r.evacuated))
 	for _, instance := range slices.Sorted(maps.Keys(r.backends)) {
 		b := r.backends[instance]
--- a/internal/router/forecast.go
+++ b/internal/router/forecast.go
@@ -85,6 +85,7 @@
 func (r *Router) promptSent(req *request) {
 	b, f := req.backend, req.attempt.forecast
 	b.queue.Send(r.now, uint64(req.key), f.reading, f.first)
+	r.recordUnread(b, req)
 	b.cache.Add(req.prefix)
 }
 
--- a/internal/router/index.go
+++ b/internal/router/index.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"nutmeglane.example/nutmeglane/internal/copyplan"
 	"nutmeglane.example/nutmeglane/internal/core"
 )
 
@@ -16,12 +17,12 @@
 // engines drain and are ejected. Callers must check that themselves.
 
 // nearTier is where the nearest copy of a model is stored at an engine.
-type nearTier uint8
+type nearTier = copyplan.Tier
 
 const (
-	nearNone nearTier = iota
-	nearDisk
-	nearMemory
+	nearNone   = copyplan.TierStore
+	nearDisk   = copyplan.TierDisk
+	nearMemory = copyplan.TierMemory
 )
 
 // modelEngines are the engines last reported to have a model, each list sorted by instance.
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -158,6 +158,7 @@
 	if req.prompt != nil {
 		req.prefix = work.NewPrefix(req.prompt)
 		service.arrival(r.now, req.prompt)
+		r.recordCall(service, req)
 		service.meanReading = average(service.meanReading, service.work.ReadTime(req.prompt.Model, req.prompt.Tokens))
 	}
 	r.requests[req.key] = req
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -169,6 +169,8 @@
 	models map[string]*modelEngines
 	// needs caches the number of copies that each model needs.
 	needs map[string]copyNeed
+	// copies is the state of its copy plan.
+	copies copyPlanState
 }
 
 // modelKey identifies a model, or an adapter of it.
--- a/internal/router/spread.go
+++ b/internal/router/spread.go
@@ -108,7 +108,7 @@
 	if n, known := s.needs[model]; known && r.now.Sub(n.at) < planInterval {
 		return n.needed
 	}
-	n := copyNeed{needed: r.neededCopies(s.name, model), at: r.now}
+	n := copyNeed{needed: r.copyPlanner(s, r.engine(s.name)).neededCopies(model), at: r.now}
 	s.needs[model] = n
 	return n.needed
 }
