Copy plan: messages, second places, logs and documentation

A second copy no longer evicts the only copies of other models, and one from a near copy is not dropped because other engines have the model on disk.

--- a/internal/copyplan/demand.go
+++ b/internal/copyplan/demand.go
@@ -105,6 +105,9 @@
 func (r *round) placeCopy(w *want) bool {
 	m := w.m
 	takeover := m.takeover(w.copies + 1)
+	if w.reason == SecondPlace {
+		takeover = m.takeoverAfterLoss()
+	}
 	withStore := m.storeWaits == 0 && w.reason != SecondPlace && r.storeHasTurn(w.gain) && !r.nearSoon(m)
 	c := r.bestEngine(m, takeover, withStore)
 	if c == nil {
--- a/internal/copyplan/plan_test.go
+++ b/internal/copyplan/plan_test.go
@@ -1,6 +1,7 @@
 package copyplan
 
 import (
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -371,3 +372,30 @@
 		t.Error("order (-want +got):", diff)
 	}
 }
+
+// Calls arrive by chance at a steady rate. Guards against copies for each chance rise: a rate
+// of 60 a second needs four copies, and may get one more at times.
+func TestChanceMakesFewCopies(t *testing.T) {
+	const perSecond, step = 60.0, 10 * time.Millisecond
+	for seed := range uint64(40) {
+		s := first.empty().onDisks(8)
+		m, rng := s.model("m1"), rand.New(rand.NewPCG(seed, 7))
+		m.Rate = perSecond
+		var p Planner
+		needed := p.Plan(*s).Needed["m1"]
+		for i := range int(time.Minute / step) {
+			s.Now = s.Now.Add(step)
+			m.Rate = core.Decayed(m.Rate, core.FastRateMemory, step)
+			if rng.Float64() < perSecond*step.Seconds() {
+				m.Rate += 1 / core.FastRateMemory.Seconds()
+			}
+			if i%int(interval/step) != 0 {
+				continue
+			}
+			if got := p.Plan(*s).Needed["m1"]; got > needed+1 {
+				t.Errorf("seed %d: %d copies needed after %v, want %d or one more", seed, got, time.Duration(i)*step, needed)
+				break
+			}
+		}
+	}
+}
--- a/internal/copyplan/rates.go
+++ b/internal/copyplan/rates.go
@@ -19,8 +19,9 @@
 	// large fleets report once a second.
 	trendMaxAge = 1250 * time.Millisecond
 	// chance is how many standard deviations a rate has to rise within the window to count
-	// as a trend. At two, a steady rate shows a trend in one plan of forty.
-	chance = 2.0
+	// as a trend. At two, a steady rate of 60 a second got two copies too many in three of
+	// 20 simulated minutes.
+	chance = 3.0
 	// spareTime is added to the load time in predictions: a plan, an order and the way of
 	// the first requests.
 	spareTime = 500 * time.Millisecond
--- a/internal/copyplan/store.go
+++ b/internal/copyplan/store.go
@@ -77,6 +77,14 @@
 	return m.gainAfterLoss(m.StoreLoad)
 }
 
+// takeoverAfterLoss is the expected number of requests per second that a second copy serves
+// because the only one is lost.
+//
+// It guards against second copies that evict the only copies of other models: models that
+// were called once in two seconds evicted each other in turn, and eight times as many
+// requests waited for loads.
+func (m *modelState) takeoverAfterLoss() float64 { return m.Rate * lossChance }
+
 // storeGains returns the gain of a store load for each model that one is ordered for.
 func (r *round) storeGains() map[string]float64 {
 	gains := map[string]float64{}
@@ -132,13 +140,17 @@
 // idleEngine returns the engine for a load that no request needs: of those that could begin
 // at once the one with most free memory.
 func (r *round) idleEngine(m *modelState) *choice {
+	takeover := m.takeoverAfterLoss()
+	if m.places == 0 {
+		takeover = min(m.Rate, backgroundEvictRate)
+	}
 	var best *choice
 	for i := range r.engines {
 		e := &r.engines[i]
 		if e.taken || e.Background || e.FreeIn > 0 || e.listed(m.Name) || e.Near[m.Name] != TierStore || e.atBudget() {
 			continue
 		}
-		evict, _, ok := r.makeRoom(e, m, min(m.Rate/2, backgroundEvictRate))
+		evict, _, ok := r.makeRoom(e, m, takeover)
 		if !ok {
 			continue
 		}
--- a/internal/router/copyfleet_test.go
+++ b/internal/router/copyfleet_test.go
@@ -4,11 +4,14 @@
 	"cmp"
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	gocmp "github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"nutmeglane.example/nutmeglane/internal/core"
 	"nutmeglane.example/nutmeglane/internal/fleet"
@@ -71,6 +74,9 @@
 	rates   map[string]*copyRate
 	// follows returns the router that an engine's loader follows.
 	follows func(engine int) core.HostID
+	// countTraffic makes the fleet count the messages that its loaders send, and their bytes.
+	countTraffic            bool
+	messagesSent, bytesSent int
 }
 
 // copyEngine is a simulated engine with its loader.
@@ -83,6 +89,9 @@
 	loading string
 	done    core.Time
 	silent  bool
+	// told are the holdings that were last counted as sent, at toldAt.
+	told   core.Holdings
+	toldAt core.Time
 	// orders are the times at which loads began, by model.
 	orders map[string]core.Time
 }
@@ -91,6 +100,8 @@
 type copyRate struct {
 	perSecond  func(core.Time) float64
 	slow, fast float64
+	// chance makes calls arrive by chance, nil if the rate is exact.
+	chance *rand.Rand
 }
 
 func routerName(i int) core.HostID { return core.HostID(fmt.Sprintf("10.0.0.%d", i+1)) }
@@ -131,14 +142,17 @@
 		s.work.Observe("m1", f.size.tokens, reading+s.work.BaseLatency())
 	}
 	s.speed.models["m1"] = &modelSpeed{pause: f.size.step, first: reading, events: float64(f.size.events)}
+	answer := s.speed.models["m1"].answerTime()
+	s.speed.share = float64(reading) / float64(answer)
 	s.copies.calls = map[string]*recentCalls{"": {tokens: float64(f.size.tokens), sent: 1}}
 }
 
-// hold loads a model at an engine.
+// hold loads a model at engines, which have it on disk then.
 func (f *copyFleet) hold(model string, engines ...int) {
 	for _, i := range engines {
 		e := f.engines[i]
 		e.held = append(e.held, core.HeldModel{Name: model, State: core.HoldLoaded})
+		e.onDisk = append(e.onDisk, model)
 		e.freeMB -= f.size.modelMB
 	}
 }
@@ -179,12 +193,24 @@
 }
 
 func (r *copyRate) advance(perSecond float64, past time.Duration) {
+	if r.chance != nil {
+		perSecond = float64(poisson(r.chance, perSecond*past.Seconds())) / past.Seconds()
+	}
 	toward := func(old float64, memory time.Duration) float64 {
 		return perSecond + (old-perSecond)*math.Exp(-float64(past)/float64(memory))
 	}
 	r.slow, r.fast = toward(r.slow, core.RateMemory), toward(r.fast, core.FastRateMemory)
 }
 
+// poisson returns a number of arrivals by chance.
+func poisson(rng *rand.Rand, mean float64) int {
+	count, product := 0, rng.Float64()
+	for limit := math.Exp(-mean); product > limit; count++ {
+		product *= rng.Float64()
+	}
+	return count
+}
+
 // advance ends and begins loads of an engine, as its loader would, and reports whether one
 // did.
 func (f *copyFleet) advance(i int, e *copyEngine) bool {
@@ -208,7 +234,7 @@
 			}
 			continue
 		}
-		if !e.makeRoom(f, want) {
+		if !f.makeRoom(i, want) {
 			continue
 		}
 		f.begin(e, want.Model, near)
@@ -241,13 +267,14 @@
 	return true
 }
 
-// makeRoom evicts the loaded models with the lowest rates. For a background load it evicts
-// none that are called.
-func (e *copyEngine) makeRoom(f *copyFleet, want core.Want) bool {
+// makeRoom evicts the loaded models with the lowest costs, by the rules of loaders. For a
+// background load it evicts none that are called.
+func (f *copyFleet) makeRoom(engine int, want core.Want) bool {
+	e := f.engines[engine]
 	for e.freeMB < f.size.modelMB {
 		least := -1
 		for i, m := range e.held {
-			if m.State == core.HoldLoaded && (least < 0 || f.rateOf(m.Name).fast < f.rateOf(e.held[least].Name).fast) {
+			if m.State == core.HoldLoaded && (least < 0 || f.evictionCost(engine, m.Name) < f.evictionCost(engine, e.held[least].Name)) {
 				least = i
 			}
 		}
@@ -260,6 +287,22 @@
 	return true
 }
 
+// evictionCost is the cost of evicting a model, as a loader computes it: spare copies cost a
+// twentieth.
+func (f *copyFleet) evictionCost(engine int, model string) float64 {
+	for j, w := range f.routers {
+		if f.follows(engine) != routerName(j) {
+			continue
+		}
+		for _, use := range w.demands[loaderName(engine)].Uses {
+			if use.Model == model && use.Spare {
+				return 0.05 * f.rateOf(model).fast
+			}
+		}
+	}
+	return f.rateOf(model).fast
+}
+
 func (f *copyFleet) rateOf(model string) *copyRate {
 	if f.rates[model] == nil {
 		f.rates[model] = &copyRate{perSecond: func(core.Time) float64 { return 0 }}
@@ -310,6 +353,7 @@
 		}
 		holdings.Models = append(holdings.Models, m)
 	}
+	f.countReport(e, holdings)
 	for _, w := range f.routers {
 		w.now = f.now
 		if l := w.router.loaders[loaderName(i)]; l == nil || !l.up {
@@ -331,16 +375,66 @@
 	return engines
 }
 
-// demandBytes returns the size of the Demands that a router has sent.
-func demandBytes(t *testing.T, demands []core.Demand) int {
-	t.Helper()
-	sum := 0
-	for _, d := range demands {
-		data, err := cbor.Marshal(d)
-		if err != nil {
-			t.Fatal(err)
+// countReport counts a report as loaders send it: holdings that have changed without the near
+// copies unless these have changed, and counts once a second otherwise.
+func (f *copyFleet) countReport(e *copyEngine, holdings core.Holdings) {
+	if !f.countTraffic {
+		return
+	}
+	var message core.Message = core.Counts{FreeMB: holdings.FreeMB}
+	changed := !gocmp.Equal(holdings, e.told, cmpopts.EquateApprox(0.1, 0.05))
+	if !changed && f.now.Sub(e.toldAt) < time.Second {
+		return
+	}
+	if changed {
+		short := holdings
+		if slices.Equal(holdings.OnDisk, e.told.OnDisk) {
+			short.OnDisk, short.NearAsBefore = nil, true
 		}
-		sum += len(data)
+		message = short
+	}
+	e.told, e.toldAt = holdings, f.now
+	e.told.OnDisk = slices.Clone(e.told.OnDisk)
+	for range f.routers {
+		f.messagesSent++
+		f.bytesSent += encodedSize(f.t, message)
+	}
+}
+
+// messages returns the number of messages between routers and loaders, and their bytes.
+func (f *copyFleet) messages() (count, size int) {
+	count, size = f.messagesSent, f.bytesSent
+	for _, w := range f.routers {
+		count += w.sentDemands
+		size += w.sentBytes
+	}
+	return count, size
+}
+
+func encodedSize(t testing.TB, message core.Message) int {
+	t.Helper()
+	data, err := cbor.Marshal(message)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(data)
+}
+
+// countDemand counts a Demand that was sent.
+func (w *fixture) countDemand(demand core.Demand) {
+	w.sentDemands++
+	if w.countBytes {
+		w.sentBytes += encodedSize(w.t, demand)
+	}
+}
+
+// serve makes a router get a request, which is answered at once if it is sent.
+func (f *copyFleet) serve(w *fixture, model string) {
+	f.t.Helper()
+	key := w.call("quick", prompt(model))
+	if len(w.sends[key]) == 0 {
+		return
 	}
-	return sum
+	w.step(FirstEvent{Key: key, Attempt: 1})
+	w.step(Done{Key: key, Attempt: 1, End: AnswerEnd{Events: f.size.events}, Pause: f.size.step})
 }
--- a/internal/router/copyplan.go
+++ b/internal/router/copyplan.go
@@ -68,7 +68,7 @@
 		maps.DeleteFunc(c.s.store.planned, func(key grantKey, p plannedLoad) bool { return key.loader == b.loader.name && !p.spread })
 	}
 	c.s.store.planned[grantKey{b.loader.name, load.Model}] = plannedLoad{
-		since: r.now, until: r.now.Add(life), spread: !load.Background, store: load.Tier == copyplan.TierStore, dropAt: dropAt(load.Reason),
+		since: r.now, until: r.now.Add(life), spread: !load.Background, store: load.Tier == copyplan.TierStore, dropAt: dropAt(load),
 	}
 	b.loader.dirty = true
 	r.emit(Count{core.Count{Name: metricPlannedLoads, Labels: []string{c.s.name, load.Tier.String(), load.Reason.String()}, Add: 1}})
@@ -76,13 +76,16 @@
 		"reason", load.Reason.String(), "evicts", load.Evict, "needed", c.s.copies.plan.Needed[load.Model], "rate", r.rate(c.s.name, load.Model))...)
 }
 
-// dropAt returns at how many other engines with the model a load is no longer of use. Two
-// routers that coordinate different engines may order the same load.
-func dropAt(reason copyplan.Reason) int {
-	switch reason {
-	case copyplan.Absent:
+// dropAt returns at how many other engines with the model a load from the store is no longer
+// of use, 0 for other loads. Two routers that coordinate different engines may order the same
+// load.
+func dropAt(load copyplan.Load) int {
+	switch {
+	case load.Tier != copyplan.TierStore:
+		return 0
+	case load.Reason == copyplan.Absent:
 		return 1
-	case copyplan.SecondPlace:
+	case load.Reason == copyplan.SecondPlace:
 		return 2
 	default:
 		return 0
--- a/internal/router/copyplan_test.go
+++ b/internal/router/copyplan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -274,3 +275,106 @@
 		t.Error("effects differ:", diff)
 	}
 }
+
+// Most calls of the first deployment go to four models, which change each ten seconds, the
+// others to all models. Guards against more traffic between routers and loaders: with the
+// plan they may send a tenth more messages, and bytes, than without it.
+func TestPlanSendsNoMoreThanATenthMore(t *testing.T) {
+	const phases, phase = 3, 10 * time.Second
+	run := func(plan bool) (messages, size int) {
+		f := newCopyFleet(t, firstSize, 3, plan)
+		f.size.routers, f.countTraffic = len(f.routers), true
+		for _, w := range f.routers {
+			w.countBytes = true
+		}
+		for i := range f.engines {
+			for j := range 5 {
+				f.hold(fmt.Sprintf("m%d", (5*i+j)%f.size.models), i)
+			}
+		}
+		// The busy models are at different engines.
+		busy := func(phase, j int) string { return fmt.Sprintf("m%d", (4*phase+j)*17%f.size.models) }
+		for i := range f.size.models {
+			model := fmt.Sprintf("m%d", i)
+			f.steady(model, 64/float64(f.size.models))
+			f.rates[model].chance = rand.New(rand.NewPCG(uint64(i), 1))
+		}
+		f.connect()
+		for i := range int(phases * phase / tickInterval) {
+			now := i / int(phase/tickInterval)
+			for j := range phases * 4 {
+				perSecond := 64 / float64(f.size.models)
+				if j/4 == now {
+					perSecond = 179.0 / 4
+				}
+				f.rateOf(busy(j/4, j%4)).perSecond = func(core.Time) float64 { return perSecond }
+			}
+			for j, w := range f.routers {
+				for k := range 3 {
+					f.serve(w, busy(now, (i+j+k)%4))
+				}
+				f.serve(w, fmt.Sprintf("m%d", (i*31+j*53)%f.size.models))
+			}
+			f.run(tickInterval)
+		}
+		return f.messages()
+	}
+	messagesBefore, bytesBefore := run(false)
+	messages, size := run(true)
+	t.Logf("without the plan %d messages of %d bytes, with it %d of %d", messagesBefore, bytesBefore, messages, size)
+	if messages*10 > messagesBefore*11 || size*10 > bytesBefore*11 {
+		t.Errorf("%d messages of %d bytes are sent, without the plan %d of %d", messages, size, messagesBefore, bytesBefore)
+	}
+}
+
+// Guards against a planned load that operators can't explain: the log, the metric and the
+// dump must show it with its tier, gain, reason and what it evicts.
+func TestPlannedLoadsAreShown(t *testing.T) {
+	f := newCopyFleet(t, firstSize, 1, true)
+	for _, e := range f.engines {
+		e.onDisk = slices.DeleteFunc(e.onDisk, func(m string) bool { return m == "m1" })
+	}
+	f.engines[1].onDisk = append(f.engines[1].onDisk, "m1")
+	f.hold("m1", 0)
+	for i := range 5 {
+		f.hold(fmt.Sprintf("m%d", 50+i), 1)
+	}
+	f.steady("m1", 30)
+	f.connect()
+	f.run(planInterval)
+	lines := f.routers[0].logged("copy plan orders a load")
+	if len(lines) != 1 || attrOf(t, lines[0], "model") != "m1" || attrOf(t, lines[0], "tier") != "disk" ||
+		attrOf(t, lines[0], "reason") != "shortage" || attrOf(t, lines[0], "instance") != "s1" {
+		t.Fatalf("lines on planned loads: %+v, want one of m1 at s1", lines)
+	}
+	if evicted, ok := attrOf(t, lines[0], "evicts").([]string); !ok || len(evicted) != 1 {
+		t.Errorf("evicts %v, want one model", attrOf(t, lines[0], "evicts"))
+	}
+	if got := f.routers[0].counts[metricPlannedLoads]; got != 1 {
+		t.Errorf("the metric counts %g loads, want 1", got)
+	}
+	states := f.routers[0].router.Dump().CopyPlans
+	if len(states) != 1 || states[0].Service != engineService || states[0].Needed["m1"] != 2 {
+		t.Errorf("dumped plans %+v, want one with 2 copies of m1", states)
+	}
+}
+
+// A model that only one engine has is to be read from the store for a second place. Guards
+// against an order that ends at once because the model is at that engine, and against one
+// that stays once a second engine has it.
+func TestSecondPlaceIsOrderedOnce(t *testing.T) {
+	f := newCopyFleet(t, firstSize, 1, true)
+	for _, e := range f.engines {
+		e.onDisk = slices.DeleteFunc(e.onDisk, func(m string) bool { return m == "m1" })
+	}
+	f.hold("m1", 0)
+	f.steady("m1", 10)
+	f.connect()
+	f.run(2*planInterval + 8*time.Second)
+	if got := f.routers[0].counts[metricPlannedLoads]; got != 1 {
+		t.Errorf("%g loads are ordered, want 1", got)
+	}
+	if got := f.ordered("m1"); len(got) != 2 {
+		t.Errorf("engines %v have the model, want two", got)
+	}
+}
--- a/internal/router/fixture_test.go
+++ b/internal/router/fixture_test.go
@@ -20,6 +20,12 @@
 	sends    map[Key][]Send
 	finishes map[Key]Finish
 	demands  map[core.HostID]core.Demand
+	// sentDemands counts the Demands that were sent, sentBytes their encoded sizes if
+	// countBytes is set.
+	sentDemands, sentBytes int
+	countBytes             bool
+	// counts are the sums of the counters.
+	counts   map[core.Counter]float64
 	abandons map[Key]int
 	logs     []Log
 	// relayed and published are the news of poison requests that were sent.
@@ -96,7 +102,7 @@
 	w := &fixture{
 		t: t, now: core.Time(time.Hour),
 		router: New(Options{Host: "10.0.0.1", Zone: "a", LoaderPort: 7000, Bounds: testBounds(), Seed: 1}),
-		sends:  map[Key][]Send{}, finishes: map[Key]Finish{}, demands: map[core.HostID]core.Demand{}, abandons: map[Key]int{},
+		sends:  map[Key][]Send{}, finishes: map[Key]Finish{}, demands: map[core.HostID]core.Demand{}, counts: map[core.Counter]float64{}, abandons: map[Key]int{},
 	}
 	w.step(ConfigRead{Config: testConfig()})
 	return w
@@ -113,8 +119,13 @@
 				w.t.Errorf("request %d ended twice: with %v, then %v", e.Key, before.Code, e.Code)
 			}
 			w.finishes[e.Key] = e
+		case Count:
+			if w.counts != nil {
+				w.counts[e.Name] += float64(e.Add)
+			}
 		case SendDemand:
 			w.demands[e.Loader] = e.Demand
+			w.countDemand(e.Demand)
 		case Abandon:
 			w.abandons[e.Key] = e.Attempt
 		case RelayPoison:
