Copy plan: no eviction that a loader would refuse

An engine was chosen whose loader makes no room, because more requests run on the model than it retires, and was planned for again and again.

Tests of copyplan and router pass.

--- a/internal/copyplan/choose.go
+++ b/internal/copyplan/choose.go
@@ -14,6 +14,10 @@
 	readyResolution = 100 * time.Millisecond
 	// evictionTime is the time to unload a model on which no request runs.
 	evictionTime = 50 * time.Millisecond
+	// maxVictimRunning is the number of requests that may run on a model that is evicted
+	// although its copies are needed. Loaders apply the same bound, and would not make room
+	// at an engine that exceeds it.
+	maxVictimRunning = 8
 	// spareCost is the cost of evicting a spare copy relative to that of a needed one.
 	spareCost = 0.05
 )
@@ -50,7 +54,7 @@
 		if tier == TierStore && !terms.withStore {
 			continue
 		}
-		evict, wait, ok := r.makeRoom(e, m, terms.takeover)
+		evict, wait, ok := r.makeRoom(e, m, terms)
 		if !ok {
 			continue
 		}
@@ -94,12 +98,12 @@
 // makeRoom returns the models that make room for a load, and how long that takes. It returns
 // false if the memory can't be freed, or only by evicting a model that is called more often
 // than the new copy would help.
-func (r *round) makeRoom(e *engineState, m *modelState, takeover float64) (evict []int, wait time.Duration, ok bool) {
+func (r *round) makeRoom(e *engineState, m *modelState, terms placement) (evict []int, wait time.Duration, ok bool) {
 	missing := m.MemoryMB - e.FreeMB
 	if missing <= 0 {
 		return nil, 0, true
 	}
-	for _, v := range r.victims(e, takeover) {
+	for _, v := range r.victims(e, terms) {
 		evict = append(evict, v.model)
 		missing -= v.memoryMB
 		wait = max(wait, evictionTime)
@@ -118,7 +122,7 @@
 //
 // What a victim's copy serves is measured as what the new copy would serve, and must be less:
 // otherwise two models evict each other in turn.
-func (r *round) victims(e *engineState, takeover float64) []victim {
+func (r *round) victims(e *engineState, terms placement) []victim {
 	var victims []victim
 	for _, h := range e.Held {
 		i, known := r.byName[h.Model]
@@ -131,7 +135,10 @@
 		if spare {
 			v.cost *= spareCost
 		}
-		if m.Waiting > 0 || !spare && (m.required > len(m.copies) || v.cost > 0 && v.cost >= takeover) {
+		if m.Waiting > 0 || !spare && (m.required > len(m.copies) || v.cost > 0 && v.cost >= terms.takeover) {
+			continue
+		}
+		if v.running && (terms.background || !spare && h.Running > maxVictimRunning) {
 			continue
 		}
 		victims = append(victims, v)
--- a/internal/copyplan/plan_test.go
+++ b/internal/copyplan/plan_test.go
@@ -119,6 +119,13 @@
 			s.hold("m3", 1)
 			s.Engines[1].FreeMB = 0
 		}, "e002"},
+		{"not where a model with many running requests would go", func(s *Snapshot) {
+			s.Engines[1].Near["m1"], s.Engines[2].Near["m1"] = TierDisk, TierDisk
+			s.Engines[2].FreeIn = 2 * time.Second
+			s.model("m3").Rate = 2
+			s.hold("m3", 1)
+			s.Engines[1].FreeMB, s.Engines[1].Held[0].Running = 0, 9
+		}, "e002"},
 		{"not where a model that requests wait for would go", func(s *Snapshot) {
 			s.Engines[1].Near["m1"], s.Engines[2].Near["m1"] = TierDisk, TierDisk
 			s.Engines[2].Load = 0.5
--- a/internal/copyplan/store.go
+++ b/internal/copyplan/store.go
@@ -140,9 +140,9 @@
 // idleEngine returns the engine for a load that no request needs: of those that could begin
 // at once the one with most free memory.
 func (r *round) idleEngine(m *modelState) *choice {
-	takeover := m.takeoverAfterLoss()
+	terms := placement{takeover: m.takeoverAfterLoss(), withStore: true, background: true}
 	if m.places == 0 {
-		takeover = min(m.Rate, backgroundEvictRate)
+		terms.takeover = min(m.Rate, backgroundEvictRate)
 	}
 	var best *choice
 	for i := range r.engines {
@@ -150,7 +150,7 @@
 		if e.taken || e.Background || e.FreeIn > 0 || e.listed(m.Name) || e.Near[m.Name] != TierStore || e.atBudget() {
 			continue
 		}
-		evict, _, ok := r.makeRoom(e, m, takeover)
+		evict, _, ok := r.makeRoom(e, m, terms)
 		if !ok {
 			continue
 		}
--- a/internal/router/copysnapshot.go
+++ b/internal/router/copysnapshot.go
@@ -79,7 +79,7 @@
 		FreeIn: max(0, held.FreeIn-age), Load: r.utilization(b), Budget: perSecond,
 		Foreign: !r.coordinates(b.loader) || !r.usable(b),
 	}
-	e.Planned, e.Background = s.store.plannedAt(b.loader.name)
+	e.Planned, e.Background = r.plannedAt(s, b)
 	if r.backsOff(b) {
 		return e, true // it takes no requests, but what it has on disk remains
 	}
@@ -145,10 +145,14 @@
 	return shares
 }
 
-// plannedAt reports whether loads that requests need, and others, are ordered at an engine.
-func (s *storeState) plannedAt(loader core.HostID) (needed, background bool) {
-	for key, planned := range s.planned {
-		if key.loader == loader {
+// plannedAt reports whether loads that requests need, and others, are ordered at an engine
+// and have not ended.
+func (r *Router) plannedAt(s *service, b *backend) (needed, background bool) {
+	for key, planned := range s.store.planned {
+		if key.loader != b.loader.name {
+			continue
+		}
+		if has, _ := r.loaded(b, key.model, ""); !has {
 			needed, background = needed || planned.spread, background || !planned.spread
 		}
 	}
