--- a/internal/copyplan/plan_test.go
+++ b/internal/copyplan/plan_test.go
@@ -114,11 +114,18 @@
 		}, "e002"},
 		{"not where a model called more often would go", func(s *Snapshot) {
 			s.Engines[1].Near["m1"], s.Engines[2].Near["m1"] = TierDisk, TierDisk
-			s.Engines[2].Load = 0.5
+			s.Engines[2].FreeIn = 2 * time.Second
 			s.model("m3").Rate = 20
 			s.hold("m3", 1)
 			s.Engines[1].FreeMB = 0
 		}, "e002"},
+		{"not where a model called as often would go", func(s *Snapshot) {
+			s.Engines[1].Near["m1"], s.Engines[2].Near["m1"] = TierDisk, TierDisk
+			s.Engines[2].FreeIn = 2 * time.Second
+			s.model("m3").Rate = 16
+			s.hold("m3", 1)
+			s.Engines[1].FreeMB = 0
+		}, "e002"},
 		{"not where a model with many running requests would go", func(s *Snapshot) {
 			s.Engines[1].Near["m1"], s.Engines[2].Near["m1"] = TierDisk, TierDisk
 			s.Engines[2].FreeIn = 2 * time.Second
@@ -128,7 +135,7 @@
 		}, "e002"},
 		{"not where a model that requests wait for would go", func(s *Snapshot) {
 			s.Engines[1].Near["m1"], s.Engines[2].Near["m1"] = TierDisk, TierDisk
-			s.Engines[2].Load = 0.5
+			s.Engines[2].FreeIn = 2 * time.Second
 			s.model("m3").Waiting = 1
 			s.hold("m3", 1)
 			s.Engines[1].FreeMB = 0
@@ -259,7 +266,7 @@
 	for name, change := range map[string]func(){
 		"the store is full":        func() { s.Store.Active = 2 },
 		"the ceiling is reached":   func() { s.Store = Store{Limit: 2} },
-		"a load waits":             func() { s.Store = Store{Waiting: 2, Limit: 2, LoadsLeft: 5} },
+		"loads wait":               func() { s.Store = Store{Waiting: 2, Limit: 2, LoadsLeft: 5} },
 		"the fleet is starting up": func() { s.Store, s.StartingUp = Store{Limit: 2, LoadsLeft: 5}, true },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -410,3 +417,38 @@
 		}
 	}
 }
+
+// Guards against second copies that evict the only copies of other models: a busy model's
+// second copy helps only if the first is lost, and takes free memory or a spare copy's.
+func TestSecondCopyEvictsNoOnlyCopy(t *testing.T) {
+	s := first.empty()
+	s.Engines = s.Engines[:2]
+	s.hold("m1", 0)
+	s.hold("m2", 1)
+	s.model("m1").Rate, s.model("m1").Busy, s.model("m2").Rate = 5, true, 0.4
+	s.Engines[1].Near["m1"], s.Engines[1].FreeMB = TierDisk, 0
+	if loads := s.plan().loadsOf("m1"); len(loads) > 0 {
+		t.Errorf("planned %+v", loads)
+	}
+	s.model("m2").Rate = 0
+	if loads := s.plan().loadsOf("m1"); len(loads) != 1 || loads[0].Reason != SecondPlace {
+		t.Errorf("planned %+v, want a second copy in place of a model without calls", loads)
+	}
+}
+
+// The store has capacity for two loads, and one that 25 callers a second need waits for its
+// permit. Guards against a load that nobody needs beside it: it would halve the speed if the
+// capacity is overestimated.
+func TestNothingIsReadAheadWhileANeededLoadWaits(t *testing.T) {
+	s := second.empty().onDisks(12)
+	for i := range s.Engines {
+		delete(s.Engines[i].Near, "m1")
+		delete(s.Engines[i].Near, "m2")
+	}
+	s.holdAs("m1", core.HoldPermit, 0)
+	s.hold("m2", 1)
+	s.model("m1").Rate, s.model("m2").Rate = 25, 5
+	if loads := s.plan().Loads; len(loads) > 0 {
+		t.Errorf("planned %+v", loads)
+	}
+}
--- a/internal/copyplan/store.go
+++ b/internal/copyplan/store.go
@@ -104,8 +104,10 @@
 	if free <= 0 || r.StartingUp {
 		return
 	}
+	waiting := slices.Clone(r.storePending)
 	for _, m := range r.backgroundModels() {
-		if free <= 0 || !r.storeHasTurn(m.backgroundGain()) {
+		higher := func(gain float64) bool { return gain > m.backgroundGain() }
+		if free <= 0 || slices.ContainsFunc(waiting, higher) {
 			return
 		}
 		c := r.idleEngine(m)
--- a/internal/router/copyplan_test.go
+++ b/internal/router/copyplan_test.go
@@ -426,11 +426,11 @@
 	w.step(BackendsRead{Backends: list})
 	f.steady("m1", 77)
 	for i, e := range f.engines {
-		if i%2 == 0 {
+		if e.silent = i%2 > 0; !e.silent {
 			f.report(i, e)
 		}
 	}
-	f.run(tickInterval)
+	f.run(planInterval + tickInterval)
 	if got := len(f.ordered("m1")); got != needed {
 		t.Errorf("%d engines have or load the model, want %d", got, needed)
 	}
