--- a/internal/copyplan/store.go
+++ b/internal/copyplan/store.go
@@ -81,8 +81,8 @@
 // because the only one is lost.
 //
 // It guards against second copies that evict the only copies of other models: models that
-// were called once in two seconds evicted each other in turn, and eight times as many
-// requests waited for loads.
+// were called once in two seconds evicted each other in turn, and their callers waited for
+// loads.
 func (m *modelState) takeoverAfterLoss() float64 { return m.Rate * lossChance }
 
 // storeGains returns the gain of a store load for each model that one is ordered for.
