--- a/internal/router/coordinate.go
+++ b/internal/router/coordinate.go
@@ -45,6 +45,9 @@
 type storeState struct {
 	// limit is the number of concurrent loads that run at full speed, as far as measured.
 	limit int
+	// proven is the largest number of concurrent loads that was seen to run at full speed, 0
+	// before the first result.
+	proven int
 	// active and waiting count the loads that run and wait. They are recomputed at
 	// recountAt.
 	active, waiting int
@@ -135,11 +138,16 @@
 	s := r.service(b.Service)
 	ratio := float64(result.Took) / float64(result.Nominal)
 	limit := s.storeLimit()
+	uncontended := ratio < uncontendedRatio && l.storeLoad.beganSeen
+	if uncontended {
+		s.store.proven = max(s.store.proven, concurrent)
+	}
 	switch {
-	case ratio < uncontendedRatio && l.storeLoad.beganSeen && concurrent >= limit:
+	case uncontended && concurrent >= limit:
 		s.store.limit = concurrent + max(1, concurrent/2)
 	case ratio > contendedRatio:
 		s.store.limit = max(1, int(math.Round(float64(concurrent)/ratio)))
+		s.store.proven = min(s.store.proven, s.store.limit)
 	}
 	if s.store.limit != limit {
 		r.log(StateChange, "weight store measured", slog.String("service", b.Service), slog.Int("limit", s.store.limit),
@@ -282,7 +290,10 @@
 	}
 	slices.SortStableFunc(requests, func(a, b permitRequest) int { return cmp.Compare(planner.storeGain(b), planner.storeGain(a)) })
 	for _, p := range requests {
-		if active >= s.storeLimit() || !s.store.takeStoreLoad(r.now, engine, r.opts.Bounds) {
+		if !planner.mayBegin(p, active) {
+			continue
+		}
+		if !s.store.takeStoreLoad(r.now, engine, r.opts.Bounds) {
 			return
 		}
 		active++
--- a/internal/router/copyplanner.go
+++ b/internal/router/copyplanner.go
@@ -14,6 +14,9 @@
 	neededCopies(model string) int
 	// storeGain ranks a load that waits for a permit of the weight store.
 	storeGain(p permitRequest) float64
+	// mayBegin reports whether a load from the store may begin while the given number of
+	// others run.
+	mayBegin(p permitRequest, active int) bool
 }
 
 // copyPlanner returns the rules in force for a service.
@@ -46,3 +49,7 @@
 func (c copiesByThreshold) storeGain(p permitRequest) float64 {
 	return c.r.permitGain(c.s, p, c.engine)
 }
+
+func (c copiesByThreshold) mayBegin(_ permitRequest, active int) bool {
+	return active < c.s.storeLimit()
+}
