--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -325,7 +325,10 @@
 // reportFailure reports a failed attempt with its cause.
 func (c *call) reportFailure(failed router.AttemptFailed, cause error) {
 	failed.Key, failed.Peer, failed.Cause = c.key, peerState(failed.End, cause), cause.Error()
-	failed.NothingGiven, failed.LastEvent = !c.started, c.position.ID
+	failed.NothingGiven = !c.started
+	if c.position.Numbered() {
+		failed.LastEvent = c.position.ID // others may be as long as an event
+	}
 	c.gateway.Step(failed)
 }
 
