--- a/internal/router/runcopy_lost_test.go
+++ b/internal/router/runcopy_lost_test.go
@@ -47,6 +47,9 @@
 				t.Errorf("still there: %v, ended with %+v", w.router.requests, w.finishes)
 			}
 			w.wantOutcome(continuedWhole)
+			if lines := w.logged("stream resumes"); len(lines) != 0 {
+				t.Errorf("counted as a resumption: %+v", lines)
+			}
 			line := w.logged("continuation of a run")[0]
 			if from, to, last := attrString(t, line, "instance"), attrString(t, line, "copy"), attrString(t, line, "last_event"); from != first.Instance || to != holder || last != test.failure.LastEvent {
 				t.Errorf("logged from %s to %s after %q", from, to, last)
