--- a/internal/router/enginebudget.go
+++ b/internal/router/enginebudget.go
@@ -89,7 +89,7 @@
 // the engine would serve only requests that are late.
 func (r *Router) refuseAtBudget(w *wait, req *request, place int) bool {
 	b := w.home
-	if req.mayHaveRun || !b.limit.gate.LimitedByBudget() {
+	if req.mayHaveRun || req.route.Objective <= 0 || !b.limit.gate.LimitedByBudget() {
 		return false
 	}
 	if hasModel, hasAdapter := r.loaded(b, w.key.model, w.key.adapter); !hasModel || !hasAdapter {
