--- a/internal/router/copystore.go
+++ b/internal/router/copystore.go
@@ -30,7 +30,26 @@
 	if c.storeGain(p) >= minUrgentGain {
 		most = c.s.storeLimit()
 	}
-	return active < most
+	return active+c.unseenGrants() < most
+}
+
+// unseenGrants counts the permits that were granted a moment ago and show in no report yet, except
+// those of loads that still wait for theirs, which are counted already.
+//
+// It guards against a third load that begins while the second one's engine still makes room for it.
+func (c plannedCopies) unseenGrants() int {
+	count := 0
+	for key := range c.s.store.granted {
+		l := c.r.loaders[key.loader]
+		if l == nil || l.holdings == nil {
+			continue
+		}
+		m := findHeld(l.holdings, key.model)
+		if m == nil || m.State == core.HoldQueued {
+			count++
+		}
+	}
+	return count
 }
 
 // hasNeededNear reports whether an engine that is free could load a model that lacks copies from
