--- a/internal/router/serverbudget_load_test.go
+++ b/internal/router/serverbudget_load_test.go
@@ -38,6 +38,17 @@
 	return f
 }
 
+// capacity is the rate at which the remaining servers finish requests.
+func (f *budgetFleet) capacity() float64 {
+	capacity := 0.0
+	for _, s := range f.servers {
+		if !s.removed {
+			capacity += plainCapacity
+		}
+	}
+	return capacity
+}
+
 // checkTargets reports targets that were missed by the requests that arrived from a time on. It
 // lets a second pass so that they have ended.
 func (f *budgetFleet) checkTargets(t *testing.T, from core.Time) {
@@ -49,7 +60,7 @@
 	if share := got.onTimeShare(); share < leastOnTime {
 		t.Errorf("%.3f of the admitted requests were answered on time, want at least %.2f", share, leastOnTime)
 	}
-	if least := leastUsed * min(f.offered, plainCapacity); got.perSecond < least {
+	if least := leastUsed * min(f.offered, f.capacity()); got.perSecond < least {
 		t.Errorf("%.0f a second were served, want at least %.0f", got.perSecond, least)
 	}
 	if got.withoutRetryAfter > 0 {
@@ -85,6 +96,21 @@
 	f.checkTargets(t, from)
 }
 
+// Two servers are overloaded together. Neither may be left unused because requests that the other
+// could serve as well leave a part of its budget.
+func TestTwoServersWithBudgetsAreUsed(t *testing.T) {
+	for _, offered := range []float64{330, 600} {
+		t.Run(fmt.Sprintf("%.0f a second", offered), func(t *testing.T) {
+			f := newBudgetFleet(1, budgetRouters, budgetEngines, 2, budgetOnly)
+			f.offered = offered
+			f.run(5 * time.Second)
+			from := f.now
+			f.run(15 * time.Second)
+			f.checkTargets(t, from)
+		})
+	}
+}
+
 // Removal of two of three servers must be followed within budgetSettling.
 func TestBudgetFollowsARemoval(t *testing.T) {
 	for seed := range uint64(5) {
