--- a/internal/core/limit.go
+++ b/internal/core/limit.go
@@ -79,9 +79,9 @@
 	Spare bool `cbor:"6,keyasint,omitempty"`
 	// ColdFor is as in LimitRequest.
 	ColdFor time.Duration `cbor:"7,keyasint,omitempty"`
-	// Budget is the number of requests per second that the engine can begin without its
-	// running streams falling behind, 0 if there is no such limit. Only the loader beside the
-	// engine sets it.
+	// Budget is the number of requests per second that an engine can begin without its running
+	// streams falling behind, or that a plain service's server can answer on time; 0 if there is
+	// no such limit. For an engine only the loader beside it sets it.
 	Budget float64 `cbor:"8,keyasint,omitempty"`
 	// BudgetFor is how long Budget holds unless it is renewed.
 	BudgetFor time.Duration `cbor:"9,keyasint,omitempty"`
--- a/internal/limit/budget.go
+++ b/internal/limit/budget.go
@@ -7,9 +7,10 @@
 	"nutmeglane.example/nutmeglane/internal/core"
 )
 
-// This file enforces the budget of a server: a limit that the loader that counts computes (see
-// packages enginebudget and serverbudget). It is kept apart from the limit that the server itself announces, so
-// that an answer without a limit does not end it. The lower of the two applies.
+// This file enforces the budget of an engine, a limit that the loader beside it computes (see
+// package enginebudget), and of a plain service's server (see package serverbudget). It is kept
+// apart from the limit that the server itself announces, so that an answer without a limit does
+// not end it. The lower of the two applies.
 //
 // A budget has no window: the requests that the engine received before are part of the state
 // that the budget was computed from.
--- a/internal/serverbudget/serverbudget.go
+++ b/internal/serverbudget/serverbudget.go
@@ -35,7 +35,7 @@
 	// random variation of a queue does not reach that share.
 	turnInterval = time.Second
 	slowerShare  = 0.5
-	// turnShare is the least size of the first step down after a rise. The initial budget alone
+	// turnShare is the minimum size of the first step down after a rise. The initial budget alone
 	// does not suffice where two loaders count, each for a part of the requests.
 	turnShare = 0.25
 	// loadInterval is the time over which stated loads are averaged. A single one tells
@@ -75,10 +75,10 @@
 
 	limited   bool
 	perSecond float64
-	// since is when the budget began, steppedAt when it last changed.
-	since, steppedAt core.Time
-	// rising is the direction of the last change, 0 before the first; turnedAt is when the
-	// direction last changed.
+	// steppedAt is when the budget last changed.
+	steppedAt core.Time
+	// rising is the direction of the last change, turnedAt when the direction last changed, 0
+	// before the first change.
 	rising   bool
 	turnedAt core.Time
 	// last is the load at the last evaluation, crowded whether the server was crowded then.
@@ -159,7 +159,7 @@
 
 // begin begins the budget of a server that has become crowded.
 func (b *Budget) begin(now core.Time, load meanLoad) {
-	b.limited, b.since = true, now
+	b.limited = true
 	b.change(now, b.initial(load), false)
 	b.lastWaiting, b.ampleSince = load.waiting, 0
 }
@@ -174,7 +174,7 @@
 }
 
 // lower makes a step down. The first one after a rise, and one of a server that has become much
-// slower, go to the initial budget if that is lower.
+// slower, go to the initial budget, and down by turnShare at least.
 func (b *Budget) lower(now core.Time, load meanLoad) {
 	initial := b.initial(load)
 	slower := initial < slowerShare*b.perSecond
