Server budgets: usual time averaged over all routers, smaller steps near the last ceiling

A router gets too few answers to average over by itself, so that the loader does, over about 100 reports; and steps up are half as large around the budget at which the server last became crowded, which is far below the nominal rate while two loaders count.

--- a/internal/router/serverload.go
+++ b/internal/router/serverload.go
@@ -21,8 +21,9 @@
 
 // statedLoad is what is reported of the load that a server of a plain service states.
 type statedLoad struct {
-	// usual is the moving average of the time of an answer without waiting, at the host's
-	// usual pace; 0 before the first answer.
+	// usual is the time that the last answer would have taken without waiting, at the host's
+	// usual pace; 0 before the first answer. The loader averages over the reports of all
+	// routers: each router gets too few answers to follow a change by itself.
 	usual time.Duration
 	// pending is set while the last load has not been reported. reportedAt is when one was.
 	pending    bool
@@ -80,7 +81,7 @@
 	}
 }
 
-// learn updates the usual time with the latency of an answer, which contains the waiting time at
+// learn sets the usual time by the latency of an answer, which contains the waiting time at
 // the load that it states.
 //
 // baseLatency is no substitute: it divides by slowdown, which weighs the queue four times in
@@ -91,7 +92,7 @@
 		return
 	}
 	queued := 1 + float64(load.Waiting)/float64(load.Slots)
-	s.usual = average(s.usual, time.Duration(float64(latency)/queued/statedPace(load)))
+	s.usual = time.Duration(float64(latency) / queued / statedPace(load))
 }
 
 // statedPace returns the factor by which the server's host is slower than usual, 1 if it is not
--- a/internal/serverbudget/model_test.go
+++ b/internal/serverbudget/model_test.go
@@ -187,7 +187,7 @@
 	}
 	alone := float64(took) / (1 + float64(len(m.queue))/slots) / pace
 	u := &m.usual[j.router]
-	*u += time.Duration(0.2 * (alone - float64(*u)))
+	*u = time.Duration(alone)
 	_, limited := m.budget.Limit()
 	if !limited && len(m.queue) == 0 || m.now.Sub(m.reportedAt[j.router]) < reportInterval {
 		return
--- a/internal/serverbudget/serverbudget.go
+++ b/internal/serverbudget/serverbudget.go
@@ -38,13 +38,16 @@
 	// turnShare is the minimum size of the first step down after a rise. The initial budget alone
 	// does not suffice where two loaders count, each for a part of the requests.
 	turnShare = 0.25
+	// ceilingRange is the range, relative to the budget at which the server last became crowded,
+	// within which steps up are half as large.
+	ceilingRange = 0.2
 	// loadInterval is the time over which stated loads are averaged. A single one tells
 	// little: the queue changes by several requests within the time of an answer.
 	loadInterval = 100 * time.Millisecond
 	// maxLoadAge is the age of the last load beyond which no step is made.
 	maxLoadAge = 500 * time.Millisecond
 	// usualWeight is the weight of a new report in the moving average of the usual time.
-	usualWeight = 0.1
+	usualWeight = 0.01
 	// endFactor and endAfter: a budget ends once it has been above endFactor times the rate
 	// of requests for permits for endAfter.
 	endFactor = 1.5
@@ -81,6 +84,8 @@
 	// before the first change.
 	rising   bool
 	turnedAt core.Time
+	// ceiling is the budget at which the server last became crowded after a rise, 0 before.
+	ceiling float64
 	// last is the load at the last evaluation, crowded whether the server was crowded then.
 	// loadAt is when the last load arrived.
 	last    meanLoad
@@ -182,6 +187,9 @@
 		return
 	}
 	next := b.perSecond * (1 - stepShare)
+	if b.rising {
+		b.ceiling = b.perSecond
+	}
 	if b.rising || slower {
 		next = min(initial, b.perSecond*(1-turnShare))
 	}
@@ -196,13 +204,19 @@
 		return
 	}
 	share := stepShare
-	if b.perSecond > b.nominal(load) {
+	if b.perSecond > b.nominal(load) || b.nearCeiling() {
 		share /= 2
 	}
 	b.lastWaiting = load.waiting
 	b.change(now, b.perSecond*(1+share), true)
 }
 
+// nearCeiling reports whether the budget is about the one at which the server last became crowded.
+// Where two loaders count, that is far below the nominal rate.
+func (b *Budget) nearCeiling() bool {
+	return b.perSecond > (1-ceilingRange)*b.ceiling && b.perSecond < (1+ceilingRange)*b.ceiling
+}
+
 // nominal returns the rate at which the server finishes requests of the usual time with all slots
 // in use.
 func (b *Budget) nominal(load meanLoad) float64 { return load.slots / b.usual.Seconds() }
