The continuation of a run is sent 150 ms after the loss

A request reached its engine as that crashed, and its continuation reached the copy's engine 4 ms later, which crashed in that moment too; both count as having begun it. After the delay an engine that crashed refuses the connection.

--- a/internal/router/ending.go
+++ b/internal/router/ending.go
@@ -100,6 +100,8 @@
 			r.permitTimedOut(req)
 		case r.originOverdue(req):
 			r.decideUnknownOrigin(req, originUnanswered)
+		case req.continuationPending():
+			r.sendContinuation(req)
 		case req.awaitingQuota && r.now >= req.firstEventDeadline:
 			r.giveUp(req, code.DeadlineUnmet, "no loader told in time whether its account has room")
 		case req.backend == nil && r.now >= req.firstEventDeadline:
--- a/internal/router/runcopy.go
+++ b/internal/router/runcopy.go
@@ -31,6 +31,11 @@
 	// connection to end by itself: the last bytes may be in transit, and how the connection
 	// ends shows whether the engine crashed under the request.
 	lastBytesWithin = 200 * time.Millisecond
+	// continuationDelay is how long after the loss of a run its continuation is sent. Engines may
+	// crash together, and an engine that crashes as the continuation arrives may have begun it
+	// without a look at its copy, so that the request has run twice. After the delay the end of
+	// the other engine shows: it refuses the connection.
+	continuationDelay = 150 * time.Millisecond
 )
 
 // runCopy is a copy of a running request's memory.
@@ -50,6 +55,8 @@
 	lostAt core.Time
 	// lastEvent is the id of the last forwarded event, "" if unknown or none.
 	lastEvent string
+	// pending is set until it is sent, at lostAt plus continuationDelay.
+	pending bool
 	// ended is set once the outcome was recorded.
 	ended bool
 }
@@ -169,9 +176,25 @@
 	if req.forwarded {
 		req.firstEventDeadline = min(req.deadline, r.now.Add(firstEventTimeout(req.route)))
 	}
+	c.pending = true
+	r.sendContinuation(req)
+	return true
+}
+
+// sendContinuation sends the continuation of a request once it is due.
+func (r *Router) sendContinuation(req *request) {
+	c := req.continuation
+	if r.now.Sub(c.lostAt) < continuationDelay {
+		return
+	}
+	c.pending = false
 	choice := r.estimateCost(req, c.backend)
 	r.send(req, &choice)
-	return true
+}
+
+// continuationPending reports whether the continuation of a request is still to be sent.
+func (req *request) continuationPending() bool {
+	return req.continuation != nil && req.continuation.pending
 }
 
 // continuationProblem returns why a request can't be continued from its copy now, "" if it can.
--- a/internal/router/runcopy_test.go
+++ b/internal/router/runcopy_test.go
@@ -72,6 +72,7 @@
 // wantContinued checks that a request was sent to the engine of its copy, once.
 func (w *fixture) wantContinued(key Key, first Send, holder string) Send {
 	w.t.Helper()
+	w.run(continuationDelay + tickInterval)
 	sends := w.sends[key]
 	if len(sends) != 2 {
 		w.t.Fatalf("sent %d times: %+v, ended with %+v", len(sends), sends, w.finishes[key])
@@ -280,6 +281,7 @@
 		t.Errorf("%d copies: %+v, want %+v", s.RunCopies, s.CopiedRuns, want)
 	}
 	w.lose(key, first)
+	w.run(continuationDelay)
 	want.Instance, want.Continues = holder, true
 	if s := w.router.Dump(); s.RunCopies != 1 || !slices.Equal(s.CopiedRuns, []RunCopyState{want}) {
 		t.Errorf("%d copies: %+v, want %+v", s.RunCopies, s.CopiedRuns, want)
