--- a/internal/serverbudget/serverbudget.go
+++ b/internal/serverbudget/serverbudget.go
@@ -48,6 +48,8 @@
 	maxLoadAge = 500 * time.Millisecond
 	// usualWeight is the weight of a new report in the moving average of the usual time.
 	usualWeight = 0.01
+	// firstReports is the number of reports of which the usual time is a plain mean at first.
+	firstReports = 10
 	// endFactor and endAfter: a budget ends once it has been above endFactor times the rate
 	// of requests for permits for endAfter.
 	endFactor = 1.5
@@ -72,9 +74,13 @@
 // Budget is the budget of one incarnation of a server. Create it with New.
 type Budget struct {
 	target time.Duration
-	usual  time.Duration
-	loads  loads
-	asked  askedRate
+	// usual is the plain mean of the first reports, later a moving average: with the first one
+	// alone, an answer that took three times as long as others kept a budget at a third of what
+	// the server could do for five seconds. reports counts them up to firstReports.
+	usual   time.Duration
+	reports int
+	loads   loads
+	asked   askedRate
 
 	limited   bool
 	perSecond float64
@@ -135,10 +141,12 @@
 
 // addLoad adds a stated load to the averages.
 func (b *Budget) addLoad(s Sample) {
-	if b.usual == 0 {
-		b.usual = s.Usual
+	b.reports = min(b.reports+1, firstReports)
+	weight := usualWeight
+	if b.reports < firstReports {
+		weight = 1 / float64(b.reports)
 	}
-	b.usual += time.Duration(usualWeight * float64(s.Usual-b.usual))
+	b.usual += time.Duration(weight * float64(s.Usual-b.usual))
 	b.loads.add(s)
 	b.loadAt = s.At
 }
