--- a/internal/router/ending.go
+++ b/internal/router/ending.go
@@ -160,8 +160,8 @@
 		return false
 	}
 	best := r.bestLoaded(req)
-	if best == nil {
-		return false
+	if best == nil || best.backend.limit.gate.Budget() > 0 {
+		return false // a permit may be refused there, and the request would have no engine left
 	}
 	held := r.holdings(b)
 	if held == nil || held.Draining || held.Unread == 0 && b.loader.countedAt.Sub(req.attempt.at) > reportDelay {
@@ -182,12 +182,19 @@
 	return r.bestLoaded(req) != nil
 }
 
+// freeElsewhere reports whether another engine has the request's model loaded and takes requests
+// without a permit. One with a budget may refuse the request, which has left its engine by then.
+func (r *Router) freeElsewhere(req *request) bool {
+	best := r.bestLoaded(req)
+	return best != nil && best.backend.limit.gate.Budget() == 0
+}
+
 // stalled moves a stream whose server has become silent to another server that has its
 // model loaded. Without such a server the stream continues to wait: a server under load may
 // be silent for seconds and still complete the answer.
 func (r *Router) stalled(e Stalled) {
 	req := r.current(e.Key, e.Attempt)
-	if req == nil || !req.route.Repeatable() || req.sends >= req.route.MaxAttempts || !r.mayLeave(req) || !r.loadedElsewhere(req) {
+	if req == nil || !req.route.Repeatable() || req.sends >= req.route.MaxAttempts || !r.mayLeave(req) || !r.freeElsewhere(req) {
 		return
 	}
 	r.hedge(req)
--- a/internal/router/enginebudget_test.go
+++ b/internal/router/enginebudget_test.go
@@ -398,3 +398,23 @@
 		}
 	}
 }
+
+// Guards against a stream that is taken from an engine that is slow and then refused by the only
+// other one with its model, which has a budget: it ended without an answer.
+func TestStreamIsNotMovedToAnEngineWithABudget(t *testing.T) {
+	for _, budget := range []float64{0, 5} {
+		w := newFixture(t)
+		w.servers(engineService, 2)
+		w.reportHoldings(0, core.Holdings{Models: loadedModels("m1")})
+		w.reportHoldings(1, core.Holdings{})
+		key := w.call("patient", prompt("m1"))
+		w.step(Answered{Key: key, Attempt: 1, Answer: fleet.Answer{Status: 200}})
+		w.step(FirstEvent{Key: key, Attempt: 1})
+		w.reportHoldings(1, core.Holdings{Models: loadedModels("m1")})
+		w.router.backends["s1"].limit.gate.UpdateBudget(w.now, budget, limit.BudgetLife)
+		w.step(Stalled{Key: key, Attempt: 1})
+		if moved := w.abandons[key] == 1; moved != (budget == 0) {
+			t.Errorf("budget %v: moved %t", budget, moved)
+		}
+	}
+}
