Router, copyplan, loader: one piece for what stood twice

- hasLoaded is used by serves and by the searches that wrote it again.
- The start and end of both kinds of budgets are reported by one function.
- routesTo and shortestObjective serve streams and plain services.
The copy plan's own loop returned no objective if a route without one followed another; it now ignores such a route, as budgets do.
- copyplan: victims carry their unload time, so that no comparison of booleans is needed; engines that may load are chosen by one condition for both kinds of loads; the gain of a shortage has one formula.
- loader: one call sets the engine's budget; a server's budget that begins is set once.
- Tests: both simulated fleets translate messages by routerEvent.

--- a/internal/copyplan/choose.go
+++ b/internal/copyplan/choose.go
@@ -47,7 +47,7 @@
 	var best *choice
 	for i := range r.engines {
 		e := &r.engines[i]
-		if e.taken || terms.background && e.Background || e.listed(m.Name) || e.atBudget() {
+		if !e.takes(m.Name, terms) {
 			continue
 		}
 		tier := e.Near[m.Name]
@@ -66,6 +66,11 @@
 	return best
 }
 
+// takes reports whether a load of a model may be planned at an engine.
+func (e *engineState) takes(model string, terms placement) bool {
+	return !e.taken && !(terms.background && e.Background) && !e.listed(model) && !e.atBudget()
+}
+
 func compareChoices(a, b choice) int {
 	return cmp.Or(cmp.Compare(a.ready, b.ready), cmp.Compare(a.load(), b.load()), cmp.Compare(a.engine.ID, b.engine.ID))
 }
@@ -91,8 +96,9 @@
 	model    int
 	memoryMB float64
 	// cost is the requests per second that lose a copy.
-	cost    float64
-	running bool
+	cost float64
+	// wait is the time until it is unloaded.
+	wait time.Duration
 }
 
 // makeRoom returns the models that make room for a load, and how long that takes. It returns
@@ -106,10 +112,7 @@
 	for _, v := range r.victims(e, terms) {
 		evict = append(evict, v.model)
 		missing -= v.memoryMB
-		wait = max(wait, evictionTime)
-		if v.running {
-			wait = evictionTime + core.RetireLimit
-		}
+		wait = max(wait, v.wait)
 		if missing <= 0 {
 			return evict, wait, true
 		}
@@ -130,7 +133,7 @@
 			continue
 		}
 		m := &r.models[i]
-		v := victim{model: i, memoryMB: m.MemoryMB, cost: m.takeover(max(1, m.loaded)), running: h.Running > 0}
+		v := victim{model: i, memoryMB: m.MemoryMB, cost: m.takeover(max(1, m.loaded)), wait: evictionTime}
 		spare := m.loaded > m.needed
 		if spare {
 			v.cost *= spareCost
@@ -138,29 +141,20 @@
 		if m.Waiting > 0 || !spare && (m.required > len(m.copies) || v.cost > 0 && v.cost >= terms.takeover) {
 			continue
 		}
-		if v.running && (terms.background || !spare && h.Running > maxVictimRunning) {
-			continue
+		if h.Running > 0 {
+			if terms.background || !spare && h.Running > maxVictimRunning {
+				continue
+			}
+			v.wait += core.RetireLimit
 		}
 		victims = append(victims, v)
 	}
 	slices.SortStableFunc(victims, func(a, b victim) int {
-		return cmp.Or(compareBool(a.running, b.running), cmp.Compare(a.cost, b.cost))
+		return cmp.Or(cmp.Compare(a.wait, b.wait), cmp.Compare(a.cost, b.cost))
 	})
 	return victims
 }
 
-// compareBool sorts false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	default:
-		return 1
-	}
-}
-
 // order records a planned load and what it changes for the others of the round.
 func (r *round) order(m *modelState, c *choice, load Load) {
 	load.Model, load.Engine, load.Tier = m.Name, c.engine.ID, c.tier
--- a/internal/copyplan/demand.go
+++ b/internal/copyplan/demand.go
@@ -77,7 +77,7 @@
 			return false
 		}
 	case w.lacks > w.ignored:
-		w.reason, w.gain = Shortage, min(w.lacks, targetLoad)/m.work*demandLasts.Seconds()
+		w.reason, w.gain = Shortage, m.shortageGain(w.lacks)
 	case w.copies < w.backlog:
 		w.reason, w.gain = Backlog, m.lateCallers(w.copies)
 	case w.copies == 1 && m.copiesForLoss() > 1:
@@ -94,6 +94,12 @@
 	return rate*demandLasts.Seconds() + float64(m.Waiting)
 }
 
+// shortageGain is the number of callers that one more copy serves while it takes what the others
+// lack, in engines.
+func (m *modelState) shortageGain(lacks float64) float64 {
+	return min(lacks, targetLoad) / m.work * demandLasts.Seconds()
+}
+
 // lateCallers is how many of the requests that wait one more copy would serve in time.
 func (m *modelState) lateCallers(copies int) float64 {
 	late := float64(m.Waiting+m.Unread) - float64(copies)*m.readInTime()
--- a/internal/copyplan/needed.go
+++ b/internal/copyplan/needed.go
@@ -1,6 +1,7 @@
 package copyplan
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -30,7 +31,7 @@
 	for _, i := range m.copies {
 		parts = append(parts, m.partAt(&r.engines[i], m.rateAtCopy()))
 	}
-	slices.SortFunc(parts, func(a, b float64) int { return -compareFloat(a, b) })
+	slices.SortFunc(parts, func(a, b float64) int { return cmp.Compare(b, a) })
 	return parts
 }
 
--- a/internal/copyplan/planner.go
+++ b/internal/copyplan/planner.go
@@ -1,6 +1,7 @@
 package copyplan
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -94,7 +95,7 @@
 // store exchange their places so that among themselves they are ordered by gain: each
 // occupies the store for as long as it is read.
 func sortLoads(r *round) []Load {
-	slices.SortStableFunc(r.loads, func(a, b plannedLoad) int { return -compareFloat(a.gainPerSecond(), b.gainPerSecond()) })
+	slices.SortStableFunc(r.loads, func(a, b plannedLoad) int { return cmp.Compare(b.gainPerSecond(), a.gainPerSecond()) })
 	var places []int
 	var store []plannedLoad
 	for i, l := range r.loads {
@@ -102,7 +103,7 @@
 			places, store = append(places, i), append(store, l)
 		}
 	}
-	slices.SortStableFunc(store, func(a, b plannedLoad) int { return -compareFloat(a.Gain, b.Gain) })
+	slices.SortStableFunc(store, func(a, b plannedLoad) int { return cmp.Compare(b.Gain, a.Gain) })
 	for i, place := range places {
 		r.loads[place] = store[i]
 	}
--- a/internal/copyplan/round.go
+++ b/internal/copyplan/round.go
@@ -1,7 +1,6 @@
 package copyplan
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -182,5 +181,3 @@
 		return m.StoreLoad
 	}
 }
-
-func compareFloat(a, b float64) int { return cmp.Compare(a, b) }
--- a/internal/copyplan/store.go
+++ b/internal/copyplan/store.go
@@ -55,7 +55,7 @@
 	case len(m.copies) == 0:
 		return m.Rate*min(demandLasts, m.nearestLoad).Seconds() + float64(m.Waiting)
 	case lacks > minDifference:
-		return min(lacks, targetLoad)/m.work*demandLasts.Seconds() + float64(m.Waiting)
+		return m.shortageGain(lacks) + float64(m.Waiting)
 	case m.places < 2:
 		return m.gainAfterLoss(m.StoreLoad) + float64(m.Waiting)
 	default:
@@ -149,7 +149,7 @@
 	var best *choice
 	for i := range r.engines {
 		e := &r.engines[i]
-		if e.taken || e.Background || e.FreeIn > 0 || e.listed(m.Name) || e.Near[m.Name] != TierStore || e.atBudget() {
+		if e.FreeIn > 0 || e.Near[m.Name] != TierStore || !e.takes(m.Name, terms) {
 			continue
 		}
 		evict, _, ok := r.makeRoom(e, m, terms)
--- a/internal/loader/budget.go
+++ b/internal/loader/budget.go
@@ -151,7 +151,7 @@
 // renewals.
 func (l *Loader) tellBudget(perSecond float64, atOnce bool) {
 	b := &l.budget
-	message := l.limits.SetBudget(l.now, l.budgetLife(), limit.Budget{PerSecond: perSecond, Burst: b.targets.FirstEvent / 2, Shared: true})
+	message := l.setBudget(perSecond)
 	if message == nil || len(l.names) == 0 {
 		return
 	}
@@ -163,6 +163,13 @@
 	l.sendBudget(l.names, perSecond, *message)
 }
 
+// setBudget makes the limiter enforce a budget, 0 to end it. It returns the message that announces
+// it, nil for an earlier life of the engine.
+func (l *Loader) setBudget(perSecond float64) *core.LimitReply {
+	budget := limit.Budget{PerSecond: perSecond, Burst: l.budget.targets.FirstEvent / 2, Shared: true}
+	return l.limits.SetBudget(l.now, l.budgetLife(), budget)
+}
+
 // renewBudget announces a budget in force again to the routers that have heard nothing of it
 // for limit.BudgetInterval. While the engine does not answer it is left to expire.
 func (l *Loader) renewBudget() {
@@ -180,7 +187,7 @@
 		return
 	}
 	perSecond, _ := b.tracker.Limit()
-	if message := l.limits.SetBudget(l.now, l.budgetLife(), limit.Budget{PerSecond: perSecond, Burst: b.targets.FirstEvent / 2, Shared: true}); message != nil {
+	if message := l.setBudget(perSecond); message != nil {
 		l.sendBudget(due, perSecond, *message)
 	}
 }
--- a/internal/loader/serverbudget.go
+++ b/internal/loader/serverbudget.go
@@ -113,8 +113,7 @@
 	case !limited && s.inForce:
 		l.endServerBudget(s, "not needed")
 	case limited && !s.inForce:
-		s.inForce, s.began, s.lowest = true, l.now, perSecond
-		l.setServerBudget(s, perSecond)
+		s.inForce, s.began, s.lowest, s.perSecond = true, l.now, perSecond, perSecond
 		l.log("server budget begins", l.serverBudgetAttrs(s, slog.Float64("per_second", perSecond))...)
 		l.sendServerBudget(s, l.names)
 	case limited && perSecond != s.perSecond:
--- a/internal/router/budget_fleet_test.go
+++ b/internal/router/budget_fleet_test.go
@@ -252,17 +252,8 @@
 }
 
 func (f *overloadFleet) toRouter(d delivery) {
-	switch m := d.message.(type) {
-	case connected:
-		f.router(d.to, LoaderUp{Loader: d.from})
-	case core.Holdings:
-		f.router(d.to, LoaderReported{Loader: d.from, Holdings: m})
-	case core.Counts:
-		f.router(d.to, LoaderCountsReported{Loader: d.from, Counts: m})
-	case core.SpecWanted:
-		f.router(d.to, LoaderSpecRequested{Loader: d.from})
-	case core.LimitReply:
-		f.router(d.to, LoaderAnsweredLimit{Loader: d.from, Answer: m})
+	if event := routerEvent(d); event != nil {
+		f.router(d.to, event)
 	}
 }
 
--- a/internal/router/copysnapshot.go
+++ b/internal/router/copysnapshot.go
@@ -28,7 +28,7 @@
 		}
 	}
 	s.copies.loadedSince = c.loadedSince
-	objective := r.shortestObjective(s.name)
+	objective := shortestObjective(streamRoutes(r.config, s.name))
 	for _, name := range slices.Sorted(maps.Keys(engine.Models)) {
 		m := r.modelSnapshot(s, engine.Models[name], engine.Slots)
 		m.Waiting, m.Unread = c.waiting[name], int(math.Round(c.unread[name]))
@@ -237,14 +237,3 @@
 	reading := s.work.ReadTime(model, tokens)
 	return reading + s.speed.generating(model)/time.Duration(max(1, slots))
 }
-
-// shortestObjective returns the shortest first-event objective of a service's streams.
-func (r *Router) shortestObjective(service string) time.Duration {
-	shortest := time.Duration(0)
-	for _, route := range streamRoutes(r.config, service) {
-		if shortest == 0 || route.Objective < shortest {
-			shortest = route.Objective
-		}
-	}
-	return shortest
-}
--- a/internal/router/crowding.go
+++ b/internal/router/crowding.go
@@ -71,13 +71,34 @@
 
 // streamRoutes returns the routes whose streams a service may serve.
 func streamRoutes(config *fleet.Config, service string) []*fleet.Route {
+	return slices.DeleteFunc(routesTo(config, service), func(route *fleet.Route) bool { return route.Kind != fleet.Stream })
+}
+
+// routesTo returns the routes whose requests a service may serve.
+func routesTo(config *fleet.Config, service string) []*fleet.Route {
+	serves := func(t fleet.Target) bool { return t.Service == service }
 	var routes []*fleet.Route
 	for i := range config.Routes {
-		route := &config.Routes[i]
-		serves := func(t fleet.Target) bool { return t.Service == service }
-		if route.Kind == fleet.Stream && slices.ContainsFunc(route.Targets, serves) {
-			routes = append(routes, route)
+		if slices.ContainsFunc(config.Routes[i].Targets, serves) {
+			routes = append(routes, &config.Routes[i])
 		}
 	}
 	return routes
 }
+
+// shortestObjective returns the shortest objective of routes, 0 if none has one.
+func shortestObjective(routes []*fleet.Route) time.Duration {
+	objective := time.Duration(0)
+	for _, route := range routes {
+		objective = shortest(objective, route.Objective)
+	}
+	return objective
+}
+
+// shortest returns the shorter of two objectives, of which 0 is none.
+func shortest(a, b time.Duration) time.Duration {
+	if a == 0 || b == 0 {
+		return max(a, b)
+	}
+	return min(a, b)
+}
--- a/internal/router/digest_test.go
+++ b/internal/router/digest_test.go
@@ -129,18 +129,28 @@
 }
 
 func (f *largeFleet) deliverToRouter(d delivery) {
+	if event := routerEvent(d); event != nil {
+		f.router(d.to, event)
+	}
+}
+
+// routerEvent returns the event by which a router learns of a loader's message, nil for others.
+func routerEvent(d delivery) Event {
 	switch m := d.message.(type) {
 	case connected:
-		f.router(d.to, LoaderUp{Loader: d.from})
+		return LoaderUp{Loader: d.from}
 	case core.Holdings:
-		f.router(d.to, LoaderReported{Loader: d.from, Holdings: m})
+		return LoaderReported{Loader: d.from, Holdings: m}
 	case core.Counts:
-		f.router(d.to, LoaderCountsReported{Loader: d.from, Counts: m})
+		return LoaderCountsReported{Loader: d.from, Counts: m}
 	case core.SpecWanted:
-		f.router(d.to, LoaderSpecRequested{Loader: d.from})
+		return LoaderSpecRequested{Loader: d.from}
+	case core.LimitReply:
+		return LoaderAnsweredLimit{Loader: d.from, Answer: m}
 	case core.LoadDigest:
-		f.router(d.to, DigestReceived{Digest: m})
+		return DigestReceived{Digest: m}
 	}
+	return nil
 }
 
 func (f *largeFleet) run(d time.Duration) {
--- a/internal/router/enginebudget.go
+++ b/internal/router/enginebudget.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"time"
 
 	"nutmeglane.example/nutmeglane/internal/code"
 	"nutmeglane.example/nutmeglane/internal/core"
@@ -19,22 +18,14 @@
 	if !r.crowding(service).Budget {
 		return nil
 	}
-	spec := &core.BudgetSpec{}
-	for _, route := range streamRoutes(r.config, service) {
-		spec.FirstEvent = shortest(spec.FirstEvent, route.Objective)
+	streams := streamRoutes(r.config, service)
+	spec := &core.BudgetSpec{FirstEvent: shortestObjective(streams)}
+	for _, route := range streams {
 		spec.Pause = shortest(spec.Pause, route.PauseObjective)
 	}
 	return spec
 }
 
-// shortest returns the shorter of two objectives, of which 0 is none.
-func shortest(a, b time.Duration) time.Duration {
-	if a == 0 || b == 0 {
-		return max(a, b)
-	}
-	return min(a, b)
-}
-
 // applyBudget applies what a loader's message states on the budget of the engine beside it. A
 // message without a budget ends it. Changes of a budget in force are not logged here: the loader
 // logs its start and end, and its dump shows the value.
@@ -66,10 +57,22 @@
 	}
 }
 
-// budgetChanged logs and counts the start or end of a budget.
+// budgetChanged adapts the holds to a change of an engine's budget, and reports its start or end.
 func (r *Router) budgetChanged(b *backend, before float64, wasLimited bool, end string) {
+	b.limit.holds.BudgetChanged(r.now, before, b.limit.gate.Budget())
+	r.reportBudgetChange(b, budgetReport{metricEngineBudgets, "engine budget"}, before, wasLimited, end)
+}
+
+// budgetReport is how the start and end of a kind of budget are reported.
+type budgetReport struct {
+	metric  core.Counter
+	message string
+}
+
+// reportBudgetChange logs and counts the start or end of a budget, with end as the reason of an
+// end. It does nothing if a budget was in force before and still is, or neither.
+func (r *Router) reportBudgetChange(b *backend, report budgetReport, before float64, wasLimited bool, end string) {
 	now := b.limit.gate.Budget()
-	b.limit.holds.BudgetChanged(r.now, before, now)
 	if (before > 0) == (now > 0) {
 		return
 	}
@@ -78,8 +81,8 @@
 		change = "begun"
 	}
 	r.noteLimited(b, wasLimited)
-	r.emit(Count{core.Count{Name: metricEngineBudgets, Labels: []string{b.Service, change}, Add: 1}})
-	r.log(StateChange, "engine budget", b.attrs("born", b.Born, "change", change, "per_second", now, "before", before, "under_way", len(b.sent))...)
+	r.emit(Count{core.Count{Name: report.metric, Labels: []string{b.Service, change}, Add: 1}})
+	r.log(StateChange, report.message, b.attrs("born", b.Born, "change", change, "per_second", now, "before", before, "under_way", len(b.sent))...)
 }
 
 // refusal is the outcome of a permit that was refused, for the metric.
--- a/internal/router/permit.go
+++ b/internal/router/permit.go
@@ -114,6 +114,11 @@
 	if req.prompt == nil || r.engine(b.Service) == nil {
 		return true
 	}
+	return r.hasLoaded(b, req)
+}
+
+// hasLoaded reports whether an engine has a request's model and adapter loaded.
+func (r *Router) hasLoaded(b *backend, req *request) bool {
 	hasModel, hasAdapter := r.loaded(b, req.prompt.Model, req.prompt.Adapter)
 	return hasModel && hasAdapter
 }
--- a/internal/router/runcopy.go
+++ b/internal/router/runcopy.go
@@ -123,12 +123,6 @@
 	return b.Release.Same(release) && req.mayTry(b) && r.usable(b) && !b.limited() && r.hasLoaded(b, req)
 }
 
-// hasLoaded reports whether an engine has a request's model and adapter loaded.
-func (r *Router) hasLoaded(b *backend, req *request) bool {
-	hasModel, hasAdapter := r.loaded(b, req.prompt.Model, req.prompt.Adapter)
-	return hasModel && hasAdapter
-}
-
 // count adds to the number of copies at the engine of a copy, if there is one.
 func (c *runCopy) count(n int) {
 	if c != nil {
--- a/internal/router/serverbudget.go
+++ b/internal/router/serverbudget.go
@@ -59,22 +59,7 @@
 	before, wasLimited := b.limit.gate.Budget(), b.limited()
 	perSecond, lasts := b.limit.budgets.lowest(r.now)
 	b.limit.gate.UpdateBudget(r.now, perSecond, lasts)
-	r.serverBudgetChanged(b, before, wasLimited, end)
-}
-
-// serverBudgetChanged logs and counts the start or end of a server's budget.
-func (r *Router) serverBudgetChanged(b *backend, before float64, wasLimited bool, end string) {
-	now := b.limit.gate.Budget()
-	if (before > 0) == (now > 0) {
-		return
-	}
-	change := end
-	if now > 0 {
-		change = "begun"
-	}
-	r.noteLimited(b, wasLimited)
-	r.emit(Count{core.Count{Name: metricServerBudgets, Labels: []string{b.Service, change}, Add: 1}})
-	r.log(StateChange, "server budget", b.attrs("born", b.Born, "change", change, "per_second", now, "before", before, "under_way", len(b.sent))...)
+	r.reportBudgetChange(b, budgetReport{metricServerBudgets, "server budget"}, before, wasLimited, end)
 }
 
 // dropServerBudgets ends all budgets of servers for which the configuration or the settings
--- a/internal/router/serverload.go
+++ b/internal/router/serverload.go
@@ -40,24 +40,11 @@
 	for name, s := range r.services {
 		s.budgetObjective = 0
 		if enabled && r.engine(name) == nil {
-			s.budgetObjective = shortestObjective(r.config, name)
+			s.budgetObjective = shortestObjective(routesTo(r.config, name))
 		}
 	}
 }
 
-// shortestObjective returns the shortest objective of the routes to a service, 0 without one.
-func shortestObjective(config *fleet.Config, service string) time.Duration {
-	objective := time.Duration(0)
-	for i := range config.Routes {
-		for _, target := range config.Routes[i].Targets {
-			if target.Service == service {
-				objective = shortest(objective, config.Routes[i].Objective)
-			}
-		}
-	}
-	return objective
-}
-
 // budgetObjective returns the objective that budgets of a server keep, 0 if it gets none.
 func (r *Router) budgetObjective(b *backend) time.Duration {
 	if s := r.services[b.Service]; s != nil {
--- a/internal/router/shares.go
+++ b/internal/router/shares.go
@@ -113,8 +113,7 @@
 		return nil, 0
 	}
 	for _, b := range r.holders(req.service, req.prompt.Model) {
-		hasModel, hasAdapter := r.loaded(b, req.prompt.Model, req.prompt.Adapter)
-		if !hasModel || !hasAdapter || !r.usable(b) || !req.mayTry(b) {
+		if !r.hasLoaded(b, req) || !r.usable(b) || !req.mayTry(b) {
 			continue
 		}
 		held, cause := r.heldFor(b, req)
--- a/internal/router/wait.go
+++ b/internal/router/wait.go
@@ -89,8 +89,7 @@
 	}
 	tried := false
 	for _, b := range r.holders(req.service, req.prompt.Model) {
-		hasModel, hasAdapter := r.loaded(b, req.prompt.Model, req.prompt.Adapter)
-		if !hasModel || !hasAdapter || !r.usable(b) || !r.hasRoom(b) {
+		if !r.hasLoaded(b, req) || !r.usable(b) || !r.hasRoom(b) {
 			continue
 		}
 		if !slices.Contains(req.tried, b.Instance) {
