Test of callers who left waits longer than a continuation's delay

The test looked 50 ms after the loss, and a continuation is sent after 150 ms: it could not have seen one.

--- a/internal/gateway/runcopy_test.go
+++ b/internal/gateway/runcopy_test.go
@@ -421,6 +421,10 @@
 	}
 }
 
+// afterContinuation is twice the time after which a router continues a lost run. A shorter wait
+// would not see a continuation.
+const afterContinuation = 300 * time.Millisecond
+
 // Guards against a continuation for a caller who has left.
 func TestCallerWhoLeftGetsNoContinuation(t *testing.T) {
 	head := answerHead("r1", streamHead)
@@ -442,7 +446,7 @@
 		time.Sleep(time.Millisecond)
 	}
 	close(gone)
-	time.Sleep(50 * time.Millisecond)
+	time.Sleep(afterContinuation)
 	if _, continued := f.requests(); len(continued) != 0 || f.gateway.ActiveRequests() != 0 {
 		t.Errorf("continued %d times, %d requests left", len(continued), f.gateway.ActiveRequests())
 	}
