Routers show their parts of the retry budgets

Neither logs nor metrics told whether a router had used more than its part, what its part was, how many routers it knew, or since when it counts. Now: counter of retries sent and refused, gauges of requests and retries within the window, slack part and routers known by service; the same in the dump, with the time since the start; a log line when the part changes. No decision changes.

--- a/internal/daemon/operating_test.go
+++ b/internal/daemon/operating_test.go
@@ -42,6 +42,10 @@
 	for _, family := range families {
 		known[family.GetName()] = true
 	}
+	for _, each := range allRetryGauges {
+		name := regexp.MustCompile(`fqName: "([^"]+)"`).FindStringSubmatch(each.desc.String())
+		known[name[1]] = true
+	}
 	for _, each := range allGauges {
 		name := regexp.MustCompile(`fqName: "([^"]+)"`).FindStringSubmatch(each.desc.String())
 		known[name[1]] = true
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"nutmeglane.example/nutmeglane/internal/clock"
 	"nutmeglane.example/nutmeglane/internal/core"
 	"nutmeglane.example/nutmeglane/internal/fleet"
@@ -88,6 +90,9 @@
 		Host: core.HostID(p.settings.Address), Zone: p.settings.Zone, LoaderPort: p.settings.LoaderPort, Processor: p.settings.Processor,
 		Bounds: p.settings.FleetBounds(), Crowding: router.CrowdingOptions(p.settings.Crowding), Seed: randomUint64(),
 	}), gateway.Options{Links: p.links, Publish: notes.put, PublishReleases: notes.putReleases, RequestStoreRead: p.readStoreNow, Metrics: p.metrics, Log: p.log, Requests: p.requests})
+	if err := p.metrics.Registry().Register(retryGauges{p.retryBudgets}); err != nil {
+		return errors.Wrap(err, "register gauges of the retry budgets")
+	}
 	p.reader = newStoreReader(store, p.gateway, maxReadInterval(p.settings.Bounds), p.log)
 	p.reader.spreadConfig = p.spreadConfig
 	p.reader.send = func(to []core.HostID, news core.Message) { p.links.SendAll(to, news) }
@@ -298,6 +303,11 @@
 	})
 }
 
+func (p *routerProcess) retryBudgets() (states []router.RetryBudgetState) {
+	p.gateway.Inspect(func(r *router.Router) { states = r.RetryBudgets() })
+	return states
+}
+
 func (p *routerProcess) dump() any {
 	state := map[string]any{}
 	p.gateway.Inspect(func(r *router.Router) { state["router"] = r.Dump() })
--- a/internal/router/budget.go
+++ b/internal/router/budget.go
@@ -53,11 +53,16 @@
 
 // has reports whether the budget has a retry left.
 func (b *budget) has(now core.Time, window time.Duration, ratio, slack float64) bool {
+	requests, retries := b.used(now, window)
+	return float64(retries+1) <= ratio*float64(requests)+slack
+}
+
+// used returns the requests and retries within the window.
+func (b *budget) used(now core.Time, window time.Duration) (requests, retries int) {
 	b.advance(now, window)
-	requests, repeats := 0, 0
 	for i := range budgetBuckets {
 		requests += b.requests[i]
-		repeats += b.retries[i]
+		retries += b.retries[i]
 	}
-	return float64(repeats+1) <= ratio*float64(requests)+slack
+	return requests, retries
 }
--- a/internal/router/dump.go
+++ b/internal/router/dump.go
@@ -19,6 +19,8 @@
 	Backends []BackendState
 	Waits    []WaitState
 	Requests int
+	// RetryBudgets are this router's parts of the budgets of retries, by service.
+	RetryBudgets []RetryBudgetState
 	// Accounts are the client accounts with a quota, QuotaShare is this router's share of
 	// all quotas.
 	Accounts   []quota.State
@@ -100,6 +102,7 @@
 	state := State{Version: r.ConfigVersion(), Ready: r.Ready(), Requests: len(r.requests), Accounts: r.gate.Dump(r.now), QuotaShare: r.gate.Share(), Suspects: r.ledger.Dump(r.now), AnswerEnds: r.dumpAnswerEnds(), Origins: r.origins.Len(), OriginsDropped: r.origins.Dropped(), Releases: r.dumpReleases()}
 	state.RunCopies, state.CopiedRuns = r.dumpRunCopies()
 	state.CopyPlans = r.dumpCopyPlans()
+	state.RetryBudgets = r.RetryBudgets()
 	state.Evacuated = slices.Sorted(maps.Keys(r.evacuated))
 	for _, instance := range slices.Sorted(maps.Keys(r.backends)) {
 		b := r.backends[instance]
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -5,6 +5,7 @@
 // The metrics of a router.
 const (
 	metricRequests      core.Counter = "router_requests_total"
+	metricRetries       core.Counter = "router_retries_total"
 	metricColdStart     core.Counter = "router_cold_start_seconds"
 	metricServerEnds    core.Counter = "router_server_ends_total"
 	metricPoison        core.Counter = "router_poison_found_total"
@@ -29,6 +30,7 @@
 // Counters declares the metrics of a router.
 var Counters = []core.CounterDef{
 	{Name: metricRequests, Help: "Requests that ended, by service and result code.", Labels: []string{"service", "code"}},
+	{Name: metricRetries, Help: "Retries by service and outcome: sent, or refused because this router's part of the budget was used up.", Labels: []string{"service", "outcome"}},
 	{Name: metricServerEnds, Help: "Backend servers that ended by themselves, as this router noticed, by service.", Labels: []string{"service"}},
 	{Name: metricPoison, Help: "Requests and parts of prompts that were found to end the servers that run them, by kind.", Labels: []string{"kind"}},
 	{Name: metricPoisonRefused, Help: "Requests that were not sent because servers had ended under them or under a part of their prompts, by kind of what they ended under.", Labels: []string{"kind"}},
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -312,20 +312,6 @@
 // between ranks.
 func enginePriority(rank int) int { return min(9, 1+2*max(0, rank)) }
 
-func (r *Router) takeRetry(service string) bool {
-	b := r.opts.Bounds
-	return r.service(service).budget.take(r.now, b.RetryWindow, b.RetryRatio, r.retrySlack())
-}
-
-// hasRetry reports whether takeRetry would succeed.
-func (r *Router) hasRetry(service string) bool {
-	b := r.opts.Bounds
-	return r.service(service).budget.has(r.now, b.RetryWindow, b.RetryRatio, r.retrySlack())
-}
-
-// retrySlack is this router's part of the retries that are allowed beside the ratio.
-func (r *Router) retrySlack() float64 { return r.opts.Bounds.RetrySlack / float64(r.routers()) }
-
 // connShare is this router's share of the connections to a server.
 func (r *Router) connShare(service string) int {
 	all := 0
--- /dev/null
+++ b/internal/router/retries.go
@@ -0,0 +1,107 @@
+package router
+
+import (
+	"log/slog"
+	"maps"
+	"slices"
+	"time"
+
+	"nutmeglane.example/nutmeglane/internal/core"
+)
+
+// This file applies this router's part of the budgets of retries.
+
+// Outcomes of retries in metrics.
+const (
+	retrySent    = "sent"
+	retryRefused = "refused"
+)
+
+// retryPartLogInterval is the minimum time between two log lines on this router's part of the
+// budgets.
+const retryPartLogInterval = time.Second
+
+// retryPart is this router's part of the budgets as last logged.
+type retryPart struct {
+	slack    float64
+	routers  int
+	loggedAt core.Time
+}
+
+// takeRetry takes a retry from the budget of a service, or returns false if it is used up.
+func (r *Router) takeRetry(service string) bool {
+	b, s := r.opts.Bounds, r.service(service)
+	outcome := retrySent
+	taken := s.budget.take(r.now, b.RetryWindow, b.RetryRatio, r.retrySlack())
+	if !taken {
+		outcome = retryRefused
+	}
+	s.retries.count(taken)
+	r.emit(Count{core.Count{Name: metricRetries, Labels: []string{service, outcome}, Add: 1}})
+	return taken
+}
+
+// hasRetry reports whether takeRetry would succeed.
+func (r *Router) hasRetry(service string) bool {
+	b := r.opts.Bounds
+	return r.service(service).budget.has(r.now, b.RetryWindow, b.RetryRatio, r.retrySlack())
+}
+
+// retrySlack is this router's part of the retries that are allowed beside the ratio.
+func (r *Router) retrySlack() float64 { return r.opts.Bounds.RetrySlack / float64(r.routers()) }
+
+// logRetryPart logs changes of this router's part of the budgets.
+func (r *Router) logRetryPart() {
+	p := &r.retryPart
+	slack, routers := r.retrySlack(), r.routers()
+	if slack == p.slack && routers == p.routers || p.loggedAt != 0 && r.now.Sub(p.loggedAt) < retryPartLogInterval {
+		return
+	}
+	r.log(StateChange, "part of the retry budget changed", slog.Float64("slack_part", slack), slog.Float64("slack_part_before", p.slack),
+		slog.Int("routers", routers), slog.Int("routers_before", p.routers), slog.String("running_for", r.runningFor().String()))
+	*p = retryPart{slack: slack, routers: routers, loggedAt: r.now}
+}
+
+// runningFor is the time since this process's first step.
+func (r *Router) runningFor() time.Duration { return r.now.Sub(r.startedAt) }
+
+// retryCounts are the retries to a service since this process started.
+type retryCounts struct{ sent, refused int }
+
+func (c *retryCounts) count(taken bool) {
+	if taken {
+		c.sent++
+		return
+	}
+	c.refused++
+}
+
+// RetryBudgetState is the dump of this router's part of a service's budget of retries.
+type RetryBudgetState struct {
+	Service string
+	// Requests and Retries are those of this router within the budget's window.
+	Requests, Retries int
+	// Sent and Refused are the retries since this process started, RunningFor ago. Its window
+	// holds nothing from before.
+	Sent, Refused int
+	RunningFor    time.Duration
+	// SlackPart is this router's part of the retries that are allowed beside the ratio. Routers
+	// is the number of routers that the part follows from.
+	SlackPart float64
+	Routers   int
+}
+
+// RetryBudgets returns this router's parts of the budgets of retries, sorted by service. It must
+// not be called during a step.
+func (r *Router) RetryBudgets() []RetryBudgetState {
+	var states []RetryBudgetState
+	for _, name := range slices.Sorted(maps.Keys(r.services)) {
+		s := r.services[name]
+		requests, retries := s.budget.used(r.now, r.opts.Bounds.RetryWindow)
+		states = append(states, RetryBudgetState{
+			Service: name, Requests: requests, Retries: retries, Sent: s.retries.sent, Refused: s.retries.refused,
+			RunningFor: r.runningFor(), SlackPart: r.retrySlack(), Routers: r.routers(),
+		})
+	}
+	return states
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -124,6 +124,11 @@
 	// origins are the streams that this router began, with their releases.
 	origins *origin.Table
 
+	// retryPart is this router's part of the budgets of retries as last logged.
+	retryPart retryPart
+	// startedAt is when the first step was made.
+	startedAt core.Time
+
 	// stopAt is when the process ends, Never unless it is stopping.
 	stopAt   core.Time
 	nextTick core.Time
@@ -134,6 +139,8 @@
 type service struct {
 	name   string
 	budget budget
+	// retries counts the retries since this process started.
+	retries retryCounts
 	// backoffRetries schedules the retries of callers that were refused because all servers
 	// want a backoff.
 	backoffRetries limit.RetrySchedule
@@ -198,6 +205,9 @@
 // Step handles an event. The returned effects are valid until the next step.
 func (r *Router) Step(now core.Time, event Event) []Effect {
 	r.now, r.out = now, r.out[:0]
+	if r.steps == 0 {
+		r.startedAt = now
+	}
 	r.steps++
 	switch e := event.(type) {
 	case Tick:
@@ -374,6 +384,7 @@
 	r.tickQuotas()
 	r.checkRequests()
 	r.expireBudgets()
+	r.logRetryPart()
 	r.logLimitedSends()
 	r.tellHarmless()
 	r.findPoison()
