--- /dev/null
+++ b/internal/router/retryfleet_test.go
@@ -0,0 +1,417 @@
+package router
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"nutmeglane.example/nutmeglane/internal/core"
+	"nutmeglane.example/nutmeglane/internal/fleet"
+	loaderside "nutmeglane.example/nutmeglane/internal/loader"
+)
+
+// This file plays routers and loaders in virtual time, with servers that fail a part of their
+// requests, and checks the bound on retries over all routers by arrival at the service.
+
+const (
+	// retryLoaders and retryServers are the numbers of loaders and of servers of the plain service.
+	retryLoaders = 5
+	retryServers = 8
+	// serverLatency is the time from sending a request to its arrival, serverTime that from there
+	// to the answer.
+	serverLatency = 2 * time.Millisecond
+	serverTime    = 20 * time.Millisecond
+	// refusedDialTime is how long a dial across a cut connection takes to fail. loaderNotices is
+	// when a loader drops a router that it does not hear.
+	refusedDialTime = 500 * time.Millisecond
+	loaderNotices   = 5 * time.Second
+	// maxRetryAttempts is above what a retry budget allows on average.
+	maxRetryAttempts = 4
+)
+
+// retryFleet is a fleet whose routers can be killed, started, cut off, and frozen.
+type retryFleet struct {
+	*largeFleet
+	config   *fleet.Config
+	backends map[string]fleet.Backend
+	bounds   fleet.Bounds
+	rand     *rand.Rand
+	// perSecond is the rate of requests, failing the part of them that servers fail.
+	perSecond, failing float64
+	nextArrival        core.Time
+	nextKey            Key
+	// suspended is the time that a router was frozen, which its clock does not count.
+	suspended map[core.HostID]time.Duration
+	frozenAt  map[core.HostID]core.Time
+	// held are the requests that frozen routers have decided to send and that arrive once they wake.
+	held map[core.HostID][]sentRequest
+	// starts numbers the processes of each host.
+	starts map[core.HostID]int
+	outbox []sentRequest
+	// dialFailures are dials across cut connections.
+	dialFailures []delivery
+	// scheduled are actions of the script, ordered by time.
+	scheduled []scheduledAction
+	log       retryLog
+}
+
+type sentRequest struct {
+	due    core.Time
+	router core.HostID
+	start  int
+	send   Send
+	// answers is set once the request has arrived and only its answer is due.
+	answers bool
+}
+
+type scheduledAction struct {
+	at core.Time
+	do func()
+}
+
+// retryLog records what the bound is judged by.
+type retryLog struct {
+	requests, retries []core.Time
+	arrived           map[Key]bool
+}
+
+func (l *retryLog) arrival(now core.Time, key Key) {
+	if l.arrived[key] {
+		l.retries = append(l.retries, now)
+	}
+	l.arrived[key] = true
+}
+
+// between counts the times in [from, to).
+func between(times []core.Time, from, to core.Time) int {
+	low, _ := slices.BinarySearch(times, from)
+	high, _ := slices.BinarySearch(times, to)
+	return high - low
+}
+
+// retryWindowUse is the use of the bound in one window.
+type retryWindowUse struct {
+	from             core.Time
+	retries          int
+	requests, bound  float64
+	overBy, fraction float64
+}
+
+// worst returns the window with the most retries over the bound. The requests of a window are those
+// in it, in the one before it, or in the one half a window before it, whichever has most.
+func (l *retryLog) worst(b fleet.Bounds) retryWindowUse {
+	var worst retryWindowUse
+	found := false
+	look := func(from core.Time) {
+		use := l.use(b, from)
+		if !found || use.overBy > worst.overBy {
+			worst, found = use, true
+		}
+	}
+	for _, at := range l.retries {
+		look(at)
+		look(at.Add(1 - b.RetryWindow))
+	}
+	return worst
+}
+
+func (l *retryLog) use(b fleet.Bounds, from core.Time) retryWindowUse {
+	w := b.RetryWindow
+	requests := 0
+	for _, before := range []time.Duration{0, w / 2, w} {
+		requests = max(requests, between(l.requests, from.Add(-before), from.Add(w-before)))
+	}
+	u := retryWindowUse{from: from, retries: between(l.retries, from, from.Add(w)), requests: float64(requests)}
+	u.bound = b.RetryRatio*u.requests + b.RetrySlack
+	u.overBy = float64(u.retries) - u.bound
+	u.fraction = float64(u.retries) / u.bound
+	return u
+}
+
+func newRetryFleet(t *testing.T, routers int, seed uint64) *retryFleet {
+	f := &retryFleet{
+		largeFleet: &largeFleet{
+			t: t, now: core.Time(time.Hour), routers: map[core.HostID]*Router{}, loaders: map[core.HostID]*loaderside.Loader{},
+			frozen: map[core.HostID]bool{}, cut: map[[2]core.HostID]bool{}, engine: fleet.Report{Models: []fleet.LoadedModel{{Name: "m0"}}},
+		},
+		config: testConfig(), backends: map[string]fleet.Backend{}, bounds: testBounds(), rand: rand.New(rand.NewPCG(seed, seed)),
+		suspended: map[core.HostID]time.Duration{}, frozenAt: map[core.HostID]core.Time{}, held: map[core.HostID][]sentRequest{},
+		starts: map[core.HostID]int{}, log: retryLog{arrived: map[Key]bool{}},
+	}
+	f.bounds.RetrySlack = max(50, 3*float64(routers))
+	for i := range f.config.Routes {
+		f.config.Routes[i].MaxAttempts = maxRetryAttempts
+	}
+	w := &fixture{}
+	for i := range retryLoaders {
+		b := w.server(engineService, i)
+		f.backends[b.Instance] = b
+		f.hosts = append(f.hosts, loaderName(i))
+		f.loaders[loaderName(i)] = loaderside.New(loaderside.Options{Host: loaderName(i)})
+	}
+	for i := range retryServers {
+		b := w.server(plainService, retryLoaders+i)
+		f.backends[b.Instance] = b
+	}
+	for i := range routers {
+		f.addRouter(i)
+	}
+	return f
+}
+
+func retryRouterName(i int) core.HostID {
+	return core.HostID(fmt.Sprintf("10.0.%d.%d", i/100, i%100+1))
+}
+
+// addRouter adds a host and starts its router.
+func (f *retryFleet) addRouter(i int) {
+	f.names = append(f.names, retryRouterName(i))
+	f.start(retryRouterName(i))
+}
+
+// start starts the router of a host.
+func (f *retryFleet) start(name core.HostID) {
+	f.starts[name]++
+	f.routers[name] = New(Options{Host: name, Zone: "a", LoaderPort: 7000, Bounds: f.bounds, Seed: f.rand.Uint64()})
+	f.router(name, ConfigRead{Config: f.config})
+	f.router(name, BackendsRead{Backends: f.backends})
+}
+
+// kill ends the router of a host. Its connections are closed.
+func (f *retryFleet) kill(name core.HostID) {
+	delete(f.routers, name)
+	for _, host := range f.hosts {
+		f.loader(host, loaderside.RouterDown{Router: name})
+	}
+}
+
+// restart kills the router of a host and starts it again later.
+func (f *retryFleet) restart(name core.HostID, after time.Duration) {
+	if f.routers[name] == nil {
+		return
+	}
+	f.kill(name)
+	f.at(after, func() { f.start(name) })
+}
+
+// isolate cuts a router off from the given loaders, without resetting the connections.
+func (f *retryFleet) isolate(name core.HostID, hosts []core.HostID) {
+	for _, host := range hosts {
+		f.cut[[2]core.HostID{name, host}], f.cut[[2]core.HostID{host, name}] = true, true
+	}
+	f.at(loaderNotices, func() {
+		for _, host := range hosts {
+			if f.cut[[2]core.HostID{host, name}] {
+				f.loader(host, loaderside.RouterDown{Router: name})
+			}
+		}
+	})
+}
+
+// reconnect ends all cuts of a router.
+func (f *retryFleet) reconnect(name core.HostID) {
+	for _, host := range f.hosts {
+		delete(f.cut, [2]core.HostID{name, host})
+		delete(f.cut, [2]core.HostID{host, name})
+	}
+}
+
+// freeze suspends a router, with the requests that it has just decided to send, until it wakes.
+func (f *retryFleet) freeze(name core.HostID, lasts time.Duration) {
+	if f.routers[name] == nil || f.frozen[name] {
+		return
+	}
+	f.frozen[name], f.frozenAt[name] = true, f.now
+	var others []sentRequest
+	for _, s := range f.outbox {
+		if s.router == name && !s.answers {
+			f.held[name] = append(f.held[name], s)
+		} else {
+			others = append(others, s)
+		}
+	}
+	f.outbox = others
+	f.at(lasts, func() { f.wake(name) })
+}
+
+func (f *retryFleet) wake(name core.HostID) {
+	f.frozen[name] = false
+	f.suspended[name] += f.now.Sub(f.frozenAt[name])
+	for _, s := range f.held[name] {
+		s.due = f.now
+		f.arriveAtServer(s)
+	}
+	f.held[name] = nil
+}
+
+// at schedules an action.
+func (f *retryFleet) at(after time.Duration, do func()) {
+	f.scheduled = append(f.scheduled, scheduledAction{f.now.Add(after), do})
+	slices.SortStableFunc(f.scheduled, func(a, b scheduledAction) int { return int(a.at - b.at) })
+}
+
+// every repeats an action at an interval for a number of times.
+func (f *retryFleet) every(interval time.Duration, times int, do func(i int)) {
+	for i := range times {
+		f.at(time.Duration(i)*interval, func() { do(i) })
+	}
+}
+
+func (f *retryFleet) router(name core.HostID, event Event) {
+	r := f.routers[name]
+	if r == nil || f.frozen[name] {
+		return
+	}
+	start := f.starts[name]
+	effects := append([]Effect(nil), r.Step(f.now.Add(-f.suspended[name]), event)...)
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case Dial:
+			f.dial(name, e.Loader)
+		case Hangup:
+			f.loader(e.Loader, loaderside.RouterDown{Router: name})
+		case SendDemand:
+			f.send(name, e.Loader, e.Demand)
+		case RelayDigest:
+			f.send(name, e.Loader, e.Digest)
+		case Send:
+			f.outbox = append(f.outbox, sentRequest{due: f.now.Add(serverLatency), router: name, start: start, send: e})
+		case Forward:
+			f.router(name, Done{Key: e.Key, Attempt: e.Attempt})
+		}
+	}
+}
+
+func (f *retryFleet) dial(name, host core.HostID) {
+	if f.cut[[2]core.HostID{name, host}] {
+		f.dialFailures = append(f.dialFailures, delivery{due: f.now.Add(refusedDialTime), from: host, to: name})
+		return
+	}
+	f.send(name, host, connected{})
+	f.send(host, name, connected{})
+}
+
+// loader makes a step of a loader; its messages go out as in largeFleet.
+func (f *retryFleet) loader(name core.HostID, event loaderside.Event) {
+	f.largeFleet.loader(name, event)
+}
+
+func (f *retryFleet) deliver(d delivery) {
+	if f.cut[[2]core.HostID{d.from, d.to}] || f.frozen[d.to] {
+		return
+	}
+	if f.loaders[d.to] != nil {
+		f.largeFleet.deliver(d)
+		return
+	}
+	if event := routerEvent(d); event != nil {
+		f.router(d.to, event)
+	}
+}
+
+// play advances by a duration.
+func (f *retryFleet) play(d time.Duration) {
+	f.nextArrival = max(f.nextArrival, f.now)
+	for end := f.now.Add(d); f.now < end; {
+		f.now = f.now.Add(time.Millisecond)
+		for len(f.scheduled) > 0 && f.scheduled[0].at <= f.now {
+			action := f.scheduled[0]
+			f.scheduled = f.scheduled[1:]
+			action.do()
+		}
+		for len(f.inFlight) > 0 && f.inFlight[0].due <= f.now {
+			next := f.inFlight[0]
+			f.inFlight = f.inFlight[1:]
+			f.deliver(next)
+		}
+		for len(f.dialFailures) > 0 && f.dialFailures[0].due <= f.now {
+			failed := f.dialFailures[0]
+			f.dialFailures = f.dialFailures[1:]
+			f.router(failed.to, LoaderDown{Loader: failed.from})
+		}
+		f.serve()
+		f.arrive()
+		if f.now%core.Time(tickInterval) == 0 {
+			f.tickAll()
+		}
+	}
+}
+
+func (f *retryFleet) tickAll() {
+	for _, name := range f.names {
+		f.router(name, Tick{})
+	}
+	for _, name := range f.hosts {
+		f.loader(name, loaderside.Tick{})
+	}
+}
+
+// arrive sends the requests of callers to routers that run. A frozen router gets none: its callers
+// have found another one.
+func (f *retryFleet) arrive() {
+	for f.perSecond > 0 && f.nextArrival <= f.now {
+		f.nextArrival = f.nextArrival.Add(time.Duration(f.rand.ExpFloat64() / f.perSecond * float64(time.Second)))
+		name := f.names[f.rand.IntN(len(f.names))]
+		if f.routers[name] == nil || f.frozen[name] {
+			continue
+		}
+		f.nextKey++
+		f.log.requests = append(f.log.requests, f.now)
+		f.router(name, Arrived{Key: f.nextKey, Request: fleet.Request{ID: fmt.Sprint("r", f.nextKey), Host: callersHost, Path: "/again/x"}})
+	}
+}
+
+// serve lets requests arrive at servers and answers them.
+func (f *retryFleet) serve() {
+	due := f.outbox
+	f.outbox = nil
+	var later []sentRequest
+	for _, s := range due {
+		if s.due > f.now {
+			later = append(later, s)
+			continue
+		}
+		if s.answers {
+			f.answer(s)
+			continue
+		}
+		f.arriveAtServer(s)
+	}
+	f.outbox = append(later, f.outbox...)
+}
+
+func (f *retryFleet) arriveAtServer(s sentRequest) {
+	f.log.arrival(f.now, s.send.Key)
+	s.due, s.answers = f.now.Add(serverTime), true
+	f.outbox = append(f.outbox, s)
+}
+
+func (f *retryFleet) answer(s sentRequest) {
+	if f.starts[s.router] != s.start || f.routers[s.router] == nil {
+		return
+	}
+	if f.frozen[s.router] {
+		s.due = f.now.Add(serverTime)
+		f.outbox = append(f.outbox, s)
+		return
+	}
+	status := 200
+	if f.rand.Float64() < f.failing {
+		status = 500
+	}
+	f.router(s.router, Answered{Key: s.send.Key, Attempt: s.send.Attempt, Answer: fleet.Answer{Status: status}})
+}
+
+// checkBound fails the test if the retries of any window exceed the bound.
+func (f *retryFleet) checkBound() retryWindowUse {
+	f.t.Helper()
+	worst := f.log.worst(f.bounds)
+	f.t.Logf("%d requests, %d retries; worst window from %v: %d retries, bound %.0f for %.0f requests",
+		len(f.log.requests), len(f.log.retries), worst.from, worst.retries, worst.bound, worst.requests)
+	if worst.overBy > 0 {
+		f.t.Errorf("%d retries within %v, the bound is %.1f", worst.retries, f.bounds.RetryWindow, worst.bound)
+	}
+	return worst
+}
