Retry budget: count whole windows, and let earned retries expire

Callers' services got more retries than allowed in a steady fleet, and twice the allowed where routers were killed after the first failures.

Cause: the count held 20 buckets with the newest partial, 9.5 to 10 s of 10. And a router could save up the ratio's part for a whole window, spend it at once, be killed, and its successor earned anew within the same window.

Change: package retrybudget. Retries of the slack are counted for a window and a twentieth. Requests earn a part of a retry that expires after a quarter of the window; what they earn is lower than the ratio by that quarter and the delay of arrivals, so that what a process had saved up when it ended is within the bound (TestBoundHoldsInAllWindows: random histories with restarts).

--- a/internal/daemon/retrygauges.go
+++ b/internal/daemon/retrygauges.go
@@ -24,9 +24,9 @@
 
 var allRetryGauges = []retryGauge{
 	newRetryGauge("window_requests", "Requests of this router within the window of the retry budget.",
-		func(s router.RetryBudgetState) float64 { return float64(s.Requests) }),
+		func(s router.RetryBudgetState) float64 { return s.Requests }),
 	newRetryGauge("window_retries", "Retries of this router within the window of the retry budget.",
-		func(s router.RetryBudgetState) float64 { return float64(s.Retries) }),
+		func(s router.RetryBudgetState) float64 { return s.Retries }),
 	newRetryGauge("slack_part", "This router's part of the retries that are allowed beside the ratio.",
 		func(s router.RetryBudgetState) float64 { return s.SlackPart }),
 	newRetryGauge("routers_known", "Routers among which the retry budget is divided, as far as this one knows.",
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -154,7 +154,7 @@
 // accept continues with a request that is within its account's quota.
 func (r *Router) accept(req *request) {
 	service := r.service(req.service)
-	service.budget.request(r.now, r.opts.Bounds.RetryWindow)
+	service.budget.Request(r.now)
 	if req.prompt != nil {
 		req.prefix = work.NewPrefix(req.prompt)
 		service.arrival(r.now, req.prompt)
--- a/internal/router/retries.go
+++ b/internal/router/retries.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"nutmeglane.example/nutmeglane/internal/core"
+	"nutmeglane.example/nutmeglane/internal/fleet"
+	"nutmeglane.example/nutmeglane/internal/retrybudget"
 )
 
 // This file applies this router's part of the budgets of retries.
@@ -28,11 +30,11 @@
 	loggedAt core.Time
 }
 
-// takeRetry takes a retry from the budget of a service, or returns false if it is used up.
+// takeRetry takes a retry from the budget of a service, or returns false if none is left.
 func (r *Router) takeRetry(service string) bool {
-	b, s := r.opts.Bounds, r.service(service)
+	s := r.service(service)
 	outcome := retrySent
-	taken := s.budget.take(r.now, b.RetryWindow, b.RetryRatio, r.retrySlack())
+	taken := s.budget.Take(r.now, r.retrySlack())
 	if !taken {
 		outcome = retryRefused
 	}
@@ -43,13 +45,27 @@
 
 // hasRetry reports whether takeRetry would succeed.
 func (r *Router) hasRetry(service string) bool {
-	b := r.opts.Bounds
-	return r.service(service).budget.has(r.now, b.RetryWindow, b.RetryRatio, r.retrySlack())
+	return r.service(service).budget.Has(r.now, r.retrySlack())
 }
 
 // retrySlack is this router's part of the retries that are allowed beside the ratio.
 func (r *Router) retrySlack() float64 { return r.opts.Bounds.RetrySlack / float64(r.routers()) }
 
+// retryBounds returns the bounds of the budgets of retries.
+func retryBounds(b fleet.Bounds) retrybudget.Bounds {
+	return retrybudget.Bounds{Window: b.RetryWindow, Ratio: b.RetryRatio, Slack: b.RetrySlack}
+}
+
+// setRetryBounds begins all budgets anew if their bounds have changed.
+func (r *Router) setRetryBounds(before, after fleet.Bounds) {
+	if retryBounds(before) == retryBounds(after) {
+		return
+	}
+	for _, s := range r.services {
+		s.budget = retrybudget.New(retryBounds(after))
+	}
+}
+
 // logRetryPart logs changes of this router's part of the budgets.
 func (r *Router) logRetryPart() {
 	p := &r.retryPart
@@ -79,10 +95,8 @@
 // RetryBudgetState is the dump of this router's part of a service's budget of retries.
 type RetryBudgetState struct {
 	Service string
-	// Requests and Retries are those of this router within the budget's window.
-	Requests, Retries int
-	// Sent and Refused are the retries since this process started, RunningFor ago. Its window
-	// holds nothing from before.
+	retrybudget.State
+	// Sent and Refused are the retries since this process started, RunningFor ago.
 	Sent, Refused int
 	RunningFor    time.Duration
 	// SlackPart is this router's part of the retries that are allowed beside the ratio. Routers
@@ -97,9 +111,8 @@
 	var states []RetryBudgetState
 	for _, name := range slices.Sorted(maps.Keys(r.services)) {
 		s := r.services[name]
-		requests, retries := s.budget.used(r.now, r.opts.Bounds.RetryWindow)
 		states = append(states, RetryBudgetState{
-			Service: name, Requests: requests, Retries: retries, Sent: s.retries.sent, Refused: s.retries.refused,
+			Service: name, State: s.budget.Dump(r.now), Sent: s.retries.sent, Refused: s.retries.refused,
 			RunningFor: r.runningFor(), SlackPart: r.retrySlack(), Routers: r.routers(),
 		})
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -13,6 +13,7 @@
 	"nutmeglane.example/nutmeglane/internal/origin"
 	"nutmeglane.example/nutmeglane/internal/poison"
 	"nutmeglane.example/nutmeglane/internal/quota"
+	"nutmeglane.example/nutmeglane/internal/retrybudget"
 	"nutmeglane.example/nutmeglane/internal/work"
 )
 
@@ -137,8 +138,9 @@
 
 // service is the state of one service.
 type service struct {
-	name   string
-	budget budget
+	name string
+	// budget is this router's budget of retries.
+	budget *retrybudget.Budget
 	// retries counts the retries since this process started.
 	retries retryCounts
 	// backoffRetries schedules the retries of callers that were refused because all servers
@@ -320,6 +322,7 @@
 
 // SetBounds replaces the bounds after a change of the settings.
 func (r *Router) SetBounds(bounds fleet.Bounds) {
+	r.setRetryBounds(r.opts.Bounds, bounds)
 	r.opts.Bounds = bounds
 	r.gate.SetBounds(quotaBounds(bounds))
 }
@@ -348,7 +351,7 @@
 func (r *Router) service(name string) *service {
 	s := r.services[name]
 	if s == nil {
-		s = &service{name: name, rates: map[modelKey]*rate{}, speed: newSpeed(), busyUntil: map[string]core.Time{}, models: map[string]*modelEngines{}, needs: map[string]copyNeed{}}
+		s = &service{name: name, budget: retrybudget.New(retryBounds(r.opts.Bounds)), rates: map[modelKey]*rate{}, speed: newSpeed(), busyUntil: map[string]core.Time{}, models: map[string]*modelEngines{}, needs: map[string]copyNeed{}}
 		r.services[name] = s
 	}
 	return s
