Retry budget: a router's part of the slack waits for its time and contact

Callers' services got up to twice the retries allowed where routers were killed or stopped in turn, and four times where they were cut off from loaders as well.

Cause: the slack was divided by the number of routers that loaders had reported so far: 1 until the first report, less when routers ended although what they had sent was still within the window, and late when routers joined. And a process that started had its part at once, whatever the process before it on its host had just sent.

Change: retrybudget.Share. A router uses its part once it has been in contact with more than half of the loaders for 1.5 windows: its last process's retries and those that others sent by larger parts have then left the window. Without contact it uses none: it can't learn of others that start. The number of routers is the largest within 1.5 windows, with the tolerance that loaders do not report. Where there are no loaders, bounds.retryRouters tells the number. New settings apply to what was used, unless the window changes.

What it costs: a router that has just started retries by the ratio of its own requests only, for 15 s.

--- a/internal/core/loading.go
+++ b/internal/core/loading.go
@@ -128,6 +128,14 @@
 	Spare bool `cbor:"6,keyasint,omitempty"`
 }
 
+// RouterCountTolerance is the inverse of the relative change of the number of routers that a loader
+// does not report.
+const RouterCountTolerance = 20
+
+// MaxRouters returns the largest number of routers that may be connected to a loader which reported
+// the given number.
+func MaxRouters(reported int) int { return reported + reported/(RouterCountTolerance-1) }
+
 // Holdings is sent by a loader to routers and describes the state of its engine.
 // Each Holdings replaces the previous one.
 type Holdings struct {
@@ -163,7 +171,7 @@
 	Ended bool `cbor:"17,keyasint,omitempty"`
 	// Coordinator is the router whose permits this loader accepts.
 	Coordinator HostID `cbor:"12,keyasint,omitempty"`
-	// Routers is the number of connected routers.
+	// Routers is the number of connected routers; see MaxRouters.
 	Routers int `cbor:"13,keyasint"`
 	// StoreLoad is the last completed load from the weight store, if any.
 	StoreLoad *StoreLoadResult `cbor:"14,keyasint,omitempty"`
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -137,6 +137,8 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// RetryRouters is the largest number of routers that run, 0 if loaders tell it.
+	RetryRouters int
 	// QuotaWindow, QuotaOver, QuotaSlack: within the window, the cost of an account's
 	// requests that run is at most (its rate x window + burst) x (1 + over) + slack.
 	QuotaWindow time.Duration
--- a/internal/loader/announce.go
+++ b/internal/loader/announce.go
@@ -251,11 +251,7 @@
 // similarCount reports whether two numbers of routers differ by at most a twentieth, which
 // makes no difference to the share that a router computes. Without this tolerance, each of
 // 385 routers that connected was announced to all.
-func similarCount(a, b int) bool { return max(a-b, b-a) <= max(a, b)/countToleranceDivisor }
-
-// countToleranceDivisor is the inverse of the relative change of the number of routers that
-// is not announced.
-const countToleranceDivisor = 20
+func similarCount(a, b int) bool { return max(a-b, b-a) <= max(a, b)/core.RouterCountTolerance }
 
 // sameModels compares models regardless of order. There are only a few, so a search costs
 // less than sorted copies.
--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -58,6 +58,15 @@
 	}
 }
 
+// SetBounds replaces the bounds. With another window the budget begins anew, without credit.
+func (b *Budget) SetBounds(bounds Bounds) {
+	if bounds.Window != b.bounds.Window {
+		*b = *New(bounds)
+		return
+	}
+	b.bounds = bounds
+}
+
 // Request records a request of this router to the service.
 func (b *Budget) Request(now core.Time) {
 	b.recent.Add(now, 1)
--- a/internal/retrybudget/budget_test.go
+++ b/internal/retrybudget/budget_test.go
@@ -165,3 +165,19 @@
 		t.Errorf("%+v", got)
 	}
 }
+
+// Guards against a change of the settings that gives back what was used.
+func TestChangedBounds(t *testing.T) {
+	b, bounds := New(testBounds()), testBounds()
+	takeAll(b, start, 6)
+	bounds.Slack = 8
+	b.SetBounds(bounds)
+	if n := takeAll(b, start, 8); n != 2 {
+		t.Errorf("%d retries after the slack rose from 6 to 8, want 2", n)
+	}
+	bounds.Window *= 2
+	b.SetBounds(bounds)
+	if b.Has(start, 0) {
+		t.Error("credit after a change of the window")
+	}
+}
--- a/internal/retrybudget/doc.go
+++ b/internal/retrybudget/doc.go
@@ -15,5 +15,15 @@
 // as much: over any window, with the quarter before it, the retries are within the ratio for steady
 // traffic.
 //
+// # The slack
+//
+// Each router has an even part of the slack, at any time within a window (Share). It may use the
+// part once it has been in contact with more than half of the loaders for one and a half windows:
+// by then what the process before it sent has left the window, the others know that it is there,
+// and what they sent while their parts were larger has left the window as well. A router that
+// loses contact uses its part no longer, since it can't learn of others that start. The number of
+// routers is the largest one known within one and a half windows, since what routers sent that
+// have ended is still in the window.
+//
 // The package has no I/O and no clock.
 package retrybudget
--- a/internal/router/retries.go
+++ b/internal/router/retries.go
@@ -49,27 +49,51 @@
 }
 
 // retrySlack is this router's part of the retries that are allowed beside the ratio.
-func (r *Router) retrySlack() float64 { return r.opts.Bounds.RetrySlack / float64(r.routers()) }
+func (r *Router) retrySlack() float64 { return r.retryShare.Part(r.now, r.opts.Bounds.RetrySlack) }
+
+// updateRetryShare updates what this router's part follows from.
+func (r *Router) updateRetryShare() {
+	var contact retrybudget.Contact
+	for _, l := range r.sortedLoaders() {
+		if r.engineAt(l) == nil {
+			continue
+		}
+		contact.Listed++
+		if l.holdings == nil {
+			continue
+		}
+		contact.Routers = max(contact.Routers, core.MaxRouters(l.holdings.Routers))
+		if l.up && r.now.Sub(l.lastMessageAt) <= holdingsMaxAge {
+			contact.Reached++
+		}
+	}
+	r.retryShare.Update(r.now, contact)
+	r.logRetryPart()
+}
+
+func (r *Router) newRetryShare(b fleet.Bounds) *retrybudget.Share {
+	return retrybudget.NewShare(r.now, b.RetryWindow, b.RetryRouters)
+}
 
 // retryBounds returns the bounds of the budgets of retries.
 func retryBounds(b fleet.Bounds) retrybudget.Bounds {
 	return retrybudget.Bounds{Window: b.RetryWindow, Ratio: b.RetryRatio, Slack: b.RetrySlack}
 }
 
-// setRetryBounds begins all budgets anew if their bounds have changed.
-func (r *Router) setRetryBounds(before, after fleet.Bounds) {
-	if retryBounds(before) == retryBounds(after) {
-		return
+// setRetryBounds sets the bounds of all budgets. With another window all begin anew.
+func (r *Router) setRetryBounds(b fleet.Bounds) {
+	if r.retryShare != nil {
+		r.retryShare.Set(r.now, b.RetryWindow, b.RetryRouters)
 	}
 	for _, s := range r.services {
-		s.budget = retrybudget.New(retryBounds(after))
+		s.budget.SetBounds(retryBounds(b))
 	}
 }
 
 // logRetryPart logs changes of this router's part of the budgets.
 func (r *Router) logRetryPart() {
 	p := &r.retryPart
-	slack, routers := r.retrySlack(), r.routers()
+	slack, routers := r.retrySlack(), r.retryShare.Routers(r.now)
 	if slack == p.slack && routers == p.routers || p.loggedAt != 0 && r.now.Sub(p.loggedAt) < retryPartLogInterval {
 		return
 	}
@@ -99,8 +123,8 @@
 	// Sent and Refused are the retries since this process started, RunningFor ago.
 	Sent, Refused int
 	RunningFor    time.Duration
-	// SlackPart is this router's part of the retries that are allowed beside the ratio. Routers
-	// is the number of routers that the part follows from.
+	// SlackPart is this router's part of the retries that are allowed beside the ratio, 0 while it
+	// may not use it. Routers is the number of routers that the part follows from, 0 if unknown.
 	SlackPart float64
 	Routers   int
 }
@@ -113,7 +137,7 @@
 		s := r.services[name]
 		states = append(states, RetryBudgetState{
 			Service: name, State: s.budget.Dump(r.now), Sent: s.retries.sent, Refused: s.retries.refused,
-			RunningFor: r.runningFor(), SlackPart: r.retrySlack(), Routers: r.routers(),
+			RunningFor: r.runningFor(), SlackPart: r.retrySlack(), Routers: r.retryShare.Routers(r.now),
 		})
 	}
 	return states
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -125,6 +125,8 @@
 	// origins are the streams that this router began, with their releases.
 	origins *origin.Table
 
+	// retryShare is this router's share of the slack of the budgets of retries.
+	retryShare *retrybudget.Share
 	// retryPart is this router's part of the budgets of retries as last logged.
 	retryPart retryPart
 	// startedAt is when the first step was made.
@@ -208,7 +210,7 @@
 func (r *Router) Step(now core.Time, event Event) []Effect {
 	r.now, r.out = now, r.out[:0]
 	if r.steps == 0 {
-		r.startedAt = now
+		r.startedAt, r.retryShare = now, r.newRetryShare(r.opts.Bounds)
 	}
 	r.steps++
 	switch e := event.(type) {
@@ -322,7 +324,7 @@
 
 // SetBounds replaces the bounds after a change of the settings.
 func (r *Router) SetBounds(bounds fleet.Bounds) {
-	r.setRetryBounds(r.opts.Bounds, bounds)
+	r.setRetryBounds(bounds)
 	r.opts.Bounds = bounds
 	r.gate.SetBounds(quotaBounds(bounds))
 }
@@ -387,7 +389,7 @@
 	r.tickQuotas()
 	r.checkRequests()
 	r.expireBudgets()
-	r.logRetryPart()
+	r.updateRetryShare()
 	r.logLimitedSends()
 	r.tellHarmless()
 	r.findPoison()
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -71,8 +71,8 @@
 }
 
 // RouterBounds are the fields of fleet.Bounds, which documents them. All are required
-// except those of quotas, which a deployment without client accounts does not use. The
-// quota fields default to 0, and QuotaWindow to 10s.
+// except RetryRouters and those of quotas, which a deployment without client accounts does
+// not use. These default to 0, and QuotaWindow to 10s.
 type RouterBounds struct {
 	Drain           time.Duration `json:"drain"`
 	ConfigDelay     time.Duration `json:"configDelay"`
@@ -81,6 +81,7 @@
 	RetryWindow     time.Duration `json:"retryWindow"`
 	StoreLoadWindow time.Duration `json:"storeLoadWindow"`
 	StoreLoadSlack  float64       `json:"storeLoadSlack"`
+	RetryRouters    int           `json:"retryRouters"`
 	QuotaWindow     time.Duration `json:"quotaWindow"`
 	QuotaOver       float64       `json:"quotaOver"`
 	QuotaSlack      float64       `json:"quotaSlack"`
@@ -92,7 +93,7 @@
 	b := r.Bounds
 	return fleet.Bounds{
 		Drain: b.Drain, ConfigDelay: b.ConfigDelay, Grace: r.StopLimit,
-		RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack, RetryWindow: b.RetryWindow,
+		RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack, RetryWindow: b.RetryWindow, RetryRouters: b.RetryRouters,
 		StoreLoadWindow: b.StoreLoadWindow, StoreLoadSlack: b.StoreLoadSlack,
 		QuotaWindow: b.QuotaWindow, QuotaOver: b.QuotaOver, QuotaSlack: b.QuotaSlack, QuotaRouters: b.QuotaRouters,
 	}
@@ -162,6 +163,7 @@
 	c.positive("bounds.storeLoadWindow", b.StoreLoadWindow)
 	c.require(b.RetryRatio >= 0, "bounds.retryRatio", b.RetryRatio, "0 or more")
 	c.require(b.RetrySlack >= 0, "bounds.retrySlack", b.RetrySlack, "0 or more")
+	c.require(b.RetryRouters >= 0, "bounds.retryRouters", b.RetryRouters, "0 or more")
 	c.positive("bounds.quotaWindow", b.QuotaWindow)
 	c.require(b.QuotaOver >= 0, "bounds.quotaOver", b.QuotaOver, "0 or more")
 	c.require(b.QuotaSlack >= 0, "bounds.quotaSlack", b.QuotaSlack, "0 or more")
