--- a/internal/router/retries.go
+++ b/internal/router/retries.go
@@ -51,8 +51,13 @@
 // retrySlack is this router's part of the retries that are allowed beside the ratio.
 func (r *Router) retrySlack() float64 { return r.retryShare.Part(r.now, r.opts.Bounds.RetrySlack) }
 
+// maxNewsWindows is the age, as a part of the window of the retry budgets, up to which a loader's
+// last report shows contact.
+const maxNewsWindows = 0.3
+
 // updateRetryShare updates what this router's part follows from.
 func (r *Router) updateRetryShare() {
+	maxAge := min(holdingsMaxAge, time.Duration(maxNewsWindows*float64(r.opts.Bounds.RetryWindow)))
 	var contact retrybudget.Contact
 	for _, l := range r.sortedLoaders() {
 		if r.engineAt(l) == nil {
@@ -63,7 +68,7 @@
 			continue
 		}
 		contact.Routers = max(contact.Routers, core.MaxRouters(l.holdings.Routers))
-		if l.up && r.now.Sub(l.lastMessageAt) <= holdingsMaxAge {
+		if l.up && r.now.Sub(l.lastMessageAt) <= maxAge {
 			contact.Reached++
 		}
 	}
--- a/internal/router/retrybound_test.go
+++ b/internal/router/retrybound_test.go
@@ -37,6 +37,20 @@
 			f.isolate(name, f.hosts)
 		}
 	}},
+	{name: "contact is lost and comes back", quiet: 20 * time.Second, lasts: 30 * time.Second, perRouter: 2, failing: 0.9, do: func(f *retryFleet) {
+		f.every(2*time.Second, 13, func(i int) {
+			for j, name := range f.names {
+				switch (i + j) % 5 {
+				case 0:
+					f.isolate(name, f.hosts)
+				case 3:
+					f.reconnect(name)
+				case 4:
+					f.restart(name, 300*time.Millisecond)
+				}
+			}
+		})
+	}},
 	{name: "halves of the loaders out of reach", quiet: 20 * time.Second, lasts: 45 * time.Second, perRouter: 1, failing: 0.9, do: splitAndRestart},
 	{name: "most routers leave", routers: 26, quiet: 20 * time.Second, lasts: 30 * time.Second, perRouter: 1, failing: 0.9, do: func(f *retryFleet) {
 		f.at(3*time.Second, func() {
@@ -157,7 +171,7 @@
 			f.perSecond, f.failing = 4*float64(routers), 0.8
 			f.play(100 * time.Second)
 			f.checkBound()
-			if used := f.log.used(f.bounds, f.now, 6); used < 0.75 {
+			if used := f.log.Used(f.now, 6); used < 0.75 {
 				t.Errorf("%.2f of the bound is used in the last six windows", used)
 			}
 		})
--- a/internal/router/retryfleet_test.go
+++ b/internal/router/retryfleet_test.go
@@ -10,6 +10,7 @@
 	"nutmeglane.example/nutmeglane/internal/core"
 	"nutmeglane.example/nutmeglane/internal/fleet"
 	loaderside "nutmeglane.example/nutmeglane/internal/loader"
+	"nutmeglane.example/nutmeglane/internal/retrybudget/retrybudgettest"
 )
 
 // This file plays routers and loaders in virtual time, with servers that fail a part of their
@@ -51,7 +52,7 @@
 	dialFailures []delivery
 	// scheduled are actions of the script, ordered by time.
 	scheduled []scheduledAction
-	log       retryLog
+	log       *retrybudgettest.Log
 }
 
 type sentRequest struct {
@@ -68,72 +69,6 @@
 	do func()
 }
 
-// retryLog records what the bound is judged by.
-type retryLog struct {
-	requests, retries []core.Time
-	arrived           map[Key]bool
-}
-
-func (l *retryLog) arrival(now core.Time, key Key) {
-	if l.arrived[key] {
-		l.retries = append(l.retries, now)
-	}
-	l.arrived[key] = true
-}
-
-// between counts the times in [from, to).
-func between(times []core.Time, from, to core.Time) int {
-	low, _ := slices.BinarySearch(times, from)
-	high, _ := slices.BinarySearch(times, to)
-	return high - low
-}
-
-// retryWindowUse is the use of the bound in one window.
-type retryWindowUse struct {
-	from            core.Time
-	retries         int
-	requests, bound float64
-	overBy          float64
-}
-
-// worst returns the window with the most retries over the bound. The requests of a window are those
-// in it, in the one before it, or in the one half a window before it, whichever has most.
-func (l *retryLog) worst(b fleet.Bounds) retryWindowUse {
-	var worst retryWindowUse
-	found := false
-	look := func(from core.Time) {
-		use := l.use(b, from)
-		if !found || use.overBy > worst.overBy {
-			worst, found = use, true
-		}
-	}
-	for _, at := range l.retries {
-		look(at)
-		look(at.Add(1 - b.RetryWindow))
-	}
-	return worst
-}
-
-func (l *retryLog) use(b fleet.Bounds, from core.Time) retryWindowUse {
-	w := b.RetryWindow
-	requests := 0
-	for _, before := range []time.Duration{0, w / 2, w} {
-		requests = max(requests, between(l.requests, from.Add(-before), from.Add(w-before)))
-	}
-	u := retryWindowUse{from: from, retries: between(l.retries, from, from.Add(w)), requests: float64(requests)}
-	u.bound = b.RetryRatio*u.requests + b.RetrySlack
-	u.overBy = float64(u.retries) - u.bound
-	return u
-}
-
-// used returns the part of the bound that is used in the last windows together. One window alone may
-// lie between two uses of the slack, which are a little more than a window apart.
-func (l *retryLog) used(b fleet.Bounds, now core.Time, windows int) float64 {
-	from := now.Add(-time.Duration(windows) * b.RetryWindow)
-	bound := b.RetryRatio*float64(between(l.requests, from, now)) + float64(windows)*b.RetrySlack
-	return float64(between(l.retries, from, now)) / bound
-}
-
 func newRetryFleet(t *testing.T, routers int, seed uint64) *retryFleet {
 	f := &retryFleet{
 		largeFleet: &largeFleet{
@@ -142,10 +77,11 @@
 		},
 		config: testConfig(), backends: map[string]fleet.Backend{}, bounds: testBounds(), rand: rand.New(rand.NewPCG(seed, seed)),
 		held:   map[core.HostID][]sentRequest{},
-		starts: map[core.HostID]int{}, log: retryLog{arrived: map[Key]bool{}},
+		starts: map[core.HostID]int{},
 	}
 	f.bounds.RetryRouters = 0
 	f.bounds.RetrySlack = max(50, 3*float64(routers))
+	f.log = retrybudgettest.New(retryBounds(f.bounds))
 	for i := range f.config.Routes {
 		f.config.Routes[i].MaxAttempts = maxRetryAttempts
 	}
@@ -362,7 +298,7 @@
 			continue
 		}
 		f.nextKey++
-		f.log.requests = append(f.log.requests, f.now)
+		f.log.Request(f.now)
 		f.router(name, Arrived{Key: f.nextKey, Request: fleet.Request{ID: fmt.Sprint("r", f.nextKey), Host: callersHost, Path: "/again/x"}})
 	}
 }
@@ -387,7 +323,7 @@
 }
 
 func (f *retryFleet) arriveAtServer(s sentRequest) {
-	f.log.arrival(f.now, s.send.Key)
+	f.log.Arrival(f.now, fmt.Sprint(s.send.Key))
 	s.due, s.answers = f.now.Add(serverTime), true
 	f.outbox = append(f.outbox, s)
 }
@@ -409,13 +345,12 @@
 }
 
 // checkBound fails the test if the retries of any window exceed the bound.
-func (f *retryFleet) checkBound() retryWindowUse {
+func (f *retryFleet) checkBound() {
 	f.t.Helper()
-	worst := f.log.worst(f.bounds)
-	f.t.Logf("%d requests, %d retries; worst window from %v: %d retries, bound %.0f for %.0f requests",
-		len(f.log.requests), len(f.log.retries), worst.from, worst.retries, worst.bound, worst.requests)
-	if worst.overBy > 0 {
-		f.t.Errorf("%d retries within %v, the bound is %.1f", worst.retries, f.bounds.RetryWindow, worst.bound)
+	worst := f.log.Worst()
+	requests, retries := f.log.Total()
+	f.t.Logf("%d requests, %d retries; worst window: %v", requests, retries, worst)
+	if worst.Exceeded() {
+		f.t.Errorf("bound exceeded: %v", worst)
 	}
-	return worst
 }
--- a/internal/soak/backend_test.go
+++ b/internal/soak/backend_test.go
@@ -42,6 +42,8 @@
 	answersTwice
 	// breaksOff breaks answers off at any place.
 	breaksOff
+	// failsOften answers 500 after four of five runs.
+	failsOften
 )
 
 // backend is a stand-in for a backend server: it registers itself, runs requests
@@ -226,8 +228,13 @@
 func (b *backend) state() (instance string, m serverFault) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.fault == losesAnswers && rand.IntN(2) == 0 {
+	switch {
+	case b.fault == losesAnswers && rand.IntN(2) == 0:
 		return b.instance, breaksOff
+	case b.fault == failsOften && rand.IntN(5) == 0:
+		return b.instance, noFault
+	case b.fault == failsOften:
+		return b.instance, failsRun
 	}
 	return b.instance, b.fault
 }
@@ -242,6 +249,9 @@
 		refuseRun(w, http.StatusBadRequest)
 		return
 	}
+	if id != "" {
+		b.checker.arrivedAt(b.service, id)
+	}
 	if expected := r.Header.Get("Nutmeglane-Expect-Instance"); expected != "" && expected != instance {
 		refuseRun(w, http.StatusMisdirectedRequest)
 		return
--- a/internal/soak/report_test.go
+++ b/internal/soak/report_test.go
@@ -14,7 +14,7 @@
 // after it, the loader concludes that its order had no effect and repeats it.
 func TestReportOfTheStandInIsOfOneMoment(t *testing.T) {
 	const loads, readers = 20, 32
-	e := &engine{name: "engine", checker: newChecker(), onDisk: []string{"m0"}}
+	e := &engine{name: "engine", checker: newChecker(usualRetries), onDisk: []string{"m0"}}
 	var torn atomic.Bool
 	for range loads {
 		e.restart(firstRelease)
--- a/internal/soak/result_checker_test.go
+++ b/internal/soak/result_checker_test.go
@@ -7,6 +7,10 @@
 	"slices"
 	"sync"
 	"time"
+
+	"nutmeglane.example/nutmeglane/internal/clock"
+	"nutmeglane.example/nutmeglane/internal/retrybudget"
+	"nutmeglane.example/nutmeglane/internal/retrybudget/retrybudgettest"
 )
 
 func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
@@ -54,10 +58,12 @@
 	// announcements checks the requests that reach servers that announced that they want
 	// none.
 	announcements *announcements
+	// retries checks the retries to each service over all routers.
+	retries map[string]*retrybudgettest.Log
 }
 
-func newChecker() *checker {
-	return &checker{asked: map[string]sentRequest{}, sentAt: map[string]time.Time{}, runs: map[string]int{}, continuedRuns: map[string]int{}, copies: newCopies(), notRun: map[string]string{}, completed: map[string]bool{}, served: map[string]int{}, sent: map[string]time.Time{}, limits: newLimits(), announcements: newAnnouncements()}
+func newChecker(retries retrybudget.Bounds) *checker {
+	return &checker{asked: map[string]sentRequest{}, sentAt: map[string]time.Time{}, runs: map[string]int{}, continuedRuns: map[string]int{}, copies: newCopies(), notRun: map[string]string{}, completed: map[string]bool{}, served: map[string]int{}, sent: map[string]time.Time{}, limits: newLimits(), announcements: newAnnouncements(), retries: newRetryLogs(retries)}
 }
 
 func (r *checker) reportViolation(format string, args ...any) {
@@ -70,6 +76,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.asked[id], r.sentAt[id] = a, time.Now()
+	r.retries[a.service()].Request(clock.Now())
 	if a.account == busyAccount {
 		r.sent[id] = time.Now()
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -166,7 +166,14 @@
 // runSeed runs a seed, with more in addition to the callers unless it is nil, and returns the
 // number of tokens that the busy account used in its worst window.
 func runSeed(t *testing.T, seed uint64, more extraLoad) int {
-	w := newWorld(t, seed)
+	t.Helper()
+	return playSeed(newWorld(t, seed), seed, more)
+}
+
+// playSeed is runSeed in a world that has been started.
+func playSeed(w *world, seed uint64, more extraLoad) int {
+	t := w.t
+	t.Helper()
 	defer w.close()
 	onlyPlanned := seed%plannedEvery == 0
 	// A request that crashes servers is an unplanned fault.
@@ -277,11 +284,12 @@
 	t.Helper()
 	broken := w.checker.violations()
 	broken = append(broken, w.unexpectedExits()...)
+	broken = append(broken, w.checker.retryViolations()...)
 	broken = append(broken, w.checker.limits.violations(w.exempt)...)
 	broken = append(broken, w.checker.announcements.violations(w.disturbedBetween)...)
 	served := w.checker.counts()
-	t.Logf("seed %d: %d faults, %d requests, served %v, answers broken off: %d, runs continued from a copy: %d, servers crashed by a poison request: %d, worst window of the busy account: %d of %d",
-		seed, len(f.log), w.checker.requests(), served, w.checker.cutAnswers(), w.checker.copies.count(), w.checker.poisonEnds(), w.checker.busiest(), int(busyBound))
+	t.Logf("seed %d: %d faults, %d requests, served %v, answers broken off: %d, runs continued from a copy: %d, servers crashed by a poison request: %d, worst window of the busy account: %d of %d%s",
+		seed, len(f.log), w.checker.requests(), served, w.checker.cutAnswers(), w.checker.copies.count(), w.checker.poisonEnds(), w.checker.busiest(), int(busyBound), w.checker.retrySummary())
 	if len(broken) == 0 && !*keepLogs {
 		if err := os.RemoveAll(w.dir); err != nil {
 			t.Error(err)
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"nutmeglane.example/nutmeglane/internal/relay"
+	"nutmeglane.example/nutmeglane/internal/retrybudget"
 )
 
 // Size, times and ports of the deployment. It has enough routers and engines to lose
@@ -33,6 +34,8 @@
 
 // world is a running deployment.
 type world struct {
+	// retries is the routers' bound on retries.
+	retries retrybudget.Bounds
 	t       *testing.T
 	dir     string
 	net     string
@@ -53,13 +56,19 @@
 // newWorld starts a deployment. Its network number depends on the seed and the
 // process id, so that two runs on one machine don't share addresses.
 func newWorld(t *testing.T, seed uint64) *world {
+	t.Helper()
+	return newWorldWithBudget(t, seed, usualRetries)
+}
+
+// newWorldWithBudget is newWorld with a bound on retries.
+func newWorldWithBudget(t *testing.T, seed uint64, retries retrybudget.Bounds) *world {
 	t.Helper()
 	dir, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
 	if err != nil {
 		t.Fatal(err)
 	}
 	w := &world{
-		t: t, dir: dir, checker: newChecker(), store: newStore(), links: map[string]*relay.Relay{},
+		t: t, dir: dir, checker: newChecker(retries), retries: retries, store: newStore(), links: map[string]*relay.Relay{},
 		net: fmt.Sprintf("127.%d.%d", 20+os.Getpid()%200, 3*(seed%80)),
 	}
 	w.configure()
@@ -140,12 +149,12 @@
 		"role": "router", "host": "router%d", "address": "%s", "zone": "z%d", "callers": "%s:%d",
 		"readiness": "%s:%d", "operators": "%s:%d", "loaderPort": %d, "store": "%s:%d", "stopLimit": "%s",
 		"bounds": {
-			"drain": "%s", "configDelay": "2s", "retryRatio": 0.2, "retrySlack": 30, "retryWindow": "10s",
+			"drain": "%s", "configDelay": "2s", "retryRatio": %g, "retrySlack": %g, "retryWindow": "%s",
 			"storeLoadWindow": "5s", "storeLoadSlack": 1.1,
 			"quotaWindow": "%s", "quotaOver": %g, "quotaSlack": %d,
 		},
 		"crowding": { "fromPause": "%s", "budget": true, "runCopies": true },
-	}`, i, host, i%2, host, callersPort, host, readyPort, host, operatorsPort, loaderPort, host, storePort, stopLimit, drain, quotaWindow, quotaOver, quotaSlack, copiesFrom)))
+	}`, i, host, i%2, host, callersPort, host, readyPort, host, operatorsPort, loaderPort, host, storePort, stopLimit, drain, w.retries.Ratio, w.retries.Slack, w.retries.Window, quotaWindow, quotaOver, quotaSlack, copiesFrom)))
 }
 
 func (w *world) startProcess(role, name, text string) *process {
