Shares of limits and connections follow the routers known lately

Same cause as the retry budget: a number of routers that is not yet, or no longer, the right one. 26 routers that had just started and reached no loader sent 279 requests within a second to a cold server that tolerates 26: each took the whole rate for itself, as it knew of no other. After a restart of the loaders the share of a server's connections rose from a twentieth to all.

Change: a limit that no loader counts is divided by the largest number known within 1.5 windows of the retry budget, and by more than any fleet has while no loader has told one; without loaders as before. The share of connections takes the largest known lately too; before a loader has told, it stays as it was: a router opens a connection only for a request that it has.

--- a/internal/router/loaders.go
+++ b/internal/router/loaders.go
@@ -267,8 +267,25 @@
 // Routers returns the number of routers, including this one, as far as known.
 func (r *Router) Routers() int { return r.routers() }
 
-// routers returns the number of routers that share bounds, as far as known. The result is
-// cached within a step.
+// assumedRouters is the number of routers that a router assumes while it reaches no loader that
+// could tell it: more than the largest fleet has.
+const assumedRouters = 512
+
+// sharers returns the number of routers among which the limit of a server is divided while no
+// loader counts: the largest known lately, since a router that has ended may have sent its part,
+// and a restarted loader counts only those that have connected to it.
+func (r *Router) sharers() int {
+	if known := r.retryShare.Routers(r.now); known > 0 {
+		return known
+	}
+	if len(r.loaders) > 0 {
+		return assumedRouters
+	}
+	return r.routers()
+}
+
+// routers returns the number of routers, as far as known: 1 before a loader has reported it. It is
+// for estimates; for bounds over all routers see sharers. The result is cached within a step.
 func (r *Router) routers() int {
 	if r.routersStep == r.steps && r.knownRouters > 0 {
 		return r.knownRouters
--- a/internal/router/permit.go
+++ b/internal/router/permit.go
@@ -38,7 +38,7 @@
 	case limiting != nil && gate.NeedsPermit(r.now):
 		r.requestPermit(req, b, limiting, spare)
 		return false
-	case gate.TakeTurn(r.now, r.routers()):
+	case gate.TakeTurn(r.now, r.sharers()):
 		gate.RecordSent(r.now)
 		r.countPermit(b, "own part")
 		return true
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -318,7 +318,8 @@
 	if s := r.config.Services[service]; s != nil {
 		all = s.MaxConns
 	}
-	return max(minConns, all/r.routers())
+	// Before a loader has reported, the requests that arrive here bound the connections.
+	return max(minConns, all/max(r.routers(), r.retryShare.Routers(r.now)))
 }
 
 // release ends the current attempt at its server.
