A new coordinator counts the store loads that others have permitted

When it ended, the next one, or its own next process, permitted as many again: three processes within a window began 70 loads where 27 are allowed. And a load that began later than it was permitted counted in the earlier window.

Change: each router counts the loads from the store that loaders report to have begun, whoever permitted them; a permitted load moves to the time at which it begins. A process that starts counts all that run as just begun.

Both tests fail on the code before (70 of 27; 27 more are permitted within the window).

--- a/internal/router/background_test.go
+++ b/internal/router/background_test.go
@@ -20,7 +20,7 @@
 			w.reportHoldings(0, core.Holdings{Instance: "s0", Models: loadedModels("m1")})
 			w.reportHoldings(1, core.Holdings{Instance: "s1", Models: loadedModels("m2")})
 			s := w.router.service(engineService)
-			s.store.expire(w.now)
+			s.store.expire(w.now, testBounds())
 			w.router.startBackground(s, w.router.backends["s1"], testConfig().Services[engineService].Engine.Models["m5"], true)
 			w.step(Tick{})
 			if !wantsModel(w.demands[loaderName(1)], "m5") {
--- a/internal/router/coordinate.go
+++ b/internal/router/coordinate.go
@@ -52,8 +52,8 @@
 	// recountAt.
 	active, waiting int
 	recountAt       core.Time
-	// starts holds the times of granted permits within the ceiling's window.
-	starts []core.Time
+	// starts are the loads from the store that may have begun within the ceiling's window.
+	starts []storeStart
 	// granted holds the permits by engine and model, with the time until which they are
 	// repeated.
 	granted map[grantKey]core.Time
@@ -61,6 +61,14 @@
 	planned map[grantKey]plannedLoad
 }
 
+// storeStart is a load from the weight store that began, or was permitted, at a time.
+type storeStart struct {
+	grantKey
+	at core.Time
+	// seen is set once its loader has reported that it has begun.
+	seen bool
+}
+
 // plannedLoad is a load that is requested for a limited time.
 type plannedLoad struct {
 	since, until core.Time
@@ -95,7 +103,24 @@
 // loads that nobody waited for took 30 to 41 s each while callers of a busy model were refused.
 func (r *Router) learnStoreLoad(b *backend, l *loader) {
 	r.learnStoreLimit(b, l)
+	before := l.storeLoad.model
 	l.storeLoad = r.observeStoreLoad(b, l)
+	if model := l.storeLoad.model; model != "" && model != before {
+		r.service(b.Service).store.loadBegan(r.now, grantKey{l.name, model})
+	}
+}
+
+// loadBegan records that a load from the store has begun, whoever permitted it.
+//
+// It guards against more loads than the ceiling allows when a coordinator ends and another one,
+// which has permitted none, takes its place, and when loads begin later than they were permitted.
+func (s *storeState) loadBegan(now core.Time, key grantKey) {
+	permitted := slices.IndexFunc(s.starts, func(start storeStart) bool { return start.grantKey == key && !start.seen })
+	if permitted < 0 {
+		s.starts = append(s.starts, storeStart{grantKey: key, at: now, seen: true})
+		return
+	}
+	s.starts[permitted].at, s.starts[permitted].seen = now, true
 }
 
 // observedStoreLoad is a load from the weight store that an engine executes.
@@ -242,7 +267,7 @@
 			continue
 		}
 		s := r.services[name]
-		s.store.expire(r.now)
+		s.store.expire(r.now, r.opts.Bounds)
 		if !r.coordinatesAny(name) {
 			continue
 		}
@@ -253,7 +278,8 @@
 	}
 }
 
-func (s *storeState) expire(now core.Time) {
+func (s *storeState) expire(now core.Time, bounds fleet.Bounds) {
+	s.starts = slices.DeleteFunc(s.starts, func(start storeStart) bool { return now.Sub(start.at) > bounds.StoreLoadWindow })
 	if s.granted == nil {
 		s.granted, s.planned = map[grantKey]core.Time{}, map[grantKey]plannedLoad{}
 	}
@@ -293,7 +319,7 @@
 		if !planner.mayBegin(p, active) {
 			continue
 		}
-		if !s.store.takeStoreLoad(r.now, engine, r.opts.Bounds) {
+		if !s.store.takeStoreLoad(r.now, grantKey{p.loader.name, p.model.Name}, engine, r.opts.Bounds) {
 			return
 		}
 		active++
@@ -320,17 +346,17 @@
 
 // takeStoreLoad records the start of a load, or returns false if the ceiling on loads
 // within its window is reached.
-func (s *storeState) takeStoreLoad(now core.Time, engine *fleet.Engine, bounds fleet.Bounds) bool {
-	if s.storeLoadsLeft(now, engine, bounds) <= 0 {
+func (s *storeState) takeStoreLoad(now core.Time, key grantKey, engine *fleet.Engine, bounds fleet.Bounds) bool {
+	if s.storeLoadsLeft(engine, bounds) <= 0 {
 		return false
 	}
-	s.starts = append(s.starts, now)
+	s.starts = append(s.starts, storeStart{grantKey: key, at: now})
 	return true
 }
 
-// storeLoadsLeft returns how many loads may start now by the ceiling within its window.
-func (s *storeState) storeLoadsLeft(now core.Time, engine *fleet.Engine, bounds fleet.Bounds) int {
-	s.starts = slices.DeleteFunc(s.starts, func(at core.Time) bool { return now.Sub(at) > bounds.StoreLoadWindow })
+// storeLoadsLeft returns how many loads may start now by the ceiling within its window. Those that
+// have left the window must have been removed, see expire.
+func (s *storeState) storeLoadsLeft(engine *fleet.Engine, bounds fleet.Bounds) int {
 	if engine.StoreLoadsPerSecond <= 0 {
 		return math.MaxInt
 	}
--- a/internal/router/coordinate_test.go
+++ b/internal/router/coordinate_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -144,3 +145,95 @@
 		}
 	}
 }
+
+// grantedLoads returns the engines that may load from the store.
+func (w *fixture) grantedLoads() []int {
+	var granted []int
+	for i := range w.demands {
+		if len(w.demands[i].Permits) > 0 {
+			granted = append(granted, w.loaderIndex(i))
+		}
+	}
+	slices.Sort(granted)
+	return granted
+}
+
+// loaderIndex returns the number of a loader's engine.
+func (w *fixture) loaderIndex(name core.HostID) int {
+	for i := range ceilingEngines {
+		if loaderName(i) == name {
+			return i
+		}
+	}
+	w.t.Fatalf("no loader %s", name)
+	return 0
+}
+
+// ceilingEngines is the number of engines that wait for loads, more than may begin within the
+// ceiling's window.
+const ceilingEngines = 70
+
+// Guards against more loads than the ceiling on the weight store allows when the coordinator
+// restarts, or another router takes its place: the one before has granted as many as there may be,
+// and the new one has granted none.
+func TestNewCoordinatorKeepsTheCeilingOfStoreLoads(t *testing.T) {
+	waits := []core.HeldModel{{Name: "m1", State: core.HoldPermit, ReadyIn: 6 * time.Second, Waiting: 1}}
+	loads := []core.HeldModel{{Name: "m1", State: core.HoldStoreLoading, ReadyIn: 6 * time.Second}}
+	begun := map[int]bool{}
+	coordinate := func() {
+		w := newFixture(t)
+		w.servers(engineService, ceilingEngines)
+		w.router.services[engineService].store.limit = ceilingEngines
+		for i := range ceilingEngines {
+			models := waits
+			if begun[i] {
+				models = loads
+			}
+			w.reportHoldings(i, core.Holdings{Models: models})
+		}
+		w.run(planInterval + tickInterval)
+		for _, i := range w.grantedLoads() {
+			begun[i] = true
+		}
+	}
+	for range 3 {
+		coordinate()
+	}
+	b := testBounds()
+	most := int(5 * b.StoreLoadWindow.Seconds() * b.StoreLoadSlack)
+	if len(begun) > most || len(begun) < most {
+		t.Errorf("%d loads begin within the window, want %d", len(begun), most)
+	}
+}
+
+// Guards against loads that begin later than they were permitted, together with those that are
+// permitted in the next window.
+func TestLateLoadsCountWhenTheyBegin(t *testing.T) {
+	w := newFixture(t)
+	w.servers(engineService, ceilingEngines)
+	s := w.router.services[engineService]
+	s.store.limit = ceilingEngines
+	waits := []core.HeldModel{{Name: "m1", State: core.HoldPermit, ReadyIn: 6 * time.Second, Waiting: 1}}
+	for i := range ceilingEngines {
+		w.reportHoldings(i, core.Holdings{Models: waits})
+	}
+	w.run(planInterval + tickInterval)
+	early := w.grantedLoads()
+	w.run(2 * time.Second)
+	for _, i := range early {
+		w.reportHoldings(i, core.Holdings{Models: []core.HeldModel{{Name: "m1", State: core.HoldStoreLoading, ReadyIn: 6 * time.Second}}})
+	}
+	beganAt := w.now
+	for w.now < beganAt.Add(testBounds().StoreLoadWindow-tickInterval) {
+		for i := range ceilingEngines {
+			if !slices.Contains(early, i) {
+				w.reportHoldings(i, core.Holdings{Models: waits})
+			}
+		}
+		w.run(tickInterval)
+	}
+	isEarly := func(i int) bool { return slices.Contains(early, i) }
+	if late := slices.DeleteFunc(w.grantedLoads(), isEarly); len(late) > 0 {
+		t.Errorf("%d loads are permitted while %d have begun within the window", len(late), len(early))
+	}
+}
--- a/internal/router/copyplan_bench_test.go
+++ b/internal/router/copyplan_bench_test.go
@@ -15,7 +15,7 @@
 			r := w.router
 			r.SetCrowding(CrowdingOptions{FromPause: 400 * time.Millisecond, CopyPlan: true})
 			s := r.services[engineService]
-			s.store.expire(r.now)
+			s.store.expire(r.now, testBounds())
 			planner := r.copyPlanner(s, r.engine(engineService))
 			for b.Loop() {
 				r.now = r.now.Add(planInterval)
--- a/internal/router/copyplan_test.go
+++ b/internal/router/copyplan_test.go
@@ -76,7 +76,7 @@
 			f.engines[3].held = []core.HeldModel{{Name: "m1", State: core.HoldPermit}}
 			f.begin(f.engines[2], "m2", true)
 			store := &f.routers[0].router.services[engineService].store
-			store.expire(f.now)
+			store.expire(f.now, testBounds())
 			store.limit = 1
 			store.planned[grantKey{loaderName(3), "m1"}] = plannedLoad{since: f.now, until: f.now.Add(time.Minute), spread: true, store: true}
 			f.connect()
@@ -394,7 +394,7 @@
 	f.steady("m1", 25)
 	w := f.routers[0]
 	w.router.services[engineService].store.limit = 1
-	w.router.services[engineService].store.starts = slices.Repeat([]core.Time{f.now}, 100)
+	w.router.services[engineService].store.starts = slices.Repeat([]storeStart{{at: f.now}}, 100)
 	f.connect()
 	f.run(2 * planInterval)
 	e := f.engines[0]
--- a/internal/router/copysnapshot.go
+++ b/internal/router/copysnapshot.go
@@ -44,7 +44,7 @@
 	active, waiting := r.storeLoads(s.name)
 	return copyplan.Store{
 		Active: active, Waiting: waiting, Limit: s.storeLimit(),
-		LoadsLeft: s.store.storeLoadsLeft(r.now, engine, r.opts.Bounds),
+		LoadsLeft: s.store.storeLoadsLeft(engine, r.opts.Bounds),
 	}
 }
 
