--- a/internal/retrybudget/budget_test.go
+++ b/internal/retrybudget/budget_test.go
@@ -181,3 +181,14 @@
 		t.Error("credit after a change of the window")
 	}
 }
+
+// BenchmarkRequestAndTake measures what a request with a retry costs, which must take under 1 us.
+func BenchmarkRequestAndTake(b *testing.B) {
+	b.ReportAllocs()
+	budget, now := New(testBounds()), start
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		budget.Request(now)
+		budget.Take(now, 6)
+	}
+}
--- a/internal/router/retrybound_test.go
+++ b/internal/router/retrybound_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -9,6 +10,9 @@
 	loaderside "nutmeglane.example/nutmeglane/internal/loader"
 )
 
+// retrySeeds is how many seeds each history is played with.
+var retrySeeds = flag.Uint64("retryseeds", 1, "how many seeds TestRetriesKeepToTheBoundOverAllRouters plays")
+
 // retryScript is a history of a fleet whose servers fail.
 type retryScript struct {
 	name string
@@ -72,6 +76,14 @@
 			}
 		})
 	}},
+	{name: "traffic jumps, falls, and all are killed", quiet: 20 * time.Second, lasts: 30 * time.Second, perRouter: 1, failing: 0.9, do: func(f *retryFleet) {
+		usual := f.perSecond
+		f.every(7*time.Second, 4, func(int) {
+			f.perSecond = 20 * usual
+			f.at(3*time.Second, func() { f.perSecond = usual / 4 })
+			f.at(4*time.Second, func() { f.restartAll(300 * time.Millisecond) })
+		})
+	}},
 	{name: "loaders restart", quiet: 20 * time.Second, lasts: 30 * time.Second, perRouter: 1, failing: 0.9, do: func(f *retryFleet) {
 		f.every(time.Second, 25, func(i int) { f.restartLoader(f.hosts[i%len(f.hosts)]) })
 		f.every(5*time.Second, 5, func(int) {
@@ -143,10 +155,12 @@
 			sizes = []int{script.routers}
 		}
 		for _, routers := range sizes {
-			t.Run(fmt.Sprintf("%s, %d routers", script.name, routers), func(t *testing.T) {
-				t.Parallel()
-				script.play(t, routers, 1).checkBound()
-			})
+			for seed := range *retrySeeds {
+				t.Run(fmt.Sprintf("%s, %d routers, seed %d", script.name, routers, seed+1), func(t *testing.T) {
+					t.Parallel()
+					script.play(t, routers, seed+1).checkBound()
+				})
+			}
 		}
 	}
 }
@@ -177,3 +191,18 @@
 		})
 	}
 }
+
+// BenchmarkUpdateRetryShare measures a router's update of its share with 470 loaders, which it
+// makes 20 times a second.
+func BenchmarkUpdateRetryShare(b *testing.B) {
+	w := newFixture(b)
+	const loaders = 470
+	w.servers(engineService, loaders)
+	for i := range loaders {
+		w.reportHoldings(i, core.Holdings{Models: loadedModels("m1")})
+	}
+	for b.Loop() {
+		w.router.out = w.router.out[:0]
+		w.router.updateRetryShare()
+	}
+}
