--- a/internal/router/retrybound_test.go
+++ b/internal/router/retrybound_test.go
@@ -84,6 +84,16 @@
 			f.at(4*time.Second, func() { f.restartAll(300 * time.Millisecond) })
 		})
 	}},
+	{name: "links delay", quiet: 20 * time.Second, lasts: 25 * time.Second, perRouter: 4, failing: 0.6, do: func(f *retryFleet) {
+		f.every(3*time.Second, 8, func(i int) {
+			for j, name := range f.names {
+				f.slowLinks[name] = 0
+				if j%2 == i%2 {
+					f.slowLinks[name] = 480 * time.Millisecond
+				}
+			}
+		})
+	}},
 	{name: "loaders restart", quiet: 20 * time.Second, lasts: 30 * time.Second, perRouter: 1, failing: 0.9, do: func(f *retryFleet) {
 		f.every(time.Second, 25, func(i int) { f.restartLoader(f.hosts[i%len(f.hosts)]) })
 		f.every(5*time.Second, 5, func(int) {
--- a/internal/router/retryfleet_test.go
+++ b/internal/router/retryfleet_test.go
@@ -45,6 +45,8 @@
 	nextKey            Key
 	// held are the requests that frozen routers have decided to send and that arrive once they wake.
 	held map[core.HostID][]sentRequest
+	// slowLinks are the longest times that the links of routers delay what they send.
+	slowLinks map[core.HostID]time.Duration
 	// starts numbers the processes of each host.
 	starts map[core.HostID]int
 	outbox []sentRequest
@@ -77,7 +79,7 @@
 		},
 		config: testConfig(), backends: map[string]fleet.Backend{}, bounds: testBounds(), rand: rand.New(rand.NewPCG(seed, seed)),
 		held:   map[core.HostID][]sentRequest{},
-		starts: map[core.HostID]int{},
+		starts: map[core.HostID]int{}, slowLinks: map[core.HostID]time.Duration{},
 	}
 	f.bounds.RetryRouters = 0
 	f.bounds.RetrySlack = max(50, 3*float64(routers))
@@ -217,13 +219,18 @@
 		case RelayDigest:
 			f.send(name, e.Loader, e.Digest)
 		case Send:
-			f.outbox = append(f.outbox, sentRequest{due: f.now.Add(serverLatency), router: name, start: start, send: e})
+			f.outbox = append(f.outbox, sentRequest{due: f.now.Add(serverLatency + f.delay(name)), router: name, start: start, send: e})
 		case Forward:
 			f.router(name, Done{Key: e.Key, Attempt: e.Attempt})
 		}
 	}
 }
 
+// delay draws how long the link of a router delays a request.
+func (f *retryFleet) delay(name core.HostID) time.Duration {
+	return time.Duration(f.rand.Float64() * float64(f.slowLinks[name]))
+}
+
 func (f *retryFleet) dial(name, host core.HostID) {
 	if f.cut[[2]core.HostID{name, host}] {
 		f.dialFailures = append(f.dialFailures, delivery{due: f.now.Add(refusedDialTime), from: host, to: name})
