--- a/internal/router/sharers_test.go
+++ b/internal/router/sharers_test.go
@@ -78,3 +78,26 @@
 		t.Errorf("share of %d connections, then %d", before, after)
 	}
 }
+
+// Guards against parts of the retry budget that grow for routers that a loader counted before it
+// was cut off, and that may still serve on its side of the cut.
+func TestRoutersCountedByALostLoaderCount(t *testing.T) {
+	w := newFixture(t)
+	w.servers(engineService, 3)
+	report := func(loader, routers int) {
+		w.step(LoaderReported{Loader: loaderName(loader), Holdings: core.Holdings{Routers: routers}})
+	}
+	for i := range 3 {
+		w.step(LoaderUp{Loader: loaderName(i)})
+		report(i, 20)
+	}
+	w.step(LoaderDown{Loader: loaderName(2)})
+	for range 60 {
+		report(0, 4)
+		report(1, 4)
+		w.run(time.Second)
+	}
+	if part, want := w.router.retrySlack(), testBounds().RetrySlack/21; part != want {
+		t.Errorf("a part of %v, want %v", part, want)
+	}
+}
