Router tests: one queue of deliveries, one fixture, no wrapper

The loop that takes what is due from a queue of deliveries stood in three simulated fleets, five times; takeDue serves them. A fixture was put together by hand beside newFixture; newFixtureOf serves both. retryFleet.loader only called the method that it embeds.

--- a/internal/router/budget_fleet_test.go
+++ b/internal/router/budget_fleet_test.go
@@ -262,14 +262,10 @@
 	f.arrival = max(f.arrival, f.now)
 	for end := f.now.Add(d); f.now < end; {
 		f.now = f.now.Add(messageTime)
-		for len(f.inFlight) > 0 && f.inFlight[0].due <= f.now {
-			next := f.inFlight[0]
-			f.inFlight = f.inFlight[1:]
+		for _, next := range takeDue(&f.inFlight, f.now) {
 			f.deliver(next)
 		}
-		for len(f.failedDials) > 0 && f.failedDials[0].due <= f.now {
-			failed := f.failedDials[0]
-			f.failedDials = f.failedDials[1:]
+		for _, failed := range takeDue(&f.failedDials, f.now) {
 			f.router(failed.to, LoaderDown{Loader: failed.from})
 		}
 		f.arrive(perSecond)
--- a/internal/router/digest_test.go
+++ b/internal/router/digest_test.go
@@ -153,12 +153,21 @@
 	return nil
 }
 
+// takeDue removes from a queue, which is in the order of time, what is due, and returns it.
+func takeDue(queue *[]delivery, now core.Time) []delivery {
+	all := *queue
+	n := 0
+	for n < len(all) && all[n].due <= now {
+		n++
+	}
+	*queue = all[n:]
+	return all[:n]
+}
+
 func (f *largeFleet) run(d time.Duration) {
 	for end := f.now.Add(d); f.now < end; {
 		f.now = f.now.Add(messageTime)
-		for len(f.inFlight) > 0 && f.inFlight[0].due <= f.now {
-			d := f.inFlight[0]
-			f.inFlight = f.inFlight[1:]
+		for _, d := range takeDue(&f.inFlight, f.now) {
 			f.deliver(d)
 		}
 		if f.now%core.Time(tickInterval) == 0 {
--- a/internal/router/fixture_test.go
+++ b/internal/router/fixture_test.go
@@ -99,16 +99,20 @@
 }
 
 func newFixture(t testing.TB) *fixture {
-	w := &fixture{
-		t: t, now: core.Time(time.Hour),
-		router: New(Options{Host: "10.0.0.1", Zone: "a", LoaderPort: 7000, Bounds: testBounds(), Seed: 1}),
-		sends:  map[Key][]Send{}, finishes: map[Key]Finish{}, demands: map[core.HostID]core.Demand{}, counts: map[core.Counter]float64{}, abandons: map[Key]int{},
-	}
+	w := newFixtureOf(t, Options{Host: "10.0.0.1", Zone: "a", LoaderPort: 7000, Bounds: testBounds(), Seed: 1})
 	w.start(w.router)
 	w.step(ConfigRead{Config: testConfig()})
 	return w
 }
 
+// newFixtureOf returns a fixture whose router has not made a step.
+func newFixtureOf(t testing.TB, options Options) *fixture {
+	return &fixture{
+		t: t, now: core.Time(time.Hour), router: New(options),
+		sends: map[Key][]Send{}, finishes: map[Key]Finish{}, demands: map[core.HostID]core.Demand{}, counts: map[core.Counter]float64{}, abandons: map[Key]int{},
+	}
+}
+
 // runningFor is for how long the router of a fixture has run: what it may do does not depend on what
 // the process before it did.
 const runningFor = time.Minute
--- a/internal/router/retryfleet_test.go
+++ b/internal/router/retryfleet_test.go
@@ -240,11 +240,6 @@
 	f.send(host, name, connected{})
 }
 
-// loader makes a step of a loader; its messages go out as in largeFleet.
-func (f *retryFleet) loader(name core.HostID, event loaderside.Event) {
-	f.largeFleet.loader(name, event)
-}
-
 func (f *retryFleet) deliver(d delivery) {
 	if f.cut[[2]core.HostID{d.from, d.to}] || f.frozen[d.to] {
 		return
@@ -268,14 +263,10 @@
 			f.scheduled = f.scheduled[1:]
 			action.do()
 		}
-		for len(f.inFlight) > 0 && f.inFlight[0].due <= f.now {
-			next := f.inFlight[0]
-			f.inFlight = f.inFlight[1:]
+		for _, next := range takeDue(&f.inFlight, f.now) {
 			f.deliver(next)
 		}
-		for len(f.dialFailures) > 0 && f.dialFailures[0].due <= f.now {
-			failed := f.dialFailures[0]
-			f.dialFailures = f.dialFailures[1:]
+		for _, failed := range takeDue(&f.dialFailures, f.now) {
 			f.router(failed.to, LoaderDown{Loader: failed.from})
 		}
 		f.serve()
--- a/internal/router/sharers_test.go
+++ b/internal/router/sharers_test.go
@@ -20,13 +20,9 @@
 // restartedCutOff returns a router that has just started, that reaches no loader, and whose only
 // server of the plain service is cold.
 func restartedCutOff(t *testing.T, i int) *fixture {
-	w := &fixture{
-		t: t, now: core.Time(time.Hour), sends: map[Key][]Send{}, finishes: map[Key]Finish{}, demands: map[core.HostID]core.Demand{},
-		abandons: map[Key]int{},
-	}
 	bounds := testBounds()
 	bounds.RetryRouters = 0
-	w.router = New(Options{Host: core.HostID(fmt.Sprintf("10.0.0.%d", i)), Zone: "a", LoaderPort: 7000, Bounds: bounds, Seed: uint64(i)})
+	w := newFixtureOf(t, Options{Host: core.HostID(fmt.Sprintf("10.0.0.%d", i)), Zone: "a", LoaderPort: 7000, Bounds: bounds, Seed: uint64(i)})
 	config := testConfig()
 	config.Services[plainService].ColdPerSecond = coldPerSecond
 	w.step(ConfigRead{Config: config})
