Logs and metrics of answers that are not whole

The record of an answer that was not whole around SIGTERM did not tell which attempt had ended how, what the caller had been given, or how the end related to the stop. A loader's line on the end of a router's connection was the same for a planned stop and a crash.

The line on the end of a request that was sent now names its stage, each attempt and its end, events and bytes given, the age of the last byte of a server, and the time since the stop began and until the deadline; a counter groups these ends. No decision on a request changes.

--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -38,6 +38,8 @@
 	stopDelay = 2500 * time.Millisecond
 	// stopReserve is the part of the stop limit that is reserved for closing.
 	stopReserve = 400 * time.Millisecond
+	// closeLinksTimeout limits closing the connections to loaders, within stopReserve.
+	closeLinksTimeout = 100 * time.Millisecond
 	// defaultHeaderBytes, defaultHeaderTimeout and defaultIdleTimeout apply until
 	// a configuration is known.
 	defaultHeaderBytes   = 16 << 10
@@ -202,9 +204,18 @@
 		p.log.Warn("requests aborted at the end of the stop limit", "requests", p.gateway.ActiveRequests(), "error", err.Error())
 	}
 	_ = p.callers.Close()
+	p.closeLinks()
 	return nil
 }
 
+// closeLinks ends the connections to loaders with the code of a planned stop, which tells it from a
+// crash in their logs.
+func (p *routerProcess) closeLinks() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeLinksTimeout)
+	defer cancel()
+	_ = p.links.Close(ctx) // what has not ended by then is closed by the end of the process
+}
+
 func (p *routerProcess) reload(file string) error {
 	s, err := settings.LoadRouter(file)
 	if err != nil {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -98,14 +98,31 @@
 	case "request served":
 		return s.servedCause(&last)
 	case "caller left":
-		return fmt.Sprintf("the caller left after %s%s", last.stringField("took"), s.permitRefusals("it was refused a permit")+s.loadsMeanwhile())
+		return fmt.Sprintf("the caller left after %s%s%s", last.stringField("took"), last.given(), s.permitRefusals("it was refused a permit")+s.loadsMeanwhile())
 	case "request ended without a server's answer":
-		return fmt.Sprintf("ended with %s after %s: %s%s%s", last.stringField("name"), last.stringField("took"), last.stringField("reason"), s.permitRefusals("it was refused a permit")+s.failedAttempts(), s.loadsMeanwhile())
+		return fmt.Sprintf("ended with %s after %s: %s%s%s%s", last.stringField("name"), last.stringField("took"), last.stringField("reason"), last.given(), s.permitRefusals("it was refused a permit")+s.failedAttempts(), s.loadsMeanwhile())
 	default:
 		return fmt.Sprintf("no end was logged; the last line is %q%s", last.Message, s.failedAttempts())
 	}
 }
 
+// given describes what the caller had been given, and the process's state, when its request ended
+// without a whole answer; "" if it had not been sent to a server.
+func (l *Line) given() string {
+	stage := l.stringField("stage")
+	if stage == "" {
+		return ""
+	}
+	text := fmt.Sprintf(" (%s, events given: %v", stage, l.Fields["events"])
+	if silent := l.stringField("silent_for"); silent != "" {
+		text += fmt.Sprintf(", the last byte of a server %s before", silent)
+	}
+	if since := l.stringField("since_stop"); since != "" {
+		text += fmt.Sprintf(", the process stopping for %s", since)
+	}
+	return text + ")"
+}
+
 // servedCause describes where the time until the first event was spent.
 func (s *Explanation) servedCause(last *Line) string {
 	first, waited := last.durationField("first"), last.durationField("waited")
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -114,6 +114,7 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "read answer")
 		}
+		c.progress.received()
 		if response.StatusCode < 200 {
 			continue
 		}
@@ -228,6 +229,7 @@
 // Reported as a failure of the attempt, it would count as a failure of the server, and a
 // resumable stream would be sent to another server without anyone to receive it.
 func (c *call) writeToCaller(data []byte) {
+	c.progress.gave(len(data))
 	if _, err := c.writer.Write(data); err != nil {
 		c.abortCallerGone()
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -49,6 +49,8 @@
 	writer  http.ResponseWriter
 	answer  *answer
 	started bool
+	// progress is what the caller was given, for logs.
+	progress progress
 	// position is the position after the last event that was forwarded. Further attempts
 	// resume there.
 	position sse.Position
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -150,7 +150,11 @@
 	if e.About == router.SingleRequest {
 		logger = g.opts.Requests
 	}
-	logger.LogAttrs(context.Background(), slog.LevelInfo, e.Message, e.Attrs...)
+	attrs := e.Attrs
+	if c := g.calls[e.Of]; c != nil {
+		attrs = append(attrs, c.progress.attrs()...)
+	}
+	logger.LogAttrs(context.Background(), slog.LevelInfo, e.Message, attrs...)
 }
 
 // Stop makes the gateway close callers' connections after their next response.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -60,6 +60,9 @@
 	defer stall.Stop()
 	for {
 		n, err := a.response.Body.Read(chunk)
+		if n > 0 {
+			c.progress.received()
+		}
 		if c.isAbandoned(a.attempt) {
 			return false
 		}
@@ -97,6 +100,7 @@
 	if a.timing.events == 0 && s.Events() > 0 {
 		c.gateway.Step(router.FirstEvent{Key: c.key, Attempt: a.attempt})
 	}
+	events := s.Events() - a.timing.events
 	a.timing.add(s.Events(), time.Now())
 	if a.timing.events == 0 {
 		a.heldBlocks = append(a.heldBlocks, blocks...)
@@ -110,6 +114,7 @@
 		return
 	}
 	a.streamBegan = true
+	c.progress.gaveEvents(events)
 	if err := http.NewResponseController(c.writer).Flush(); err != nil {
 		c.abortCallerGone()
 	}
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -28,7 +28,7 @@
 		return
 	}
 	b := req.backend
-	r.release(req)
+	r.release(req, e.Failure.attemptEnd())
 	// Guards against ejecting a server because of this router's own connection limit: the
 	// server serves its other requests, and the rest of the load would fall on fewer
 	// servers.
@@ -95,7 +95,7 @@
 	case e.Answer.NotRun:
 		r.rejected(req, e)
 	case e.Answer.Status >= 500 && r.mayRetry(req):
-		r.release(req)
+		r.release(req, endedServerError)
 		b.failureRate += (1 - b.failureRate) * smoothing
 		req.arrivals++
 		req.mayHaveRun = true
@@ -130,7 +130,7 @@
 // rejected handles a server's response that it did not run the request.
 func (r *Router) rejected(req *request, e Answered) {
 	b := req.backend
-	r.release(req)
+	r.release(req, endedRefused)
 	req.arrivals++
 	// With a backoff the server states for how long it fails; a guess from its failures
 	// would outlast that.
@@ -232,7 +232,7 @@
 		})
 	}
 	r.lived(req)
-	r.release(req)
+	r.release(req, endedWhole)
 	r.answeredWhole(req)
 	r.endContinuation(req, continuedWhole)
 	delete(r.requests, req.key)
--- a/internal/router/effect.go
+++ b/internal/router/effect.go
@@ -112,6 +112,9 @@
 	About   Subject
 	Message string
 	Attrs   []slog.Attr
+	// Of, if not 0, is the request that the line is about, whose progress is added: what its caller
+	// was given, and when its server last sent a byte.
+	Of Key
 }
 
 // Count adds to a counter, Observe to a histogram.
--- a/internal/router/ending.go
+++ b/internal/router/ending.go
@@ -20,11 +20,11 @@
 		r.dropHeld(key)
 		return
 	}
-	attrs := req.cancelAttrs(r.now)
+	stage, mayHaveRun, attrs := req.stage(), req.mayHaveRun || req.backend != nil, req.cancelAttrs(r.now)
 	if req.backend != nil {
 		r.emit(Abandon{Key: key, Attempt: req.number})
 	}
-	r.release(req)
+	r.release(req, leftByCaller)
 	r.leaveWait(req)
 	if req.sends == 0 {
 		r.refundQuota(req)
@@ -33,7 +33,10 @@
 	r.endContinuation(req, callerLeftIt)
 	delete(r.requests, key)
 	r.emit(Count{core.Count{Name: metricRequests, Labels: []string{req.service, code.Cancelled.String()}, Add: 1}})
-	r.log(SingleRequest, "caller left", attrs...)
+	if mayHaveRun {
+		r.countIncomplete(req, code.Cancelled)
+	}
+	r.logUnserved(req, "caller left", append(attrs, attrPairs(r.endAttrs(req, stage))...))
 }
 
 // cancelAttrs are log attributes that show why a caller may have cancelled: where its request
@@ -78,8 +81,9 @@
 }
 
 func (r *Router) finish(req *request, c code.Code, retryAfter time.Duration, reason string) {
+	stage := req.stage()
 	r.leaveWait(req)
-	r.release(req)
+	r.release(req, leftByRouter)
 	if c.NotRun() {
 		r.refundQuota(req)
 	}
@@ -88,8 +92,11 @@
 	delete(r.requests, req.key)
 	r.emit(Finish{Key: req.key, Code: c, RetryAfter: retryAfter, Reason: reason})
 	r.emit(Count{core.Count{Name: metricRequests, Labels: []string{req.service, c.String()}, Add: 1}})
-	r.log(SingleRequest, "request ended without a server's answer", req.attrs("code", int(c), "name", c.String(),
-		"reason", reason, "retry_after", retryAfter.String(), "took", r.now.Sub(req.arrived).String())...)
+	if req.mayHaveRun {
+		r.countIncomplete(req, c)
+	}
+	r.logUnserved(req, "request ended without a server's answer", req.attrs(append([]any{"code", int(c), "name", c.String(),
+		"reason", reason, "retry_after", retryAfter.String(), "took", r.now.Sub(req.arrived).String()}, r.endAttrs(req, stage)...)...))
 }
 
 // checkRequests ends requests whose deadline has passed and tries those on another server
@@ -219,7 +226,7 @@
 func (r *Router) hedge(req *request) {
 	b := req.backend
 	r.emit(Abandon{Key: req.key, Attempt: req.number})
-	r.release(req)
+	r.release(req, leftSilent)
 	r.recordFailure(b, NoAnswer, "no answer in time")
 	r.log(SingleRequest, "no answer in time; trying another server", req.attrs("instance", b.Instance,
 		"waited", r.now.Sub(req.attempt.at).String(), "predicted", req.attempt.forecast.first.String(),
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -23,6 +23,7 @@
 	metricResumptions   core.Counter = "router_stream_resumptions_total"
 	metricContinuations core.Counter = "router_run_continuations_total"
 	metricAnswerEnds    core.Counter = "router_answer_ends_total"
+	metricIncomplete    core.Counter = "router_incomplete_answers_total"
 	metricFirstByte     core.Counter = "router_first_byte_seconds"
 	metricPlannedLoads  core.Counter = "router_planned_loads_total"
 )
@@ -47,6 +48,7 @@
 	{Name: metricResumptions, Help: "Streams that broke off after an event, by service and whether a server of the same release could resume them.", Labels: []string{"service", "outcome"}},
 	{Name: metricContinuations, Help: "Running requests with a copy of their memory that were lost at their engine, by service and outcome of the continuation or why there was none.", Labels: []string{"service", "outcome"}},
 	{Name: metricAnswerEnds, Help: "Answers of backend servers that ended, by service, how they mark their end, how it came, whether bytes followed the last complete event of a stream, and what callers were given.", Labels: []string{"service", "framing", "end", "leftover", "outcome"}},
+	{Name: metricIncomplete, Help: "Requests that a server may have run and whose caller got no whole answer, by service, result code and how their last attempt ended.", Labels: []string{"service", "code", "last"}},
 	{Name: metricPlannedLoads, Help: "Loads that the copy plan ordered, by service, the tier of the copy that is loaded (memory, disk, store) and the reason.", Labels: []string{"service", "tier", "reason"}},
 	{Name: metricColdStart, Help: "Time from a request's arrival to its first event, of requests that waited for a load, by where the nearest copy lay.", Labels: []string{"tier"}},
 	{Name: metricFirstByte, Help: "Time from sending a request to its first byte or event, by service.", Labels: []string{"service"}},
--- a/internal/router/release.go
+++ b/internal/router/release.go
@@ -49,7 +49,7 @@
 	r.emit(Abandon{Key: req.key, Attempt: req.number})
 	r.log(SingleRequest, "server restarted with another release; its answer is left", req.attrs("instance", req.backend.Instance,
 		"release", req.release.String(), "now", req.backend.Release.String())...)
-	r.release(req)
+	r.release(req, leftOtherRelease)
 	req.arrivals++
 	req.mayHaveRun = true
 	r.retry(req, "its server restarted with another release")
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -109,6 +109,8 @@
 	// continuation is set once the request was lost at its engine and continues at another one,
 	// which holds a copy of its memory.
 	continuation *continuation
+	// past are the attempts that have ended, in order.
+	past []pastAttempt
 	// cold is where the nearest copy of the model was when the request began to wait:
 	// memory, disk, store, or adapter. It is "" if the request did not wait.
 	cold string
@@ -327,11 +329,12 @@
 }
 
 // release ends the current attempt at its server.
-func (r *Router) release(req *request) {
+func (r *Router) release(req *request, end attemptEnd) {
 	b := req.backend
 	if b == nil {
 		return
 	}
+	r.recordAttempt(req, end)
 	delete(b.sent, req.key)
 	req.attempt.copy.count(-1)
 	b.queue.Remove(r.now, uint64(req.key))
@@ -366,8 +369,14 @@
 			attrs = append(attrs, slog.String("adapter", req.prompt.Adapter))
 		}
 	}
-	for i := 0; i+1 < len(more); i += 2 {
-		attrs = append(attrs, slog.Any(more[i].(string), more[i+1]))
+	return append(attrs, attrPairs(more)...)
+}
+
+// attrPairs returns log attributes from names, each followed by its value.
+func attrPairs(pairs []any) []slog.Attr {
+	var attrs []slog.Attr
+	for i := 0; i+1 < len(pairs); i += 2 {
+		attrs = append(attrs, slog.Any(pairs[i].(string), pairs[i+1]))
 	}
 	return attrs
 }
--- a/internal/router/restart.go
+++ b/internal/router/restart.go
@@ -83,7 +83,7 @@
 		return
 	}
 	r.emit(Abandon{Key: key, Attempt: req.number})
-	r.release(req)
+	r.release(req, leftRestarted)
 	req.arrivals++
 	req.mayHaveRun = true
 	r.log(SingleRequest, "attempt failed", req.attrs("instance", b.Instance, "attempt", req.number,
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -133,9 +133,11 @@
 	startedAt core.Time
 
 	// stopAt is when the process ends, Never unless it is stopping.
-	stopAt   core.Time
-	nextTick core.Time
-	nextPlan core.Time
+	stopAt core.Time
+	// stoppingSince is when the process began to stop, 0 before.
+	stoppingSince core.Time
+	nextTick      core.Time
+	nextPlan      core.Time
 }
 
 // service is the state of one service.
--- a/internal/router/runcopy.go
+++ b/internal/router/runcopy.go
@@ -269,7 +269,7 @@
 		return
 	}
 	r.emit(Abandon{Key: req.key, Attempt: req.number})
-	r.release(req)
+	r.release(req, leftEnded)
 	req.arrivals++
 	req.mayHaveRun = true
 	r.continueRun(req, b, r.now, "")
@@ -280,7 +280,11 @@
 // whatever the engine of the copy says.
 func (r *Router) answeredContinuation(req *request, e Answered) {
 	b, outcome := req.backend, continuationFailed
-	r.release(req)
+	end := endedServerError
+	if e.Answer.NotRun {
+		end = endedRefused
+	}
+	r.release(req, end)
 	req.arrivals++
 	switch {
 	case e.Answer.NotRun || e.Answer.Status == statusUnavailable:
--- a/internal/router/stop.go
+++ b/internal/router/stop.go
@@ -17,7 +17,7 @@
 // stop begins the shutdown of the process, by the end of which each request must have its
 // answer.
 func (r *Router) stop(until core.Time) {
-	r.stopAt = until
+	r.stopAt, r.stoppingSince = until, r.now
 	r.gate.SetLeaving()
 	r.checkRequests()
 	r.recheckAllWaits()
--- a/internal/wire/node.go
+++ b/internal/wire/node.go
@@ -230,11 +230,11 @@
 		return
 	}
 	n.remove(l.peer)
-	n.opts.Log.Info("connection down", "peer", l.peer, "cause", cause)
+	planned := websocket.CloseStatus(cause) == websocket.StatusServiceRestart
+	n.opts.Log.Info("connection down", "peer", l.peer, "incarnation", uint64(l.incarnation), "planned", planned, "cause", cause)
 	if h := n.pending[l.peer]; n.closed || h != nil && h.address != "" {
 		return
 	}
-	planned := websocket.CloseStatus(cause) == websocket.StatusServiceRestart
 	n.post(core.PeerDown{Peer: l.peer, Planned: planned})
 }
 
