Gateway: failing test of a stream whose server is silent for a moment

Callers see a stream cut in its middle. The router leaves a server that has sent no event for a second, and sends the stream to another one; if that refuses, fails, resets, breaks off or is silent, the stream is cut although the first server would have completed it. No stop of a process is needed.

--- /dev/null
+++ b/internal/gateway/silent_test.go
@@ -0,0 +1,94 @@
+package gateway
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+)
+
+// silentServers are two servers, the first of which to get a request is silent in the middle of its
+// stream until the other one has got the request, and then completes the stream.
+type silentServers struct {
+	requests atomic.Int32
+	// next is closed once the second server has done what it does.
+	next chan struct{}
+	once sync.Once
+	// answer is what the second server does with the request.
+	answer func(conn net.Conn)
+}
+
+func (s *silentServers) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	readRequest(conn)
+	if s.requests.Add(1) > 1 {
+		s.answer(conn)
+		return
+	}
+	_, _ = io.WriteString(conn, answerHead("r1", streamHead)+chunk(event(1))+chunk(event(2)))
+	<-s.next
+	_, _ = io.WriteString(conn, chunk(event(3))+chunk(event(4))+"0\r\n\r\n")
+}
+
+func (s *silentServers) passed() { s.once.Do(func() { close(s.next) }) }
+
+// Guards against a stream that is cut because its server was silent for a moment: the router leaves
+// that server for one that refuses the stream, fails or is silent as well.
+func TestSilentServerIsNotLeftForOneWithoutAnAnswer(t *testing.T) {
+	refusal := strings.Replace(answerHead("r1", "Nutmeglane-Not-Executed: 1\r\nContent-Length: 0\r\n"), "200 OK", "503 Unavailable", 1)
+	failure := strings.Replace(answerHead("r1", "Content-Length: 0\r\n"), "200 OK", "500 Failed", 1)
+	others := map[string]func(conn net.Conn){
+		"refuses": func(conn net.Conn) { _, _ = io.WriteString(conn, refusal) },
+		"fails":   func(conn net.Conn) { _, _ = io.WriteString(conn, failure) },
+		"resets":  func(conn net.Conn) { _ = conn.(*net.TCPConn).SetLinger(0) },
+		"answers with its head, then breaks off": func(conn net.Conn) {
+			_, _ = io.WriteString(conn, answerHead("r1", streamHead))
+		},
+	}
+	for name, answer := range others {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			servers := &silentServers{next: make(chan struct{})}
+			servers.answer = func(conn net.Conn) {
+				answer(conn)
+				_ = conn.Close()
+				servers.passed()
+			}
+			s := newFixture(t, servers.serve, servers.serve)
+			s.expectWhole()
+		})
+	}
+	t.Run("is silent", func(t *testing.T) {
+		t.Parallel()
+		servers := &silentServers{next: make(chan struct{})}
+		servers.answer = func(conn net.Conn) {
+			servers.passed()
+			_, _ = io.Copy(io.Discard, conn) // until the router closes the connection
+		}
+		s := newFixture(t, servers.serve, servers.serve)
+		s.expectWhole()
+	})
+}
+
+// expectWhole calls the resumable route and expects all four events.
+func (s *fixture) expectWhole() {
+	s.t.Helper()
+	status, body, err := s.call(http.MethodPost, "/stream/x", "r1")
+	if want := event(1) + event(2) + event(3) + event(4); status != 200 || body != want || err != nil {
+		s.t.Errorf("status %d, %v, body %q, want %q", status, err, body, want)
+	}
+}
+
+// Guards against a stream that stays at a server that hangs for good, and against events that come
+// twice or are missing when another one takes it up.
+func TestHangingServerLosesItsStream(t *testing.T) {
+	servers := &silentServers{next: make(chan struct{})}
+	t.Cleanup(servers.passed)
+	servers.answer = func(conn net.Conn) {
+		_, _ = io.WriteString(conn, answerHead("r1", streamHead)+chunk(event(3))+chunk(event(4))+"0\r\n\r\n")
+	}
+	newFixture(t, servers.serve, servers.serve).expectWhole()
+}
