Router: hedge a silent stream instead of leaving its server

Callers saw streams cut in their middle although their server completed them: after 1.2 s without an event the router abandoned the attempt and sent the stream elsewhere, and if the next server refused it, failed or was silent, no attempt was left. A process that waits for a processor is silent for as long. The stop of a router only makes it count.

Cause: an answer under way was given up for one that was not there yet.

The reducer decides: what brings the next event first goes on, the other attempt is abandoned in the same step. The gateway reads the hedge up to its first event and gives nothing; an event of a stalled stream is told to the reducer (Resumed) before it is forwarded, so that both continue at the same position. If the first server breaks off, the hedge is the next attempt. Two servers work on a stream for 300 ms at most, below the 400 ms of the platform's rule on two runs; an engine whose first event is predicted later than that is not asked until it has room.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -72,6 +72,12 @@
 		return
 	}
 	a.requestSent = sent == nil
+	if c.isHedge {
+		if err := c.awaitEvent(a); err != nil {
+			c.reportBroken(a, err)
+			return
+		}
+	}
 	if !a.stream {
 		if err := a.bufferBody(); err != nil {
 			c.reportBroken(a, err)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -45,6 +45,17 @@
 	conn      *upstream
 	abandoned int
 	completed int
+	// hedge is the second attempt of the request, nil without one. stalledAt is the position at
+	// which the stream was last reported as stalled, where a hedge resumes it.
+	hedge     *hedge
+	stalledAt sse.Position
+	// isHedge is set for the call that runs a hedge.
+	isHedge bool
+
+	// stallMu makes a report of a stall and the forwarding of an event exclude each other: stalled
+	// is set from such a report until the next event, forwarding while an event is forwarded.
+	stallMu             sync.Mutex
+	stalled, forwarding bool
 
 	writer  http.ResponseWriter
 	answer  *answer
@@ -72,6 +83,7 @@
 	c := g.register(r, body)
 	c.info, c.writer = info, w
 	defer g.unregister(c)
+	defer c.abortHedge()
 	stop := context.AfterFunc(r.Context(), func() { g.Step(router.CallerLeft{Key: c.key}) })
 	defer stop()
 	g.Step(router.Arrived{Key: c.key, Request: info})
@@ -122,6 +134,7 @@
 		c.discardAnswer()
 		c.attempt(d)
 	case router.Forward:
+		c.takeHedge(d.Attempt)
 		if c.answer != nil && c.answer.attempt == d.Attempt {
 			return c.relay(c.answer)
 		}
@@ -282,6 +295,11 @@
 func (c *call) abandon(attempt int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.hedge != nil && c.hedge.attempt == attempt {
+		c.hedge.call.abandon(attempt)
+		c.hedge = nil
+		return
+	}
 	c.abandoned = max(c.abandoned, attempt)
 	if c.conn != nil {
 		c.conn.abort()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -73,6 +73,10 @@
 func (g *Gateway) do(effect router.Effect) {
 	switch e := effect.(type) {
 	case router.Send:
+		if c := g.calls[e.Key]; c != nil && e.Hedge {
+			c.startHedge(e)
+			return
+		}
 		g.deliver(e.Key, e)
 	case router.Forward:
 		g.deliver(e.Key, e)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -110,6 +110,8 @@
 		blocks = append(a.heldBlocks, blocks...)
 		a.heldBlocks = nil
 	}
+	c.beginForwarding(a)
+	defer c.endForwarding()
 	if !c.give(a, c.streamPart(a, blocks)) {
 		return
 	}
@@ -133,9 +135,7 @@
 // newStallTimer returns a stopped timer that reports to the reducer that no event has arrived
 // for too long.
 func (c *call) newStallTimer(a *answer) *time.Timer {
-	timer := time.AfterFunc(time.Hour, func() {
-		c.gateway.Step(router.Stalled{Key: c.key, Attempt: a.attempt})
-	})
+	timer := time.AfterFunc(time.Hour, func() { c.reportStall(a) })
 	timer.Stop()
 	return timer
 }
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -23,6 +23,10 @@
 }
 
 func (r *Router) attemptFailed(e AttemptFailed) {
+	if req := r.hedged(e.Key, e.Attempt); req != nil {
+		r.hedgeFailed(req, e)
+		return
+	}
 	req := r.current(e.Key, e.Attempt)
 	if req == nil {
 		return
@@ -40,7 +44,7 @@
 	}
 	r.log(SingleRequest, "attempt failed", req.attrs(append([]any{"instance", b.Instance, "attempt", e.Attempt,
 		"failure", e.Failure.String(), "cause", e.Cause, "fingerprint", req.fingerprint.String(), "parts", partNames(req.prompt)}, e.End.logAttrs()...)...)...)
-	r.noteConnection(b, req, e)
+	r.noteConnection(b, req, req.attempt, e)
 	if req.continuation != nil {
 		r.continuationBroke(req, e)
 		return
@@ -77,6 +81,9 @@
 }
 
 func (r *Router) answered(e Answered) {
+	if req := r.hedged(e.Key, e.Attempt); req != nil && !r.hedgeAnswered(req, e) {
+		return
+	}
 	req := r.current(e.Key, e.Attempt)
 	if req == nil {
 		return
@@ -232,13 +239,14 @@
 		})
 	}
 	r.lived(req)
+	r.dropHedge(req, leftSlower)
 	r.release(req, endedWhole)
 	r.answeredWhole(req)
 	r.endContinuation(req, continuedWhole)
 	delete(r.requests, req.key)
 	r.emit(Count{core.Count{Name: metricRequests, Labels: []string{req.service, code.OK.String()}, Add: 1}})
 	r.countAnswerEnd(req.service, e.End, givenWhole)
-	r.log(SingleRequest, "request served", req.attrs(append([]any{"instance", b.Instance, "release", req.attempt.release.String(), "attempts", req.number,
+	r.log(SingleRequest, "request served", req.attrs(append([]any{"instance", b.Instance, "release", req.attempt.release.String(), "attempts", req.numbered,
 		"waited", req.waited.String(), "cold", req.cold, "predicted", req.attempt.forecast.first.String(),
 		"ahead", req.attempt.forecast.ahead.String(), "first", req.first.String(), "took", r.now.Sub(req.arrived).String(),
 		"given", e.Given.String()}, e.End.logAttrs()...)...)...)
--- a/internal/router/effect.go
+++ b/internal/router/effect.go
@@ -32,6 +32,8 @@
 	Account string
 	// HideCredentials removes the caller's credentials from the request.
 	HideCredentials bool
+	// Hedge is set for an attempt that is made beside the current one, which continues.
+	Hedge bool
 	// CopyTo is the address of the engine to which the request's KV memory is copied while it
 	// runs, "" for none.
 	CopyTo string
--- a/internal/router/ending.go
+++ b/internal/router/ending.go
@@ -24,6 +24,7 @@
 	if req.backend != nil {
 		r.emit(Abandon{Key: key, Attempt: req.number})
 	}
+	r.dropHedge(req, leftByCaller)
 	r.release(req, leftByCaller)
 	r.leaveWait(req)
 	if req.sends == 0 {
@@ -42,7 +43,7 @@
 // cancelAttrs are log attributes that show why a caller may have cancelled: where its request
 // was, for how long, and what had been predicted.
 func (req *request) cancelAttrs(now core.Time) []slog.Attr {
-	more := []any{"forwarded", req.forwarded, "took", now.Sub(req.arrived).String(), "attempts", req.number, "first", req.first.String()}
+	more := []any{"forwarded", req.forwarded, "took", now.Sub(req.arrived).String(), "attempts", req.numbered, "first", req.first.String()}
 	if req.backend != nil {
 		more = append(more, "instance", req.backend.Instance, "sent_ago", now.Sub(req.attempt.at).String(),
 			"predicted", req.attempt.forecast.first.String(), "ahead", req.attempt.forecast.ahead.String())
@@ -83,6 +84,7 @@
 func (r *Router) finish(req *request, c code.Code, retryAfter time.Duration, reason string) {
 	stage := req.stage()
 	r.leaveWait(req)
+	r.dropHedge(req, leftByRouter)
 	r.release(req, leftByRouter)
 	if c.NotRun() {
 		r.refundQuota(req)
@@ -127,8 +129,12 @@
 			r.timeOut(req)
 		case req.backend != nil && r.runEnded(req):
 			r.leaveEnded(req)
+		case req.hedge != nil && r.now.Sub(req.hedge.attempt.at) >= hedgeOverlap:
+			r.hedgeLate(req)
+		case req.silent && req.backend != nil:
+			r.tryHedge(req)
 		case req.backend != nil && r.overdue(req):
-			r.hedge(req)
+			r.moveAway(req)
 		}
 	}
 }
@@ -199,31 +205,8 @@
 	return r.bestLoaded(req) != nil
 }
 
-// freeElsewhere reports whether another server can serve the request and takes requests without a
-// permit. One with a budget may refuse the request, which has left its server by then.
-func (r *Router) freeElsewhere(req *request) bool {
-	if req.prompt == nil || r.engine(req.service) == nil {
-		return slices.ContainsFunc(r.serversOf(req.service), func(b *backend) bool {
-			return r.eligible(b, req) && r.hasRoomFor(b, req) && b.limit.gate.Budget() == 0
-		})
-	}
-	best := r.bestLoaded(req)
-	return best != nil && best.backend.limit.gate.Budget() == 0
-}
-
-// stalled moves a stream whose server has become silent to another server that can serve it: one
-// that has its model loaded, if it needs one. Without such a server the stream continues to wait: a
-// server under load may be silent for seconds and still complete the answer.
-func (r *Router) stalled(e Stalled) {
-	req := r.current(e.Key, e.Attempt)
-	if req == nil || !req.route.Repeatable() || req.sends >= req.route.MaxAttempts || !r.mayLeave(req) || !r.freeElsewhere(req) {
-		return
-	}
-	r.hedge(req)
-}
-
-// hedge abandons the current attempt and tries another server.
-func (r *Router) hedge(req *request) {
+// moveAway abandons the current attempt, whose answer has not begun, and tries another server.
+func (r *Router) moveAway(req *request) {
 	b := req.backend
 	r.emit(Abandon{Key: req.key, Attempt: req.number})
 	r.release(req, leftSilent)
--- a/internal/router/enginebudget_test.go
+++ b/internal/router/enginebudget_test.go
@@ -413,6 +413,10 @@
 		w.reportHoldings(1, core.Holdings{Models: loadedModels("m1")})
 		w.router.backends["s1"].limit.gate.UpdateBudget(w.now, budget, limit.BudgetLife)
 		w.step(Stalled{Key: key, Attempt: 1})
+		if sent := len(w.sends[key]) == 2; sent != (budget == 0) {
+			t.Errorf("budget %v: sent to the other engine %t", budget, sent)
+		}
+		w.step(Answered{Key: key, Attempt: 2, Answer: fleet.Answer{Status: 200}})
 		if moved := w.abandons[key] == 1; moved != (budget == 0) {
 			t.Errorf("budget %v: moved %t", budget, moved)
 		}
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -188,7 +188,15 @@
 	Attempt int
 }
 
-// Answered delivers the head of an answer. Forward, Send or Finish follows.
+// Resumed reports that the next event of a stream that was reported as stalled is about to be
+// forwarded. It is forwarded only if Abandon does not follow or precede for this attempt.
+type Resumed struct {
+	Key     Key
+	Attempt int
+}
+
+// Answered delivers the head of an answer, of a hedge's stream once its first event was read.
+// Forward, Send or Finish follows, or Abandon for a hedge.
 type Answered struct {
 	Key     Key
 	Attempt int
@@ -272,6 +280,7 @@
 func (Arrived) event()              {}
 func (AttemptFailed) event()        {}
 func (Stalled) event()              {}
+func (Resumed) event()              {}
 func (Answered) event()             {}
 func (ServerAnnounced) event()      {}
 func (DrainingReported) event()     {}
--- a/internal/router/forecast.go
+++ b/internal/router/forecast.go
@@ -82,10 +82,9 @@
 }
 
 // promptSent records that a generation was sent to an engine.
-func (r *Router) promptSent(req *request) {
-	b, f := req.backend, req.attempt.forecast
+func (r *Router) promptSent(req *request, b *backend, f forecast) {
 	b.queue.Send(r.now, uint64(req.key), f.reading, f.first)
-	r.recordUnread(b, req)
+	r.recordUnread(b, req, f.unread)
 	b.cache.Add(req.prefix)
 }
 
--- /dev/null
+++ b/internal/router/hedge.go
@@ -0,0 +1,195 @@
+package router
+
+import (
+	"time"
+
+	"nutmeglane.example/nutmeglane/internal/fleet"
+)
+
+// This file hedges streams whose server has become silent: a second attempt is made at another
+// server while the first one stays. What brings the next event first goes on, and the other one is
+// dropped.
+//
+// It guards against an answer that is given up for one that is not there yet: a server whose process
+// waits for a processor is silent for seconds and then completes the stream, while the next server
+// may refuse it, fail or be silent too. A server that hangs still loses the stream at once.
+
+// hedgeOverlap is how long two servers may work on a stream. It is below the 400 ms after which two
+// runs of a request at once break a rule of the platform, by a tick and a round trip.
+const hedgeOverlap = 300 * time.Millisecond
+
+// hedge is a second attempt of a request.
+type hedge struct {
+	number  int
+	backend *backend
+	attempt *attempt
+}
+
+// hedged returns the request whose hedge has a number, nil if there is none.
+func (r *Router) hedged(key Key, number int) *request {
+	req := r.requests[key]
+	if req == nil || req.hedge == nil || req.hedge.number != number {
+		return nil
+	}
+	return req
+}
+
+// stalled hedges a stream whose server has become silent, now or as soon as another server can take
+// it.
+func (r *Router) stalled(e Stalled) {
+	req := r.current(e.Key, e.Attempt)
+	if req == nil || !req.route.Repeatable() {
+		return
+	}
+	req.silent = true
+	r.tryHedge(req)
+}
+
+// resumed drops the hedge of a stream whose first server continues.
+func (r *Router) resumed(e Resumed) {
+	req := r.current(e.Key, e.Attempt)
+	if req == nil {
+		return
+	}
+	req.silent = false
+	if req.hedge != nil {
+		r.log(SingleRequest, "server continues; the other one is dropped", req.attrs("instance", req.backend.Instance,
+			"other", req.hedge.backend.Instance)...)
+		r.dropHedge(req, leftSlower)
+	}
+}
+
+// tryHedge begins a second attempt of a silent stream if there is a server for it.
+func (r *Router) tryHedge(req *request) {
+	if req.hedge != nil || req.sends >= req.route.MaxAttempts || !r.mayLeave(req) {
+		return
+	}
+	if _, poison := r.poisonIn(req); poison {
+		return
+	}
+	c := r.hedgeTarget(req)
+	if c == nil || !r.endsInTime(req, c.forecast.ahead) || !r.takeRetry(req.service) {
+		return
+	}
+	b := c.backend
+	b.limit.gate.RecordIntent(r.now)
+	b.limit.gate.RecordSent(r.now)
+	req.sends++
+	h := &hedge{backend: b}
+	h.number, h.attempt = r.begin(req, c)
+	req.hedge = h
+	send := r.sendEffect(req, h.number, b, h.attempt)
+	send.Hedge = true
+	r.emit(send)
+	r.log(SingleRequest, "server is silent; the stream is sent to another one as well", req.attrs("instance", req.backend.Instance,
+		"other", b.Instance, "attempt", h.number, "sent_ago", r.now.Sub(req.attempt.at).String(), "predicted", c.forecast.first.String())...)
+}
+
+// hedgeTarget returns the server for the second attempt of a stream, nil if there is none: one that
+// has its model loaded, if it needs one, that takes requests without a permit, and whose first event
+// is predicted within hedgeOverlap.
+func (r *Router) hedgeTarget(req *request) *choice {
+	var c *choice
+	if req.prompt == nil || r.engine(req.service) == nil {
+		c = r.choose(req, r.withRoom(r.candidatesOf(req, r.serversOf(req.service))))
+	} else {
+		c = r.bestLoaded(req)
+	}
+	if c == nil || c.forecast.first > hedgeOverlap || c.backend.limited() || r.exclusion(c.backend) != notExcluded {
+		return nil
+	}
+	return c
+}
+
+// hedgeAnswered handles the answer of a hedge. It reports whether the hedge is now the current
+// attempt, whose answer is to be handled like any other.
+func (r *Router) hedgeAnswered(req *request, e Answered) bool {
+	h := req.hedge
+	if e.Answer.NotRun || e.Answer.Status != statusOK {
+		r.hedgeRefused(req, e)
+		return false
+	}
+	if req.bound && !req.release.Same(attemptRelease(h.backend, h.attempt)) {
+		r.dropHedge(req, leftOtherRelease)
+		return false
+	}
+	b := req.backend
+	r.emit(Abandon{Key: req.key, Attempt: req.number})
+	r.release(req, leftSilent)
+	r.recordFailure(b, NoAnswer, "no event in time")
+	r.log(SingleRequest, "server was silent; the stream goes on at another one", req.attrs("instance", b.Instance,
+		"waited", r.now.Sub(req.attempt.at).String(), "other", h.backend.Instance, "after", r.now.Sub(h.attempt.at).String())...)
+	req.arrivals++
+	r.promoteHedge(req)
+	return true
+}
+
+// hedgeRefused ends a hedge whose server answered with another status than that of a stream.
+func (r *Router) hedgeRefused(req *request, e Answered) {
+	h, end := req.hedge, endedServerError
+	if e.Answer.NotRun {
+		end = endedRefused
+	}
+	if e.Answer.Backoff.State != fleet.BackoffReported {
+		h.backend.failureRate += (1 - h.backend.failureRate) * smoothing
+	}
+	if e.Answer.Absent && req.prompt != nil {
+		r.forgetModel(h.backend, req.prompt.Model)
+	}
+	r.log(SingleRequest, "backend server refused the request", req.attrs("instance", h.backend.Instance, "attempt", h.number,
+		"status", e.Answer.Status, "stays_at", req.backend.Instance)...)
+	req.arrivals++
+	r.endHedge(req, end)
+}
+
+// hedgeFailed ends a hedge whose attempt failed.
+func (r *Router) hedgeFailed(req *request, e AttemptFailed) {
+	h := req.hedge
+	if e.Failure.ofServer() {
+		r.recordFailure(h.backend, e.Failure, e.Cause)
+	}
+	r.log(SingleRequest, "attempt failed", req.attrs("instance", h.backend.Instance, "attempt", e.Attempt,
+		"failure", e.Failure.String(), "cause", e.Cause, "stays_at", req.backend.Instance)...)
+	r.noteConnection(h.backend, req, h.attempt, e)
+	if e.Failure.sent() {
+		req.arrivals++
+	} else {
+		req.sends--
+	}
+	r.endHedge(req, e.Failure.attemptEnd())
+}
+
+// hedgeLate drops a hedge that has brought no event within hedgeOverlap. The first server has given
+// a part of the answer; this one has promised nothing.
+func (r *Router) hedgeLate(req *request) {
+	h := req.hedge
+	r.log(SingleRequest, "the other server brought no event either; the stream stays", req.attrs("instance", req.backend.Instance,
+		"other", h.backend.Instance, "predicted", h.attempt.forecast.first.String())...)
+	r.dropHedge(req, leftLate)
+}
+
+// promoteHedge makes the hedge the current attempt, whose server was released.
+func (r *Router) promoteHedge(req *request) {
+	h := req.hedge
+	req.hedge, req.silent = nil, false
+	req.number, req.backend, req.attempt = h.number, h.backend, h.attempt
+	if req.bound {
+		r.noteResumption(req, resumedAtRelease)
+	}
+}
+
+// dropHedge abandons the hedge of a request, if it has one.
+func (r *Router) dropHedge(req *request, end attemptEnd) {
+	if req.hedge == nil {
+		return
+	}
+	r.emit(Abandon{Key: req.key, Attempt: req.hedge.number})
+	req.arrivals++
+	r.endHedge(req, end)
+}
+
+func (r *Router) endHedge(req *request, end attemptEnd) {
+	h := req.hedge
+	req.hedge = nil
+	r.releaseAttempt(req, h.backend, h.attempt, end)
+}
--- a/internal/router/incomplete.go
+++ b/internal/router/incomplete.go
@@ -22,6 +22,8 @@
 	endedNoAnswer    attemptEnd = "no answer"
 	endedBadAnswer   attemptEnd = "bad answer"
 	endedBroken      attemptEnd = "broken off"
+	leftSlower       attemptEnd = "left: the other server was first"
+	leftLate         attemptEnd = "left: no event in time"
 	leftSilent       attemptEnd = "left: silent"
 	leftEnded        attemptEnd = "left: server ended"
 	leftRestarted    attemptEnd = "left: server restarted"
@@ -59,11 +61,6 @@
 	return p.instance + " " + string(p.end) + " after " + p.took.String()
 }
 
-// recordAttempt records the end of the current attempt.
-func (r *Router) recordAttempt(req *request, end attemptEnd) {
-	req.past = append(req.past, pastAttempt{req.backend.Instance, r.now.Sub(req.attempt.at), end})
-}
-
 // lastEnd returns how the last attempt of a request ended.
 func (req *request) lastEnd() attemptEnd {
 	if len(req.past) == 0 {
--- a/internal/router/recentcalls.go
+++ b/internal/router/recentcalls.go
@@ -54,14 +54,14 @@
 }
 
 // recordUnread records how many tokens an engine has to read for a request that is sent.
-func (r *Router) recordUnread(b *backend, req *request) {
+func (r *Router) recordUnread(b *backend, req *request, unread int) {
 	s := r.service(b.Service)
 	if !s.crowding.CopyPlan {
 		return
 	}
 	for _, calls := range s.copies.callsFor(req.prompt.Model) {
 		calls.sent++
-		calls.tokens += weight(calls.sent) * (float64(req.attempt.forecast.unread) - calls.tokens)
+		calls.tokens += weight(calls.sent) * (float64(unread) - calls.tokens)
 	}
 }
 
--- a/internal/router/release.go
+++ b/internal/router/release.go
@@ -22,13 +22,12 @@
 	if req.bound || req.route.Kind != fleet.Stream {
 		return
 	}
-	req.bound, req.release = true, req.attemptRelease()
+	req.bound, req.release = true, attemptRelease(req.backend, req.attempt)
 }
 
-// attemptRelease returns the release of the server at which a request is. If the server has
+// attemptRelease returns the release of the server at which an attempt is. If the server has
 // restarted since the request was sent, it is not known which incarnation runs it.
-func (req *request) attemptRelease() fleet.Release {
-	b, a := req.backend, req.attempt
+func attemptRelease(b *backend, a *attempt) fleet.Release {
 	switch {
 	case a.incarnation.Compare(b.Incarnation) != 0:
 		return fleet.Release{}
@@ -43,7 +42,7 @@
 // than the one that its stream is bound to, before an event of it is forwarded. It reports
 // whether it did.
 func (r *Router) leaveOtherRelease(req *request) bool {
-	if !req.bound || req.release.Same(req.attemptRelease()) {
+	if !req.bound || req.release.Same(attemptRelease(req.backend, req.attempt)) {
 		return false
 	}
 	r.emit(Abandon{Key: req.key, Attempt: req.number})
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -83,10 +83,14 @@
 	// received it.
 	sends, arrivals int
 	tried           []string
-	// number is the number of the current attempt.
-	number  int
-	backend *backend
-	attempt *attempt
+	// number is the number of the current attempt, numbered that of the last one that was begun.
+	number, numbered int
+	backend          *backend
+	attempt          *attempt
+	// silent is set while the server of the current attempt has sent no event for too long. hedge
+	// is the second attempt that is then made, nil without one.
+	silent bool
+	hedge  *hedge
 	// bound is set once an event of its stream is forwarded. From then on only servers of
 	// release may get it.
 	bound   bool
@@ -176,6 +180,10 @@
 
 // dispatch sends a request, queues it until its model is loaded, or ends it.
 func (r *Router) dispatch(req *request) {
+	if req.hedge != nil {
+		r.promoteHedge(req)
+		return
+	}
 	if req.continuation != nil {
 		r.loseContinuation(req, continuationUnsent)
 		return
@@ -284,34 +292,45 @@
 	if req.continuation == nil {
 		req.sends++ // a continuation is part of the same run
 	}
-	req.number++
-	req.backend = b
+	req.backend, req.silent = b, false
+	req.number, req.attempt = r.begin(req, c)
+	r.emit(r.sendEffect(req, req.number, b, req.attempt))
+	r.countLimited(b)
+	if req.bound && req.continuation == nil {
+		r.noteResumption(req, resumedAtRelease)
+	}
+	if req.number > 1 {
+		r.log(SingleRequest, "request sent again", req.attrs("instance", b.Instance, "release", b.Release.String(),
+			"attempt", req.number, "predicted", c.cost.String())...)
+	}
+}
+
+// begin begins an attempt of a request at a server and returns its number.
+func (r *Router) begin(req *request, c *choice) (number int, a *attempt) {
+	b := c.backend
+	req.numbered++
 	req.tried = append(req.tried, b.Instance)
-	req.attempt = &attempt{at: r.now, incarnation: b.Incarnation, release: b.Release, slowdown: r.slowdown(b), forecast: c.forecast, copy: r.copyFor(req, b)}
-	b.sent[req.key] = req.attempt
-	req.attempt.copy.count(1)
+	a = &attempt{at: r.now, incarnation: b.Incarnation, release: b.Release, slowdown: r.slowdown(b), forecast: c.forecast, copy: r.copyFor(req, b)}
+	b.sent[req.key] = a
+	a.copy.count(1)
 	if req.prompt != nil && r.engine(req.service) != nil {
-		r.promptSent(req)
+		r.promptSent(req, b, c.forecast)
 	}
+	return req.numbered, a
+}
+
+func (r *Router) sendEffect(req *request, number int, b *backend, a *attempt) Send {
 	send := Send{
-		Key: req.key, Attempt: req.number, Incarnation: b.Incarnation, Address: b.Address,
+		Key: req.key, Attempt: number, Incarnation: b.Incarnation, Address: b.Address,
 		MaxConns: r.connShare(req.service), Until: req.deadline,
 		Priority: enginePriority(req.rank()),
 		Account:  req.accountName(), HideCredentials: len(r.config.Accounts) > 0,
-		CopyTo: req.attempt.copy.copyAddress(), CopyFrom: req.copySource(),
+		CopyTo: a.copy.copyAddress(), CopyFrom: req.copySource(),
 	}
 	if req.route.Kind == fleet.Stream && req.route.Resumable {
 		send.StallAfter = max(minStall, stallPauses*req.route.PauseObjective)
 	}
-	r.emit(send)
-	r.countLimited(b)
-	if req.bound && req.continuation == nil {
-		r.noteResumption(req, resumedAtRelease)
-	}
-	if req.number > 1 {
-		r.log(SingleRequest, "request sent again", req.attrs("instance", b.Instance, "release", b.Release.String(),
-			"attempt", req.number, "predicted", c.cost.String())...)
-	}
+	return send
 }
 
 // enginePriority maps a request's rank to an engine's priority scale of 0 to 9, with gaps
@@ -334,9 +353,15 @@
 	if b == nil {
 		return
 	}
-	r.recordAttempt(req, end)
+	req.backend = nil
+	r.releaseAttempt(req, b, req.attempt, end)
+}
+
+// releaseAttempt ends an attempt of a request at a server.
+func (r *Router) releaseAttempt(req *request, b *backend, a *attempt, end attemptEnd) {
+	req.past = append(req.past, pastAttempt{b.Instance, r.now.Sub(a.at), end})
 	delete(b.sent, req.key)
-	req.attempt.copy.count(-1)
+	a.copy.count(-1)
 	b.queue.Remove(r.now, uint64(req.key))
 	if held := r.holdings(b); held != nil && req.prompt != nil {
 		if m := findHeld(held, req.prompt.Model); m != nil && m.State == core.HoldUnloading {
@@ -344,7 +369,6 @@
 			b.loader.dirty = true
 		}
 	}
-	req.backend = nil
 }
 
 // model returns the request's model, "" for plain services.
--- a/internal/router/restart.go
+++ b/internal/router/restart.go
@@ -79,6 +79,11 @@
 // show the outcome.
 func (r *Router) lostAtRestart(key Key, b *backend, aliveAt core.Time) {
 	req := r.requests[key]
+	if req != nil && req.hedge != nil && req.hedge.backend == b && req.hedge.attempt.at <= aliveAt {
+		r.recordLost(b, req, req.hedge.attempt)
+		r.dropHedge(req, leftRestarted)
+		return
+	}
 	if req == nil || req.backend != b || req.attempt.answered || req.attempt.at > aliveAt {
 		return
 	}
@@ -88,7 +93,7 @@
 	req.mayHaveRun = true
 	r.log(SingleRequest, "attempt failed", req.attrs("instance", b.Instance, "attempt", req.number,
 		"failure", Broken.String(), "cause", "the server started again")...)
-	r.recordLost(b, req)
+	r.recordLost(b, req, req.attempt)
 	if r.continueRun(req, b, r.now, "") {
 		return
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -273,6 +273,8 @@
 		r.attemptFailed(e)
 	case Stalled:
 		r.stalled(e)
+	case Resumed:
+		r.resumed(e)
 	case Answered:
 		r.answered(e)
 	case ServerAnnounced:
--- a/internal/router/serverend.go
+++ b/internal/router/serverend.go
@@ -41,12 +41,12 @@
 }
 
 // noteConnection records what a failed attempt reveals about its server.
-func (r *Router) noteConnection(b *backend, req *request, e AttemptFailed) {
+func (r *Router) noteConnection(b *backend, req *request, a *attempt, e AttemptFailed) {
 	switch {
 	case e.Peer == PeerRefused:
 		r.serverEnded(b, "its port refuses connections")
 	case e.Peer == PeerClosed && e.Failure != NotSent:
-		r.recordLost(b, req)
+		r.recordLost(b, req, a)
 	}
 }
 
@@ -58,18 +58,18 @@
 //
 // Planned ends do not count: a server that announced that it is draining, or whose entry
 // was withdrawn, may cut off what still runs there when it exits.
-func (r *Router) recordLost(b *backend, req *request) {
+func (r *Router) recordLost(b *backend, req *request, a *attempt) {
 	if req.fingerprint == 0 {
 		return // unknown
 	}
 	lost := lostRequest{
 		LostRequest: core.LostRequest{
-			Fingerprint: req.fingerprint, Age: uint32(r.now.Sub(req.attempt.at).Milliseconds()),
+			Fingerprint: req.fingerprint, Age: uint32(r.now.Sub(a.at).Milliseconds()),
 			Arrival: uint32(xxhash.Sum64String(req.id)),
 		},
-		at: r.now, parts: r.suspectParts(req), began: req.attempt.began,
+		at: r.now, parts: r.suspectParts(req), began: a.began,
 	}
-	switch incarnation := req.attempt.incarnation; {
+	switch incarnation := a.incarnation; {
 	case b.announced.draining():
 	case incarnation.Compare(b.Incarnation) < 0:
 		r.recordEnd(b, incarnation, r.now, lost)
