Soak: engines that do not run for seconds while routers stop in series

Streams pause for 1 to 4 s in their middle, one by one and all of an engine, and engines refuse runs, while routers and loaders stop, restart and are signalled in series; the stop limit is the platform's 8 s. Each request that reaches a server must get its whole answer; not counted is, as in the platform's rule, an engine still at work in the last sixth of the limit on a request that came within 3 s of the signal.

--- a/internal/soak/framing_test.go
+++ b/internal/soak/framing_test.go
@@ -34,6 +34,8 @@
 	pause   time.Duration
 	stream  bool
 	framing framing
+	// stands returns once the server's process runs, nil if it always does.
+	stands func()
 	// cut is where the answer breaks off, nil if it is complete.
 	cut *cut
 	// completes is called before the last bytes of a complete answer are sent.
@@ -89,6 +91,9 @@
 		if i == len(steps)-1 && p.cut == nil {
 			p.completes()
 		}
+		if p.stands != nil && i > 0 {
+			p.stands()
+		}
 		if _, err := io.WriteString(to, step); err != nil || ctx.Err() != nil {
 			panic(http.ErrAbortHandler)
 		}
