Router: hedge overdue requests instead of leaving their server

The same cause as with silent streams, before the answer: a request whose server was late was taken from it and sent elsewhere, and if the next server refused it or failed, the caller got 3001 (502) or the 500 in place of the answer that the first server was about to give. Its class: an answer under way is given up for one that is not there yet.

Now the second attempt is made beside the first one here too. The first usable answer counts; a server that has refused or failed leaves the request at the other one. After 300 ms without either the request goes on at the second server, as before: no server has given a part of the answer.

TestHungRequestIsTriedElsewhere asserted that the first attempt is abandoned when the second is sent; it now asserts that it is when the second answers, and in any case after the overlap.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -142,10 +142,8 @@
 			all = append(all, fmt.Sprintf("%s: %s (%s)", line.stringField("instance"), line.stringField("failure"), line.stringField("cause")))
 		case "backend server refused the request":
 			all = append(all, fmt.Sprintf("%s refused it with status %v", line.stringField("instance"), line.Fields["status"]))
-		case "server was silent; the stream goes on at another one":
-			all = append(all, fmt.Sprintf("%s was silent, and %s brought the next event", line.stringField("instance"), line.stringField("other")))
-		case "no answer in time; trying another server":
-			all = append(all, fmt.Sprintf("%s gave no answer within %s", line.stringField("instance"), line.stringField("waited")))
+		case "server was silent; the request goes on at another one":
+			all = append(all, fmt.Sprintf("%s was silent, and the request went on at %s", line.stringField("instance"), line.stringField("other")))
 		}
 	}
 	if len(all) == 0 {
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -11,11 +11,11 @@
 	"nutmeglane.example/nutmeglane/internal/router"
 )
 
-// This file makes a second attempt of a stream beside the first one, whose server is silent. It reads
-// the answer up to the first event and gives the caller nothing: the reducer decides which of the two
-// goes on, and the request's own goroutine then forwards that one.
+// This file makes a second attempt of a request beside the first one, whose server is silent. It reads
+// the answer, of a stream up to the first event, and gives the caller nothing: the reducer decides
+// which of the two goes on, and the request's own goroutine then forwards that one.
 //
-// Both continue at the same position. The reducer is told of an event of the stalled stream before it
+// Both attempts of a stream continue at the same position. The reducer is told of an event of the stalled stream before it
 // is forwarded (Resumed) and drops the hedge then, so that no event comes twice or is missing.
 
 // hedge is a second attempt. It runs in a call of its own, which has no caller.
@@ -28,7 +28,10 @@
 func (c *call) startHedge(d router.Send) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	side := &call{gateway: c.gateway, key: c.key, request: c.request, info: c.info, body: c.body, position: c.stalledAt, started: true, isHedge: true}
+	side := &call{gateway: c.gateway, key: c.key, request: c.request, info: c.info, body: c.body, isHedge: true}
+	if d.Rest {
+		side.position, side.started = c.stalledAt, true
+	}
 	c.hedge = &hedge{attempt: d.Attempt, call: side}
 	go side.attempt(d)
 }
@@ -62,10 +65,10 @@
 var errNoStream = errors.New("received no stream instead of the rest of the stream")
 
 // awaitEvent reads the stream of a hedge up to its first event, or its end. What was read is
-// forwarded later. Other answers than a success are not read.
+// forwarded later. An answer that is no stream is not read here.
 func (c *call) awaitEvent(a *answer) error {
 	switch {
-	case !a.stream && a.head.Status == http.StatusOK:
+	case !a.stream && c.started && a.head.Status == http.StatusOK:
 		return errNoStream
 	case !a.stream:
 		return nil
--- a/internal/gateway/silent_test.go
+++ b/internal/gateway/silent_test.go
@@ -4,10 +4,15 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
+
+	"nutmeglane.example/nutmeglane/internal/fleet"
+	"nutmeglane.example/nutmeglane/internal/router"
 )
 
 // silentServers are two servers, the first of which to get a request is silent in the middle of its
@@ -92,3 +97,63 @@
 	}
 	newFixture(t, servers.serve, servers.serve).expectWhole()
 }
+
+// shortObjectives gives the routes objectives after which their requests are overdue soon.
+func (s *fixture) shortObjectives() {
+	var config *fleet.Config
+	s.gateway.Inspect(func(r *router.Router) { config = r.Config() })
+	next := *config
+	next.Version++
+	next.Routes = slices.Clone(config.Routes)
+	for i := range next.Routes {
+		next.Routes[i].Objective = 100 * time.Millisecond
+	}
+	s.gateway.Step(router.ConfigRead{Config: &next})
+}
+
+// Guards against a request that ends without an answer, or with a mix of two, because its server was
+// silent before its answer: the other one refuses it, fails, or is first.
+func TestServerThatIsSilentBeforeItsAnswerIsNotLeftForNone(t *testing.T) {
+	refusal := strings.Replace(answerHead("r1", "Nutmeglane-Not-Executed: 1\r\nContent-Length: 0\r\n"), "200 OK", "503 Unavailable", 1)
+	failure := strings.Replace(answerHead("r1", "Content-Length: 0\r\n"), "200 OK", "500 Failed", 1)
+	stream := answerHead("r1", streamHead) + chunk(event(1)+event(2)) + "0\r\n\r\n"
+	plain := answerHead("r1", "Content-Length: 4\r\n") + "note"
+	cases := map[string]struct{ path, first, other, want string }{
+		"plain, refuses":  {"/again/x", plain, refusal, "note"},
+		"plain, fails":    {"/again/x", plain, failure, "note"},
+		"plain, is first": {"/again/x", "", plain, "note"},
+		"stream, refuses": {"/stream/x", stream, refusal, event(1) + event(2)},
+		"stream, fails":   {"/stream/x", stream, failure, event(1) + event(2)},
+		"stream, first":   {"/stream/x", "", stream, event(1) + event(2)},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var requests atomic.Int32
+			next := make(chan struct{})
+			serve := func(conn net.Conn) {
+				defer func() { _ = conn.Close() }()
+				readRequest(conn)
+				if requests.Add(1) == 1 {
+					<-next
+					_, _ = io.WriteString(conn, c.first)
+					return
+				}
+				_, _ = io.WriteString(conn, c.other)
+				if c.first != "" {
+					close(next)
+				}
+				_, _ = io.Copy(io.Discard, conn) // until the router closes the connection
+			}
+			s := newFixture(t, serve, serve)
+			if c.first == "" {
+				t.Cleanup(func() { close(next) })
+			}
+			s.shortObjectives()
+			status, body, err := s.call(http.MethodPost, c.path, "r1")
+			if status != 200 || body != c.want || err != nil {
+				t.Errorf("status %d, %v, body %q, want %q", status, err, body, c.want)
+			}
+		})
+	}
+}
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -101,7 +101,7 @@
 		r.answeredContinuation(req, e)
 	case e.Answer.NotRun:
 		r.rejected(req, e)
-	case e.Answer.Status >= 500 && r.mayRetry(req):
+	case e.Answer.Status >= 500 && (req.hedge != nil || r.mayRetry(req)):
 		r.release(req, endedServerError)
 		b.failureRate += (1 - b.failureRate) * smoothing
 		req.arrivals++
@@ -127,6 +127,7 @@
 // forward passes an answer on. A whole one ends its request in the same step, so that the router
 // can't leave the attempt while its answer is on the way to the caller.
 func (r *Router) forward(req *request, e Answered) {
+	r.dropHedge(req, leftSlower)
 	req.forwarded, req.mayHaveRun = true, true
 	r.emit(Forward{Key: req.key, Attempt: req.number})
 	if e.Whole {
@@ -150,7 +151,7 @@
 	if e.Answer.Absent && req.prompt != nil {
 		r.forgetModel(b, req.prompt.Model)
 	}
-	if req.sends < req.route.MaxAttempts {
+	if req.hedge != nil || req.sends < req.route.MaxAttempts {
 		r.dispatch(req)
 		return
 	}
--- a/internal/router/effect.go
+++ b/internal/router/effect.go
@@ -32,8 +32,9 @@
 	Account string
 	// HideCredentials removes the caller's credentials from the request.
 	HideCredentials bool
-	// Hedge is set for an attempt that is made beside the current one, which continues.
-	Hedge bool
+	// Hedge is set for an attempt that is made beside the current one, which continues. Rest is set
+	// for a hedge that continues a stream of which the caller has a part.
+	Hedge, Rest bool
 	// CopyTo is the address of the engine to which the request's KV memory is copied while it
 	// runs, "" for none.
 	CopyTo string
--- a/internal/router/ending.go
+++ b/internal/router/ending.go
@@ -12,7 +12,7 @@
 )
 
 // This file ends requests: with a refusal, with a failure, when the caller cancels, and at
-// their deadline. It also moves requests away from servers that do not answer.
+// their deadline. It also decides which requests are overdue at their server.
 
 func (r *Router) callerLeft(key Key) {
 	req := r.requests[key]
@@ -101,8 +101,8 @@
 		"reason", reason, "retry_after", retryAfter.String(), "took", r.now.Sub(req.arrived).String()}, r.endAttrs(req, stage)...)...))
 }
 
-// checkRequests ends requests whose deadline has passed and tries those on another server
-// that have waited too long for an answer.
+// checkRequests ends requests whose deadline has passed and hedges those that have waited too
+// long for an answer.
 func (r *Router) checkRequests() {
 	for _, key := range slices.Sorted(maps.Keys(r.requests)) {
 		req := r.requests[key]
@@ -134,7 +134,7 @@
 		case req.silent && req.backend != nil:
 			r.tryHedge(req)
 		case req.backend != nil && r.overdue(req):
-			r.moveAway(req)
+			r.tryHedge(req)
 		}
 	}
 }
@@ -148,7 +148,7 @@
 	r.giveUp(req, code.TimedOut, "the time is over")
 }
 
-// overdue reports whether an idempotent request should be tried on another server.
+// overdue reports whether an idempotent request should be tried on another server as well.
 func (r *Router) overdue(req *request) bool {
 	if req.attempt.answered || !r.mayRetry(req) || !r.mayLeave(req) {
 		return false
@@ -162,8 +162,6 @@
 }
 
 // mayLeave reports whether a request whose server only is silent may be sent to another one.
-// Otherwise it stays: a server under load may be silent for seconds, and an attempt that is
-// abandoned without another one is an answer that the router broke off.
 func (r *Router) mayLeave(req *request) bool {
 	return r.hasRetry(req.service) && r.endsInTime(req, 0)
 }
@@ -205,16 +203,3 @@
 	return r.bestLoaded(req) != nil
 }
 
-// moveAway abandons the current attempt, whose answer has not begun, and tries another server.
-func (r *Router) moveAway(req *request) {
-	b := req.backend
-	r.emit(Abandon{Key: req.key, Attempt: req.number})
-	r.release(req, leftSilent)
-	r.recordFailure(b, NoAnswer, "no answer in time")
-	r.log(SingleRequest, "no answer in time; trying another server", req.attrs("instance", b.Instance,
-		"waited", r.now.Sub(req.attempt.at).String(), "predicted", req.attempt.forecast.first.String(),
-		"ahead", req.attempt.forecast.ahead.String())...)
-	req.arrivals++
-	req.mayHaveRun = true
-	r.dispatch(req)
-}
--- a/internal/router/hedge.go
+++ b/internal/router/hedge.go
@@ -6,15 +6,15 @@
 	"nutmeglane.example/nutmeglane/internal/fleet"
 )
 
-// This file hedges streams whose server has become silent: a second attempt is made at another
-// server while the first one stays. What brings the next event first goes on, and the other one is
-// dropped.
+// This file hedges requests whose server is silent: a second attempt is made at another server while
+// the first one stays. The first answer, or the next event of a stream, goes on, and the other attempt
+// is dropped.
 //
 // It guards against an answer that is given up for one that is not there yet: a server whose process
-// waits for a processor is silent for seconds and then completes the stream, while the next server
-// may refuse it, fail or be silent too. A server that hangs still loses the stream at once.
+// waits for a processor is silent for seconds and then completes its answer, while the next server
+// may refuse the request, fail or be silent too. A server that hangs still loses the request.
 
-// hedgeOverlap is how long two servers may work on a stream. It is below the 400 ms after which two
+// hedgeOverlap is how long two servers may work on a request. It is below the 400 ms after which two
 // runs of a request at once break a rule of the platform, by a tick and a round trip.
 const hedgeOverlap = 300 * time.Millisecond
 
@@ -38,7 +38,7 @@
 // it.
 func (r *Router) stalled(e Stalled) {
 	req := r.current(e.Key, e.Attempt)
-	if req == nil || !req.route.Repeatable() {
+	if req == nil || !req.route.Repeatable() || !req.attempt.answered {
 		return
 	}
 	req.silent = true
@@ -59,7 +59,7 @@
 	}
 }
 
-// tryHedge begins a second attempt of a silent stream if there is a server for it.
+// tryHedge begins a second attempt of a request if there is a server for it.
 func (r *Router) tryHedge(req *request) {
 	if req.hedge != nil || req.sends >= req.route.MaxAttempts || !r.mayLeave(req) {
 		return
@@ -79,15 +79,15 @@
 	h.number, h.attempt = r.begin(req, c)
 	req.hedge = h
 	send := r.sendEffect(req, h.number, b, h.attempt)
-	send.Hedge = true
+	send.Hedge, send.Rest = true, req.forwarded
 	r.emit(send)
-	r.log(SingleRequest, "server is silent; the stream is sent to another one as well", req.attrs("instance", req.backend.Instance,
+	r.log(SingleRequest, "server is silent; the request is sent to another one as well", req.attrs("instance", req.backend.Instance,
 		"other", b.Instance, "attempt", h.number, "sent_ago", r.now.Sub(req.attempt.at).String(), "predicted", c.forecast.first.String())...)
 }
 
-// hedgeTarget returns the server for the second attempt of a stream, nil if there is none: one that
-// has its model loaded, if it needs one, that takes requests without a permit, and whose first event
-// is predicted within hedgeOverlap.
+// hedgeTarget returns the server for the second attempt of a request, nil if there is none: one that
+// has its model loaded, if it needs one, and that takes requests without a permit. For the rest of a
+// stream its first event must be predicted within hedgeOverlap, after which it would be dropped.
 func (r *Router) hedgeTarget(req *request) *choice {
 	var c *choice
 	if req.prompt == nil || r.engine(req.service) == nil {
@@ -95,7 +95,7 @@
 	} else {
 		c = r.bestLoaded(req)
 	}
-	if c == nil || c.forecast.first > hedgeOverlap || c.backend.limited() || r.exclusion(c.backend) != notExcluded {
+	if c == nil || req.forwarded && c.forecast.first > hedgeOverlap || c.backend.limited() || r.exclusion(c.backend) != notExcluded {
 		return nil
 	}
 	return c
@@ -105,7 +105,8 @@
 // attempt, whose answer is to be handled like any other.
 func (r *Router) hedgeAnswered(req *request, e Answered) bool {
 	h := req.hedge
-	if e.Answer.NotRun || e.Answer.Status != statusOK {
+	usable := !e.Answer.NotRun && (e.Answer.Status == statusOK || !req.forwarded && e.Answer.Status < 500)
+	if !usable {
 		r.hedgeRefused(req, e)
 		return false
 	}
@@ -113,15 +114,22 @@
 		r.dropHedge(req, leftOtherRelease)
 		return false
 	}
-	b := req.backend
+	r.leaveForHedge(req)
+	return true
+}
+
+// leaveForHedge abandons the first server of a request for that of its hedge.
+func (r *Router) leaveForHedge(req *request) {
+	b, h := req.backend, req.hedge
 	r.emit(Abandon{Key: req.key, Attempt: req.number})
 	r.release(req, leftSilent)
-	r.recordFailure(b, NoAnswer, "no event in time")
-	r.log(SingleRequest, "server was silent; the stream goes on at another one", req.attrs("instance", b.Instance,
-		"waited", r.now.Sub(req.attempt.at).String(), "other", h.backend.Instance, "after", r.now.Sub(h.attempt.at).String())...)
+	r.recordFailure(b, NoAnswer, "no answer in time")
+	r.log(SingleRequest, "server was silent; the request goes on at another one", req.attrs("instance", b.Instance,
+		"waited", r.now.Sub(req.attempt.at).String(), "other", h.backend.Instance, "after", r.now.Sub(h.attempt.at).String(),
+		"predicted", req.attempt.forecast.first.String(), "ahead", req.attempt.forecast.ahead.String())...)
 	req.arrivals++
+	req.mayHaveRun = true
 	r.promoteHedge(req)
-	return true
 }
 
 // hedgeRefused ends a hedge whose server answered with another status than that of a stream.
@@ -159,10 +167,15 @@
 	r.endHedge(req, e.Failure.attemptEnd())
 }
 
-// hedgeLate drops a hedge that has brought no event within hedgeOverlap. The first server has given
-// a part of the answer; this one has promised nothing.
+// hedgeLate ends the overlap of a hedge that has not answered. If the first server has given a part of
+// the answer, the request stays there: the other one has promised nothing. Otherwise neither has, and
+// it goes on at the one that is not overdue.
 func (r *Router) hedgeLate(req *request) {
 	h := req.hedge
+	if !req.forwarded {
+		r.leaveForHedge(req)
+		return
+	}
 	r.log(SingleRequest, "the other server brought no event either; the stream stays", req.attrs("instance", req.backend.Instance,
 		"other", h.backend.Instance, "predicted", h.attempt.forecast.first.String())...)
 	r.dropHedge(req, leftLate)
--- a/internal/router/hedge_test.go
+++ b/internal/router/hedge_test.go
@@ -207,3 +207,73 @@
 		t.Errorf("sent %d times once there is room", len(w.sends[key]))
 	}
 }
+
+// overdueRequest returns a fixture with plain servers and the key of a request that has just been sent
+// to a second one as its server has not answered.
+func overdueRequest(t *testing.T) (w *fixture, key Key, at string) {
+	t.Helper()
+	w = newFixture(t)
+	w.servers(plainService, 3)
+	key = w.call("again", nil)
+	at = w.lastSend(key).Instance
+	for len(w.sends[key]) < 2 {
+		w.run(tickInterval)
+	}
+	return w, key, at
+}
+
+// Guards against a request that ends without an answer because its server was slow for a moment and
+// the next one refused it or failed.
+func TestOverdueRequestStaysIfTheOtherServerDoesNotTakeIt(t *testing.T) {
+	others := map[string]Event{
+		"refuses":   Answered{Key: 1, Attempt: 2, Answer: fleet.Answer{Status: statusUnavailable, NotRun: true}},
+		"fails":     Answered{Key: 1, Attempt: 2, Answer: fleet.Answer{Status: 500}},
+		"no answer": AttemptFailed{Key: 1, Attempt: 2, Failure: NoAnswer},
+	}
+	for name, event := range others {
+		t.Run(name, func(t *testing.T) {
+			w, key, at := overdueRequest(t)
+			w.step(event)
+			w.run(tickInterval)
+			if req := w.requestOf(key); req.backend == nil || req.backend.Instance != at || w.abandons[key] == 1 {
+				t.Fatal("has left its server")
+			}
+			w.step(Answered{Key: key, Attempt: 1, Answer: fleet.Answer{Status: statusOK}, Whole: true})
+			if len(w.router.requests) != 0 || len(w.finishes) != 0 {
+				t.Errorf("not served: %+v", w.finishes)
+			}
+			w.expectNothingSent()
+		})
+	}
+}
+
+// Guards against two answers to one request, and against a request that ends although one of its two
+// servers may still answer it.
+func TestFirstUsableAnswerOfTwoServersCounts(t *testing.T) {
+	answer := func(attempt, status int) Answered {
+		return Answered{Key: 1, Attempt: attempt, Answer: fleet.Answer{Status: status}, Whole: true}
+	}
+	cases := map[string]struct {
+		events    []Event
+		abandoned int
+	}{
+		"the first one answers":             {[]Event{answer(1, statusOK), answer(2, statusOK)}, 2},
+		"the other one answers":             {[]Event{answer(2, statusOK), answer(1, statusOK)}, 1},
+		"the first one fails":               {[]Event{answer(1, 500), answer(2, statusOK)}, 0},
+		"the first one loses its answer":    {[]Event{AttemptFailed{Key: 1, Attempt: 1, Failure: NoAnswer}, answer(2, statusOK)}, 0},
+		"the first one refuses":             {[]Event{Answered{Key: 1, Attempt: 1, Answer: fleet.Answer{Status: statusUnavailable, NotRun: true}}, answer(2, statusOK)}, 0},
+		"the other one says it isn't there": {[]Event{answer(2, 404), answer(1, statusOK)}, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			w, key, _ := overdueRequest(t)
+			for _, event := range c.events {
+				w.step(event)
+			}
+			if len(w.router.requests) != 0 || len(w.finishes) != 0 || w.abandons[key] != c.abandoned {
+				t.Errorf("abandoned attempt %d, finish %+v, %d requests", w.abandons[key], w.finishes, len(w.router.requests))
+			}
+			w.expectNothingSent()
+		})
+	}
+}
--- a/internal/router/request_test.go
+++ b/internal/router/request_test.go
@@ -113,7 +113,7 @@
 
 // A server hangs. An idempotent request there must be tried on another server while it can
 // still be in time, and the hung attempt must be abandoned, so that the server stops
-// processing it.
+// processing it: at once if the other one answers, and in any case after hedgeOverlap.
 func TestHungRequestIsTriedElsewhere(t *testing.T) {
 	w := newFixture(t)
 	w.servers(plainService, 3)
@@ -122,9 +122,16 @@
 	if n := len(w.sends[key]); n != 2 {
 		t.Fatalf("sent %d times, want 2", n)
 	}
+	w.run(hedgeOverlap)
 	if w.abandons[key] != 1 {
 		t.Error("the first attempt was left running")
 	}
+	key = w.call("again", nil)
+	w.run(400 * time.Millisecond)
+	w.step(Answered{Key: key, Attempt: 2, Answer: fleet.Answer{Status: 200}})
+	if w.abandons[key] != 1 {
+		t.Error("the first attempt was left running although the other server has answered")
+	}
 }
 
 // No server answers until the route's timeout. The user must get a final answer then, not
