Router: the stop limit counts from the signal, also after a standstill

Callers saw connections close without a whole answer around SIGTERM, and no log named their requests.

Cause: the stop limit was counted from the moment at which the process handled the signal; the platform counts from the signal.

The process now notices when it did not run, by the interval of a task that it has anyway, and takes the time since then from the limit. What can't be answered within the rest is refused as not run. The line stopping says how late the signal may have been.

--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -61,6 +61,8 @@
 	callers  *http.Server
 	// conns are the callers' connections.
 	conns *callerConns
+	// standstill tells how late a signal is handled.
+	standstill standstill
 }
 
 // RunRouter runs a router until ctx ends and the graceful shutdown is complete.
@@ -188,10 +190,12 @@
 // balancer that the router is not ready, later closes idle connections, and others
 // after their answers.
 func (p *routerProcess) stop() error {
-	p.log.Info("stopping", "limit", p.settings.StopLimit.String(), "requests", p.gateway.ActiveRequests())
+	late := p.standstill.lateness(time.Now())
+	p.log.Info("stopping", "limit", p.settings.StopLimit.String(), "late", late.String(), "requests", p.gateway.ActiveRequests())
 	p.ready.Store(false)
 	p.gateway.Stop()
-	limit := p.settings.StopLimit - stopReserve
+	// What the platform has waited already is not left for answers.
+	limit := max(0, p.settings.StopLimit-stopReserve-late)
 	p.gateway.Step(router.Stopping{Until: clock.Now().Add(limit - stopReserve/2)})
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
@@ -230,10 +234,13 @@
 }
 
 // reportSchedLatency periodically reports to the reducer how long goroutines wait for
-// the processor.
+// the processor, and notices when the whole process did not run.
 func (p *routerProcess) reportSchedLatency(ctx context.Context) {
 	var waits schedLatency
-	every(ctx, schedLatencyInterval, func() { p.gateway.Step(router.CPUWaitMeasured{Wait: waits.sinceLast()}) })
+	every(ctx, schedLatencyInterval, func() {
+		p.standstill.beat(time.Now())
+		p.gateway.Step(router.CPUWaitMeasured{Wait: waits.sinceLast()})
+	})
 }
 
 // every calls f at each interval until ctx ends.
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -21,8 +21,8 @@
 // process is a router or loader that can be restarted.
 type process struct {
 	role, settings, log string
-	// stopLimit is the time from SIGTERM to SIGKILL.
-	stopLimit time.Duration
+	// stopLimit is the time that the process has from SIGTERM on, killAfter that until SIGKILL.
+	stopLimit, killAfter time.Duration
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
@@ -103,8 +103,8 @@
 	return err != nil || !oneThread.Match(status)
 }
 
-// end terminates the process by the signal, and by SIGKILL if it has not exited after its
-// stopLimit and a second. It reports false if another fault is already terminating it.
+// end terminates the process by the signal, and by SIGKILL if it has not exited after
+// killAfter. It reports false if another fault is already terminating it.
 func (p *process) end(s syscall.Signal) bool {
 	p.mu.Lock()
 	if p.down {
@@ -123,7 +123,7 @@
 	p.mu.Unlock()
 	select {
 	case <-ended:
-	case <-time.After(p.stopLimit + time.Second):
+	case <-time.After(p.killAfter):
 		p.mu.Lock()
 		p.killed = append(p.killed, time.Now())
 		p.mu.Unlock()
@@ -149,6 +149,13 @@
 	return slices.ContainsFunc(p.killed, func(k time.Time) bool { return k.After(t) })
 }
 
+// resume lets the process run again, also one that is being terminated.
+func (p *process) resume() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.cmd.Process.Signal(syscall.SIGCONT) // a process that has just ended needs none
+}
+
 // lastStopBefore returns the time of the last SIGTERM before a time, the zero time if there was none.
 func (p *process) lastStopBefore(at time.Time) (stop time.Time) {
 	p.mu.Lock()
@@ -199,7 +206,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &process{role: "loader", settings: settings, log: filepath.Join(t.TempDir(), "loader.log"), stopLimit: stopLimit}
+	p := &process{role: "loader", settings: settings, log: filepath.Join(t.TempDir(), "loader.log"), stopLimit: stopLimit, killAfter: stopLimit + time.Second}
 	for i := range 10 {
 		if err := p.start(); err != nil {
 			t.Fatal(err)
--- a/internal/soak/silence_test.go
+++ b/internal/soak/silence_test.go
@@ -24,22 +24,23 @@
 	silencePause                    = 400 * time.Millisecond
 	// longestRefusal bounds for how long an engine refuses runs.
 	longestRefusal = 500 * time.Millisecond
+	// longestStandstill bounds for how long a router does not run.
+	longestStandstill = 2 * time.Second
 	// silentShare is the share of streams that pause by themselves after one of their events.
 	silentShare = 0.3
 	// streamCallers is the number of callers that call the resumable route alone.
 	streamCallers = 20
 )
 
-// Guards against streams that are cut around the stop of their router because their engine did not
-// run for some seconds: engines pause in the middle of streams and refuse runs while routers and
-// loaders stop, restart and are signalled in series. Each request that reaches a server must get its
+// Guards against streams that are cut around the stop of their router because their engine, or the
+// router itself, did not run for some seconds: engines pause in the middle of streams and refuse runs
+// while routers and loaders stop, restart and are signalled in series, some while they stand still. Each request that reaches a server must get its
 // whole answer.
 func TestSilentEnginesAmongStops(t *testing.T) {
 	for i := range *seedCount {
 		seed := *firstSeed + uint64(i)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			w := startWorld(t, seed, usualRetries, platformStopLimit)
-			w.silence = true
+			w := startWorld(t, seed, usualRetries, platformStopLimit, true)
 			playKinds(w, seed, silenceEngines, stops, true)
 		})
 	}
@@ -49,7 +50,7 @@
 // silent for too long. Routers stop more often than others.
 var stops = []fault{
 	{"router stopped and started", stopRouter}, {"router stopped and started", stopRouter},
-	{"router stopped and started", stopRouter},
+	{"router stopped while it stands still", stopStandingRouter},
 	{"loader stopped and started", func(f *faults, _ time.Duration) { f.restart(pick(f, f.world.loaders), syscall.SIGTERM, 0) }},
 	{"settings read again", func(f *faults, _ time.Duration) { pick(f, f.world.processes()).signal(syscall.SIGHUP) }},
 	{"configuration changed", func(f *faults, _ time.Duration) { f.world.configure() }},
@@ -59,6 +60,18 @@
 	f.restart(pick(f, f.world.routers), syscall.SIGTERM, 0)
 }
 
+// stopStandingRouter stops a router that does not run at that time, and for up to longestStandstill
+// after it.
+func stopStandingRouter(f *faults, lasts time.Duration) {
+	p := pick(f, f.world.routers)
+	p.signal(syscall.SIGSTOP)
+	f.restart(p, syscall.SIGTERM, 0)
+	f.tasks.Go(func() {
+		time.Sleep(min(lasts, longestStandstill))
+		p.resume()
+	})
+}
+
 // silenceEngines makes engines and single streams pause, and engines refuse runs, until ctx ends.
 func silenceEngines(ctx context.Context, w *world, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, seed+1))
@@ -137,3 +150,10 @@
 	return c.world.silence && !stop.IsZero() && c.world.checker.whenSent(id).Sub(stop) <= lateRequest &&
 		now.Sub(stop) >= lastPart
 }
+
+// wake ends the pause of the engine for streams that have not reached it yet.
+func (e *engine) wake() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.silentUntil = time.Time{}
+}
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -72,18 +72,19 @@
 // newWorldWithBudget is newWorld with a bound on retries.
 func newWorldWithBudget(t *testing.T, seed uint64, retries retrybudget.Bounds) *world {
 	t.Helper()
-	return startWorld(t, seed, retries, stopLimit)
+	return startWorld(t, seed, retries, stopLimit, false)
 }
 
-// startWorld starts a deployment with a bound on retries and a time from SIGTERM to SIGKILL.
-func startWorld(t *testing.T, seed uint64, retries retrybudget.Bounds, stopLimit time.Duration) *world {
+// startWorld starts a deployment with a bound on retries and a time from SIGTERM to SIGKILL. With
+// silence, engines pause and processes stand still.
+func startWorld(t *testing.T, seed uint64, retries retrybudget.Bounds, stopLimit time.Duration, silence bool) *world {
 	t.Helper()
 	dir, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
 	if err != nil {
 		t.Fatal(err)
 	}
 	w := &world{
-		t: t, dir: dir, checker: newChecker(retries), retries: retries, stopLimit: stopLimit, store: newStore(), links: map[string]*relay.Relay{},
+		t: t, dir: dir, checker: newChecker(retries), retries: retries, stopLimit: stopLimit, silence: silence, store: newStore(), links: map[string]*relay.Relay{},
 		net: fmt.Sprintf("127.%d.%d", 20+os.Getpid()%200, 3*(seed%80)),
 	}
 	w.configure()
@@ -175,7 +176,10 @@
 func (w *world) startProcess(role, name, text string) *process {
 	settings, err := writeSettings(w.dir, name, text)
 	w.check(err)
-	p := &process{role: role, settings: settings, log: filepath.Join(w.dir, name+".log"), stopLimit: w.stopLimit}
+	p := &process{role: role, settings: settings, log: filepath.Join(w.dir, name+".log"), stopLimit: w.stopLimit, killAfter: w.stopLimit + time.Second}
+	if w.silence {
+		p.killAfter = w.stopLimit // as the platform does
+	}
 	w.check(p.start())
 	return p
 }
