Gateway: a hedge without an event is no answer unless it is complete

Cause: whether a hedge's answer is complete was decided by its framing alone; a stream that ends with its connection is only complete after an event. The decision for forwarded streams (streamBreak) now serves here too.

TestStreamIsNotLeftForAnAnswerWithoutAnEvent failed 5 of 5 times before and passes 5 of 5.

--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -7,7 +7,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"nutmeglane.example/nutmeglane/internal/framing"
 	"nutmeglane.example/nutmeglane/internal/router"
 )
 
@@ -82,15 +81,16 @@
 		c.progress.received()
 		read.Write(chunk[:n])
 		s.Feed(chunk[:n])
-		if errors.Is(err, io.EOF) && framing.Complete(a.framing, framing.EndOf(a.framing, err)) {
-			break
-		}
 		if err == nil && read.Len() > maxEventBytes {
 			err = errEventTooLarge
 		}
-		if err != nil {
-			return err
+		if err == nil {
+			continue
+		}
+		if cause := streamBreak(a.ended(err), s, err); cause != nil {
+			return cause
 		}
+		break // the caller has all events already
 	}
 	a.response.Body = readAhead{io.MultiReader(&read, body), body}
 	return nil
--- a/internal/gateway/silent_test.go
+++ b/internal/gateway/silent_test.go
@@ -87,6 +87,30 @@
 	}
 }
 
+// Guards against a stream with all events that is cut because its server was silent before the end:
+// the other server has no further event, and closes its answer without a mark of its end.
+func TestStreamIsNotLeftForAnAnswerWithoutAnEvent(t *testing.T) {
+	var requests atomic.Int32
+	next := make(chan struct{})
+	serve := func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		readRequest(conn)
+		if requests.Add(1) > 1 {
+			_, _ = io.WriteString(conn, answerHead("r1", closeHead))
+			_ = conn.Close()
+			close(next)
+			return
+		}
+		_, _ = io.WriteString(conn, answerHead("r1", streamHead)+chunk(event(1)+event(2)+event(3)+event(4)))
+		<-next
+		// A router that leaves this server closes the connection within that time.
+		_ = conn.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+		_, _ = conn.Read(make([]byte, 1))
+		_, _ = io.WriteString(conn, "0\r\n\r\n")
+	}
+	newFixture(t, serve, serve).expectWhole()
+}
+
 // Guards against a stream that stays at a server that hangs for good, and against events that come
 // twice or are missing when another one takes it up.
 func TestHangingServerLosesItsStream(t *testing.T) {
--- a/internal/router/ending.go
+++ b/internal/router/ending.go
@@ -202,4 +202,3 @@
 func (r *Router) loadedElsewhere(req *request) bool {
 	return r.bestLoaded(req) != nil
 }
-
