Router: requests that are read late in a stop keep a reserve

Cause: the expected time of an answer is that of a running server and a running process. Once the load balancer has removed the host, a request arrives only on a connection that was read late, which shows that the host is busy. Such a request must have 2 s beside its expected time, in which a paused stream is hedged; otherwise it is refused as not run, and its caller's next try reaches another host.

TestLateRequestsOfAStopKeepAReserve failed before (sent 4.7 s after the signal with 2.7 s left for an answer of 1 s).

--- a/internal/router/stop.go
+++ b/internal/router/stop.go
@@ -14,6 +14,15 @@
 // once; one that is cut midway has run, or may have.
 const stopMargin = 2
 
+const (
+	// stopSettle is the time from the begin of a stop until the load balancer has removed the host.
+	stopSettle = 2500 * time.Millisecond
+	// stopPause is what an answer to a request that arrives after stopSettle must have left beside its
+	// expected time: the pause of a server after which a hedge has brought the next event. Such a
+	// request was read late, as on a busy host, and another host serves it at once.
+	stopPause = 2 * time.Second
+)
+
 // stop begins the shutdown of the process, by the end of which each request must have its
 // answer.
 func (r *Router) stop(until core.Time) {
@@ -26,7 +35,16 @@
 // endsInTime reports whether an answer that a server begins after the given time can be
 // expected to be complete before the process ends.
 func (r *Router) endsInTime(req *request, after time.Duration) bool {
-	return r.stopAt == core.Never || r.now.Add(after+r.answerWithin(req)) <= r.stopAt
+	return r.stopAt == core.Never || r.now.Add(after+r.answerWithin(req)+r.stopReserve(req)) <= r.stopAt
+}
+
+// stopReserve returns the time that the answer to a request must have left beside its expected time
+// before a stopping process ends.
+func (r *Router) stopReserve(req *request) time.Duration {
+	if req.number > 0 || r.stoppingSince == 0 || req.arrived.Sub(r.stoppingSince) < stopSettle {
+		return 0
+	}
+	return stopPause
 }
 
 // answerWithin returns the time in which the complete answer can be expected once a server
--- a/internal/router/stop_test.go
+++ b/internal/router/stop_test.go
@@ -133,3 +133,23 @@
 	w.step(Stopping{Until: w.now.Add(100 * time.Millisecond)})
 	w.wantRefusedAtStop(key)
 }
+
+// Guards against an answer that is cut at the end of a stop because its request was read seconds after
+// the load balancer had removed the host, and its server or this process then paused.
+func TestLateRequestsOfAStopKeepAReserve(t *testing.T) {
+	cases := []struct {
+		after time.Duration
+		sent  bool
+	}{{time.Second, true}, {stopSettle, true}, {3 * time.Second, true}, {4700 * time.Millisecond, false}, {6 * time.Second, false}}
+	for _, c := range cases {
+		w := newPacedFixture(t)
+		w.step(Stopping{Until: w.now.Add(7400 * time.Millisecond)})
+		w.now = w.now.Add(c.after)
+		w.reportHoldings(0, core.Holdings{FreeMB: 50_000, Models: loadedModels("m0")})
+		key := w.call("patient", prompt("m0"))
+		finish, ended := w.finishes[key]
+		if sent := len(w.sends[key]) == 1; sent != c.sent || !sent && !finish.Code.NotRun() {
+			t.Errorf("%v after the signal: sent %t, ended %t: %v", c.after, sent, ended, finish.Code)
+		}
+	}
+}
