Router: the head of a refused hedge counts like that of any attempt

A server's limit and load that it named in the refusal of a hedge were left out. One function processes what a head states, for both kinds of attempt.

TestLimitInTheRefusalOfAHedgeCounts failed before its call; go test of router passes.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -89,13 +89,7 @@
 		return
 	}
 	b := req.backend
-	req.attempt.began = !e.Answer.NotRun
-	if e.Answer.Load != nil {
-		b.load, b.loadAt, b.ownAtLoad = e.Answer.Load, r.now, len(b.sent)
-		r.noteServerLoad(req, e.Answer)
-	}
-	r.noteLimit(req, e.Answer)
-	r.widenWindow(b, req.attempt, e.Answer)
+	r.noteHead(b, req.attempt, e.Answer)
 	switch {
 	case req.continuation != nil && (e.Answer.NotRun || e.Answer.Status != statusOK):
 		r.answeredContinuation(req, e)
@@ -118,6 +112,17 @@
 	}
 }
 
+// noteHead processes what a server states of itself in the head of an answer to an attempt.
+func (r *Router) noteHead(b *backend, a *attempt, answer fleet.Answer) {
+	a.began = !answer.NotRun
+	if answer.Load != nil {
+		b.load, b.loadAt, b.ownAtLoad = answer.Load, r.now, len(b.sent)
+		r.noteServerLoad(b, a, answer)
+	}
+	r.noteLimit(b, a, answer)
+	r.widenWindow(b, a, answer)
+}
+
 // mayRetry reports whether another server's answer can still replace a failed one.
 func (r *Router) mayRetry(req *request) bool {
 	return req.route.Repeatable() && !req.forwarded && req.sends < req.route.MaxAttempts &&
--- a/internal/router/hedge.go
+++ b/internal/router/hedge.go
@@ -135,6 +135,7 @@
 // hedgeRefused ends a hedge whose server answered with another status than that of a stream.
 func (r *Router) hedgeRefused(req *request, e Answered) {
 	h, end := req.hedge, endedServerError
+	r.noteHead(h.backend, h.attempt, e.Answer)
 	if e.Answer.NotRun {
 		end = endedRefused
 	}
--- a/internal/router/hedge_test.go
+++ b/internal/router/hedge_test.go
@@ -110,6 +110,18 @@
 	w.expectNothingSent()
 }
 
+// Guards against a server's limit that is missed because it was named in the refusal of a hedge.
+func TestLimitInTheRefusalOfAHedgeCounts(t *testing.T) {
+	w, key, _ := silentStream(t, 2)
+	other := w.requestOf(key).hedge.backend
+	w.step(Answered{Key: key, Attempt: 2, Answer: fleet.Answer{
+		Status: statusUnavailable, NotRun: true, Limit: fleet.ReportedLimit{State: fleet.LimitReported, PerSecond: 2},
+	}})
+	if !other.limited() {
+		t.Error("its limit is not known")
+	}
+}
+
 // Guards against a second run that goes on after the first server has continued.
 func TestHedgeIsDroppedWhenTheServerContinues(t *testing.T) {
 	w, key, at := silentStream(t, 2)
--- a/internal/router/serverlimit.go
+++ b/internal/router/serverlimit.go
@@ -44,9 +44,8 @@
 // noteLimit processes the limit in an answer. It ignores an answer to a request that was
 // sent to an earlier incarnation, and one of another server that has taken over the
 // address.
-func (r *Router) noteLimit(req *request, answer fleet.Answer) {
-	b := req.backend
-	if answer.Absent || req.attempt.incarnation.Compare(b.Incarnation) != 0 {
+func (r *Router) noteLimit(b *backend, a *attempt, answer fleet.Answer) {
+	if answer.Absent || a.incarnation.Compare(b.Incarnation) != 0 {
 		return
 	}
 	if answer.Limit.State == fleet.LimitMalformed {
@@ -55,7 +54,7 @@
 	}
 	r.applyLimit(b, "its answer", limit.Announcement{
 		Named: answer.Limit.State == fleet.LimitReported, PerSecond: answer.Limit.PerSecond,
-		Sent: req.attempt.at, Received: r.now,
+		Sent: a.at, Received: r.now,
 	})
 }
 
--- a/internal/router/serverload.go
+++ b/internal/router/serverload.go
@@ -54,13 +54,12 @@
 }
 
 // noteServerLoad processes the load in an answer.
-func (r *Router) noteServerLoad(req *request, answer fleet.Answer) {
-	b := req.backend
-	if answer.Load == nil || answer.Absent || r.budgetObjective(b) == 0 || req.attempt.incarnation.Compare(b.Incarnation) != 0 {
+func (r *Router) noteServerLoad(b *backend, a *attempt, answer fleet.Answer) {
+	if answer.Load == nil || answer.Absent || r.budgetObjective(b) == 0 || a.incarnation.Compare(b.Incarnation) != 0 {
 		return
 	}
 	if !answer.NotRun {
-		b.stated.learn(r.now.Sub(req.attempt.at), *answer.Load)
+		b.stated.learn(r.now.Sub(a.at), *answer.Load)
 	}
 	b.stated.pending = true
 	matters := answer.Load.Waiting > 0 || r.budgetIsLow(b)
