Router: a stop that is handled late takes new requests for as long as one in time

A stream sent 3.5 s after the signal was cut at the limit as its engine paused for 3.9 s; the platform's rule excuses that for requests sent within 3 s only.

Cause: the time in which new requests are taken counted from the handling of the signal, like the limit before.

The stop now begins at the earliest moment at which the signal may have come, for the load balancer's time, the reserve of late requests and the log.

TestLateRequestsOfAStopKeepAReserve has two cases with a late signal, of which the refused one failed before. TestStopLimitCountsFromTheSignal stands still for 1.5 s in place of 3: after 2.5 s no request is taken on that could run until the limit; its times in the log now count from the signal.

--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -194,13 +194,14 @@
 	p.log.Info("stopping", "limit", p.settings.StopLimit.String(), "late", late.String(), "requests", p.gateway.ActiveRequests())
 	p.ready.Store(false)
 	p.gateway.Stop()
-	// What the platform has waited already is not left for answers.
+	// What the platform has waited already is not left for answers, and the load balancer's checks
+	// had no answer in that time.
 	limit := max(0, p.settings.StopLimit-stopReserve-late)
-	p.gateway.Step(router.Stopping{Until: clock.Now().Add(limit - stopReserve/2)})
+	p.gateway.Step(router.Stopping{Until: clock.Now().Add(limit - stopReserve/2), Late: late})
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	select {
-	case <-time.After(min(stopDelay, limit)):
+	case <-time.After(max(0, min(stopDelay-late, limit))):
 	case err := <-p.failed:
 		return err
 	}
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -59,7 +59,11 @@
 
 // Stopping reports that the process ends at a time, by which each request must have its
 // answer.
-type Stopping struct{ Until core.Time }
+type Stopping struct {
+	Until core.Time
+	// Late is how long ago the signal to stop may have come, if the process did not run.
+	Late time.Duration
+}
 
 // LoaderUp and LoaderDown report that the connection to a loader, identified by its
 // address, was established or lost.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -134,7 +134,7 @@
 
 	// stopAt is when the process ends, Never unless it is stopping.
 	stopAt core.Time
-	// stoppingSince is when the process began to stop, 0 before.
+	// stoppingSince is when the signal to stop may have come, 0 before.
 	stoppingSince core.Time
 	nextTick      core.Time
 	nextPlan      core.Time
@@ -246,7 +246,7 @@
 	case StoreState:
 		r.ownStoreRead(e.Reachable)
 	case Stopping:
-		r.stop(e.Until)
+		r.stop(e)
 	case LoaderUp:
 		r.loaderUp(e.Loader)
 	case LoaderDown:
--- a/internal/router/stop.go
+++ b/internal/router/stop.go
@@ -15,7 +15,7 @@
 const stopMargin = 2
 
 const (
-	// stopSettle is the time from the begin of a stop until the load balancer has removed the host.
+	// stopSettle is the time from the signal to stop until the load balancer has removed the host.
 	stopSettle = 2500 * time.Millisecond
 	// stopPause is what an answer to a request that arrives after stopSettle must have left beside its
 	// expected time: the pause of a server after which a hedge has brought the next event. Such a
@@ -25,8 +25,8 @@
 
 // stop begins the shutdown of the process, by the end of which each request must have its
 // answer.
-func (r *Router) stop(until core.Time) {
-	r.stopAt, r.stoppingSince = until, r.now
+func (r *Router) stop(e Stopping) {
+	r.stopAt, r.stoppingSince = e.Until, r.now.Add(-e.Late)
 	r.gate.SetLeaving()
 	r.checkRequests()
 	r.recheckAllWaits()
