--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -191,12 +191,13 @@
 // after their answers.
 func (p *routerProcess) stop() error {
 	late := p.standstill.lateness(time.Now())
-	p.log.Info("stopping", "limit", p.settings.StopLimit.String(), "late", late.String(), "requests", p.gateway.ActiveRequests())
 	p.ready.Store(false)
 	p.gateway.Stop()
 	// What the platform has waited already is not left for answers, and the load balancer's checks
 	// had no answer in that time.
 	limit := max(0, p.settings.StopLimit-stopReserve-late)
+	p.log.Info("stopping", "limit", p.settings.StopLimit.String(), "late", late.String(), "ends_within", limit.String(),
+		"requests", p.gateway.ActiveRequests())
 	p.gateway.Step(router.Stopping{Until: clock.Now().Add(limit - stopReserve/2), Late: late})
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
--- a/internal/daemon/standstill.go
+++ b/internal/daemon/standstill.go
@@ -30,20 +30,34 @@
 func (s *standstill) beat(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.last.IsZero() && now.Sub(s.last) >= standstillAfter {
-		s.from, s.until = s.last, now
+	if s.stands(now) {
+		s.from, s.until = s.begin(), now
 	}
 	s.last = now
 }
 
+// stands reports whether the process did not run from the last beat until now.
+func (s *standstill) stands(now time.Time) bool {
+	return !s.last.IsZero() && now.Sub(s.last) >= standstillAfter
+}
+
+// begin returns when a standstill began that lasted from the last beat on. One that follows another
+// within standstillRecent belongs to that: what gathered in it may still wait.
+func (s *standstill) begin() time.Time {
+	if !s.until.IsZero() && s.last.Sub(s.until) < standstillRecent {
+		return s.from
+	}
+	return s.last
+}
+
 // lateness returns how long ago an event that is handled now may have happened, 0 if the process has
 // been running.
 func (s *standstill) lateness(now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
-	case !s.last.IsZero() && now.Sub(s.last) >= standstillAfter:
-		return now.Sub(s.last)
+	case s.stands(now):
+		return now.Sub(s.begin())
 	case !s.until.IsZero() && now.Sub(s.until) < standstillRecent:
 		return now.Sub(s.from)
 	default:
--- a/internal/daemon/standstill_test.go
+++ b/internal/daemon/standstill_test.go
@@ -28,6 +28,9 @@
 	if late := s.lateness(at(5100 * time.Millisecond)); late != 3100*time.Millisecond {
 		t.Errorf("%v late after the first beat after a standstill of 3 s", late)
 	}
+	if late := s.lateness(at(6 * time.Second)); late != 4*time.Second {
+		t.Errorf("%v late in a second standstill right after the first one", late)
+	}
 	for d := 5 * time.Second; d <= 7*time.Second; d += schedLatencyInterval {
 		s.beat(at(d))
 	}
