Router: a silent server counts as failing when its request is hedged

Since hedges, a silent server counted as failing only once a request had left it, so that it was ejected later than before and got more new requests.

It is recorded when the hedge is sent, as it was when the request was moved.

TestSilentServerIsEjected failed before; go test of router and gateway passes.

--- a/internal/router/hedge.go
+++ b/internal/router/hedge.go
@@ -74,6 +74,8 @@
 	b := c.backend
 	b.limit.gate.RecordIntent(r.now)
 	b.limit.gate.RecordSent(r.now)
+	// New requests avoid it from now on, whether this one stays or not.
+	r.recordFailure(req.backend, NoAnswer, "no answer in time")
 	req.sends++
 	h := &hedge{backend: b}
 	h.number, h.attempt = r.begin(req, c)
@@ -123,7 +125,6 @@
 	b, h := req.backend, req.hedge
 	r.emit(Abandon{Key: req.key, Attempt: req.number})
 	r.release(req, leftSilent)
-	r.recordFailure(b, NoAnswer, "no answer in time")
 	r.log(SingleRequest, "server was silent; the request goes on at another one", req.attrs("instance", b.Instance,
 		"waited", r.now.Sub(req.attempt.at).String(), "other", h.backend.Instance, "after", r.now.Sub(h.attempt.at).String(),
 		"predicted", req.attempt.forecast.first.String(), "ahead", req.attempt.forecast.ahead.String())...)
--- a/internal/router/hedge_test.go
+++ b/internal/router/hedge_test.go
@@ -289,3 +289,13 @@
 		})
 	}
 }
+
+// Guards against new requests that are sent to a server whose streams are silent, because none of them
+// has left it yet.
+func TestSilentServerIsEjected(t *testing.T) {
+	w, _, at := silentStream(t, 2)
+	b := w.router.backends[at]
+	if b.failures != 1 {
+		t.Errorf("%d failures are recorded for a silent stream, want 1", b.failures)
+	}
+}
