--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -14,8 +14,9 @@
 // the answer, of a stream up to the first event, and gives the caller nothing: the reducer decides
 // which of the two goes on, and the request's own goroutine then forwards that one.
 //
-// Both attempts of a stream continue at the same position. The reducer is told of an event of the stalled stream before it
-// is forwarded (Resumed) and drops the hedge then, so that no event comes twice or is missing.
+// Both attempts of a stream continue at the same position. The reducer is told of an event of the
+// stalled stream before it is forwarded (Resumed) and drops the hedge then, so that no event comes
+// twice or is missing.
 
 // hedge is a second attempt. It runs in a call of its own, which has no caller.
 type hedge struct {
--- a/internal/router/hedge.go
+++ b/internal/router/hedge.go
@@ -14,8 +14,9 @@
 // waits for a processor is silent for seconds and then completes its answer, while the next server
 // may refuse the request, fail or be silent too. A server that hangs still loses the request.
 
-// hedgeOverlap is how long two servers may work on a request unless Options say otherwise. It is below the 400 ms after which two
-// runs of a request at once break a rule of the platform, by a tick and a round trip.
+// hedgeOverlap is how long two servers may work on a request unless Options say otherwise. It is below
+// the 400 ms after which two runs of a request at once break a rule of the platform, by a tick and a
+// round trip.
 const hedgeOverlap = 300 * time.Millisecond
 
 // hedge is a second attempt of a request.
