--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -145,17 +145,9 @@
 	b := req.backend
 	r.release(req, endedRefused)
 	req.arrivals++
-	// With a backoff the server states for how long it fails; a guess from its failures
-	// would outlast that.
-	backsOff := e.Answer.Backoff.State == fleet.BackoffReported
-	if !backsOff {
-		b.failureRate += (1 - b.failureRate) * smoothing
-	}
+	r.noteRefusal(b, req, e.Answer)
 	r.log(SingleRequest, "backend server refused the request", req.attrs("instance", b.Instance,
 		"attempt", e.Attempt, "status", e.Answer.Status, "backoff", e.Answer.Backoff.Period.String())...)
-	if e.Answer.Absent && req.prompt != nil {
-		r.forgetModel(b, req.prompt.Model)
-	}
 	if req.hedge != nil || req.sends < req.route.MaxAttempts {
 		r.dispatch(req)
 		return
@@ -164,13 +156,26 @@
 		r.finish(req, code.NoBackend, r.retryAfterIn(quickRetryAfter), "the backend server refused it; another can serve it")
 		return
 	}
-	if backsOff {
+	if e.Answer.Backoff.State == fleet.BackoffReported {
 		r.refuseTurnedAway(req)
 		return
 	}
 	r.giveUp(req, code.NoBackend, "the backend server refused it")
 }
 
+// noteRefusal records that a server answered a request with a refusal or a failure, and what it thereby
+// states not to have.
+func (r *Router) noteRefusal(b *backend, req *request, answer fleet.Answer) {
+	// With a backoff the server states for how long it fails; a guess from its failures
+	// would outlast that.
+	if answer.Backoff.State != fleet.BackoffReported {
+		b.failureRate += (1 - b.failureRate) * smoothing
+	}
+	if answer.Absent && req.prompt != nil {
+		r.forgetModel(b, req.prompt.Model)
+	}
+}
+
 // forgetModel removes a model that an engine answered not to have from its registry entry. Without
 // a report from the loader the entry, which is out of date, would direct the next request there too.
 func (r *Router) forgetModel(b *backend, model string) {
--- a/internal/router/ending.go
+++ b/internal/router/ending.go
@@ -131,9 +131,7 @@
 			r.leaveEnded(req)
 		case req.hedge != nil && r.now.Sub(req.hedge.attempt.at) >= r.opts.HedgeOverlap:
 			r.hedgeLate(req)
-		case req.silent && req.backend != nil:
-			r.tryHedge(req)
-		case req.backend != nil && r.overdue(req):
+		case req.backend != nil && (req.silent || r.overdue(req)):
 			r.tryHedge(req)
 		}
 	}
--- a/internal/router/hedge.go
+++ b/internal/router/hedge.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"nutmeglane.example/nutmeglane/internal/fleet"
 )
 
 // This file hedges requests whose server is silent: a second attempt is made at another server while
@@ -141,12 +139,7 @@
 	if e.Answer.NotRun {
 		end = endedRefused
 	}
-	if e.Answer.Backoff.State != fleet.BackoffReported {
-		h.backend.failureRate += (1 - h.backend.failureRate) * smoothing
-	}
-	if e.Answer.Absent && req.prompt != nil {
-		r.forgetModel(h.backend, req.prompt.Model)
-	}
+	r.noteRefusal(h.backend, req, e.Answer)
 	r.log(SingleRequest, "backend server refused the request", req.attrs("instance", h.backend.Instance, "attempt", h.number,
 		"status", e.Answer.Status, "stays_at", req.backend.Instance)...)
 	req.arrivals++
