--- a/review/trial2/drain_test.go
+++ b/review/trial2/drain_test.go
@@ -57,7 +57,7 @@
 		w.away = false
 		w.mu.Unlock()
 		w.writeConfig()
-		w.expire(leaving)
+		w.expire(leaving, 3*heartbeat)
 	}
 	time.Sleep(2500 * time.Millisecond)
 	leaving.exit()
--- a/review/trial2/main_test.go
+++ b/review/trial2/main_test.go
@@ -24,6 +24,7 @@
 
 // cases are the scripts by name. Each returns whether the rule held.
 var cases = map[string]func(w *world, trouble bool) (int, error){
+	"lateorder":     lateOrder,
 	"longprompt":    longPrompt,
 	"quietfront":    quietFront,
 	"raremodel":     rareModel,
--- a/review/trial2/replica_test.go
+++ b/review/trial2/replica_test.go
@@ -42,11 +42,15 @@
 	events  int
 	pause   time.Duration
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// seq counts its entries, the last of which it wrote at beatAt.
 	seq      int
+	beatAt   time.Time
 	orders   int64
 	busyTill time.Time
-	models   map[string]bool
+	// loading is the model that is loaded until busyTill, "" if none is.
+	loading string
+	models  map[string]bool
 	// disk are the models of which there is a copy on its disk, which a restart preserves.
 	disk     map[string]bool
 	state    string
@@ -55,6 +59,11 @@
 	arrivals []*arrival
 	born     int64
 	server   *http.Server
+	// lateModel is the model whose next order to load gets no answer and is carried out after late. overload
+	// is set once an order has come to more than the replica's memory holds.
+	lateModel string
+	late      time.Duration
+	overload  bool
 	// intercept answers a request in another way if it returns true.
 	// headers are added to all its answers to requests.
 	headers   map[string]string
@@ -89,15 +98,25 @@
 func (r *replica) has(model string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.endLoad()
 	return r.models[model]
 }
 
+// endLoad ends a load that is due. The caller holds r.mu.
+func (r *replica) endLoad() {
+	if r.loading != "" && !time.Now().Before(r.busyTill) {
+		r.models[r.loading], r.disk[r.loading] = true, true
+		r.loading = ""
+	}
+}
+
 func (r *replica) key() string { return "servers/" + r.id }
 
 // beat writes the replica's entry.
 func (r *replica) beat() {
 	r.mu.Lock()
 	r.seq++
+	r.beatAt = time.Now()
 	entry := map[string]any{
 		"service": r.service, "address": r.address, "zone": r.zone, "version": r.version, "slots": 6, "state": r.state,
 		"coldRemainingMs": 0, "seq": r.seq, "born": r.born,
@@ -134,6 +153,12 @@
 	return r.silent
 }
 
+func (r *replica) lastBeat() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.beatAt
+}
+
 // leave removes the entry without a state draining before, and returns when that was acknowledged.
 func (r *replica) leave() time.Time {
 	r.mu.Lock()
@@ -143,6 +168,7 @@
 }
 
 func (r *replica) listModels() []map[string]any {
+	r.endLoad()
 	list := []map[string]any{}
 	for name := range r.models {
 		list = append(list, map[string]any{"name": name, "version": 1, "adapters": []string{}})
@@ -230,8 +256,9 @@
 func (r *replica) report(w http.ResponseWriter) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.endLoad()
 	reply(w, map[string]any{
-		"stage": "colocated", "models": r.listModels(), "busy": time.Now().Before(r.busyTill), "seq": r.orders, "waiting": 0,
+		"stage": "colocated", "models": r.listModels(), "busy": r.loading != "", "seq": r.orders, "waiting": 0,
 		"running": r.running, "kvUsed": 0, "kvTotal": 100000, "handles": 0, "born": r.born, "state": r.state,
 		"atHand": map[string]any{"inMemory": []string{}, "onDisk": slices.Sorted(maps.Keys(r.disk))}, "runs": []any{}, "coming": []string{},
 	})
@@ -255,31 +282,51 @@
 		return
 	}
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	if time.Now().Before(r.busyTill) || order.Expected != nil && *order.Expected != r.orders {
-		w.WriteHeader(http.StatusConflict)
+	if order.Operation == "model_load" && order.Model == r.lateModel {
+		r.lateModel = ""
+		r.mu.Unlock()
+		r.w.rec.log("engine %s: the order to load %s, expected %d, gets no answer and is carried out %v later", r.id, order.Model, *order.Expected, r.late)
+		time.AfterFunc(r.late, func() {
+			status := r.carryOut(order.Operation, order.Model, order.Expected)
+			r.w.rec.log("engine %s: the late order to load %s, expected %d: %d", r.id, order.Model, *order.Expected, status)
+		})
+		<-q.Context().Done()
 		return
 	}
+	r.mu.Unlock()
+	status := r.carryOut(order.Operation, order.Model, order.Expected)
+	r.w.rec.detail("engine %s: order %s %s of %s: %d", r.id, order.Operation, order.Model, order.Holder, status)
+	w.WriteHeader(status)
+}
+
+// carryOut begins an order and returns its status, 0 if the process is away.
+func (r *replica) carryOut(operation, model string, expected *int64) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.endLoad()
+	switch {
+	case r.silent:
+		return 0
+	case r.loading != "" || expected != nil && *expected != r.orders:
+		return http.StatusConflict
+	case operation == "model_unload" && !r.models[model], operation == "model_load" && r.models[model]:
+		return http.StatusOK
+	}
 	r.orders++
-	r.w.rec.detail("engine %s: order %s %s of %s", r.id, order.Operation, order.Model, order.Holder)
-	if order.Operation == "model_unload" {
-		delete(r.models, order.Model)
-		w.WriteHeader(http.StatusAccepted)
-		return
+	if operation == "model_unload" {
+		delete(r.models, model)
+		return http.StatusAccepted
+	}
+	if mb := (len(r.models) + 1) * modelMb; mb > r.w.weightsMb {
+		r.overload = true
+		r.w.rec.log("engine %s: ordered to hold %d models of %d MB, %d MB of %d", r.id, len(r.models)+1, modelMb, mb, r.w.weightsMb)
 	}
-	takes, life := storeLoad, r.born
-	if r.disk[order.Model] {
+	takes := storeLoad
+	if r.disk[model] {
 		takes = diskLoad
 	}
-	r.busyTill = time.Now().Add(takes)
-	time.AfterFunc(takes, func() {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		if r.born == life && !r.silent {
-			r.models[order.Model], r.disk[order.Model] = true, true
-		}
-	})
-	w.WriteHeader(http.StatusAccepted)
+	r.loading, r.busyTill = model, time.Now().Add(takes)
+	return http.StatusAccepted
 }
 
 // after returns the requests that the replica ran and that arrived after a time.
@@ -299,12 +346,13 @@
 func (r *replica) crash(after time.Duration) bool {
 	r.mu.Lock()
 	down := r.silent
-	r.silent, r.orders, r.busyTill, r.models = true, 0, time.Time{}, map[string]bool{}
+	r.silent, r.orders, r.loading, r.models = true, 0, "", map[string]bool{}
 	r.mu.Unlock()
 	if down {
 		return false
 	}
 	r.exit()
+	r.w.expire(r, time.Until(r.lastBeat().Add(3*heartbeat)))
 	time.AfterFunc(after, func() {
 		if r.w.ctx.Err() != nil {
 			return
--- a/review/trial2/world_test.go
+++ b/review/trial2/world_test.go
@@ -27,6 +27,8 @@
 	// storeLoad and diskLoad are how long engines take to load a model.
 	storeLoad = 6 * time.Second
 	diskLoad  = 700 * time.Millisecond
+	// modelMb is the size of each model.
+	modelMb = 16000
 )
 
 // world is a small deployment: the project's own processes and stand-ins around them.
@@ -46,7 +48,7 @@
 	version  int
 	graceS   float64
 	results  []result
-	// weightsMb is the memory of an engine; each model takes 16,000.
+	// weightsMb is the memory of an engine; each model takes modelMb.
 	weightsMb int
 	// prepare sets up a replica before it starts.
 	prepare func(n int, r *replica)
@@ -95,10 +97,10 @@
 	w.store.setAway(away)
 }
 
-// expire removes the entries of replicas that have been silent for three heartbeats, as the platform
-// does.
-func (w *world) expire(r *replica) {
-	time.AfterFunc(3*heartbeat, func() {
+// expire removes the entry of a replica that is still silent after some time, as the platform does after
+// three heartbeats.
+func (w *world) expire(r *replica, after time.Duration) {
+	time.AfterFunc(after, func() {
 		if r.isSilent() && w.store.has(r.key()) {
 			w.rec.log("platform: the entry of %s is removed, three heartbeats without a write", r.id)
 			w.store.remove(r.key())
@@ -139,7 +141,7 @@
 	}
 	model := func(name string) map[string]any {
 		return map[string]any{
-			"name": name, "weightsMb": 16000, "loadS": storeLoad.Seconds(), "warmS": 0.5, "diskS": diskLoad.Seconds(), "adapters": 0, "adapterMb": 14,
+			"name": name, "weightsMb": modelMb, "loadS": storeLoad.Seconds(), "warmS": 0.5, "diskS": diskLoad.Seconds(), "adapters": 0, "adapterMb": 14,
 		}
 	}
 	routes := []any{
@@ -157,7 +159,7 @@
 			map[string]any{"name": "records", "healthPath": "/health", "maxConns": 110},
 			map[string]any{"name": "writers", "healthPath": "/health", "maxConns": 360, "engine": map[string]any{
 				"slots": 64, "kvCapacityTokens": 100000, "weightsMb": w.weightsMb, "adapterSlots": 8, "loadsPerS": 5.2,
-				"models": []any{model("model-a"), model("model-b")},
+				"models": []any{model("model-a"), model("model-b"), model("model-c")},
 			}},
 		},
 		"routes": routes,
