--- a/review/trial2/deadlypart_test.go
+++ b/review/trial2/deadlypart_test.go
@@ -13,7 +13,7 @@
 // request of that service arrives. The other routers get the sound requests of the service, which share
 // the first part of the prompt.
 func quietFront(w *world, trouble bool) (int, error) {
-	return w.deadlyPart(trouble, "aa01:400", 2)
+	return w.deadlyPart(trouble, "aa01:400", 2, 20, 1)
 }
 
 // longPrompt: such requests come at any router, and so do the sound ones. The prompts are those of a chat
@@ -23,13 +23,18 @@
 	for i := range 18 {
 		turns += fmt.Sprintf(",bb%02d:10", i)
 	}
-	return w.deadlyPart(trouble, turns, 0)
+	return w.deadlyPart(trouble, turns, 0, 20, 1)
 }
 
-// deadlyPart sends sound generations with some shared parts to routers, and once a second one that also
-// holds a part on which replicas crash. With busy routers above 0 the sound ones go to so many, and the
+// quarter: a quarter of all generations hold the deadly part, at any router.
+func quarter(w *world, trouble bool) (int, error) {
+	return w.deadlyPart(trouble, "aa01:400", 0, 60, 20)
+}
+
+// deadlyPart sends sound generations with some shared parts to routers, so many a second, and others
+// that also hold a part on which replicas crash. With busy routers above 0 the sound ones go to so many, and the
 // others to the last router.
-func (w *world) deadlyPart(trouble bool, shared string, busy int) (int, error) {
+func (w *world) deadlyPart(trouble bool, shared string, busy, soundRate, deadlyRate int) (int, error) {
 	if err := w.deploy(3, 2, 6, 30*time.Millisecond); err != nil {
 		return 0, err
 	}
@@ -59,19 +64,19 @@
 	}
 	traffic, stop := context.WithCancel(w.ctx)
 	defer stop()
-	go w.traffic(traffic, sound, 20, 5*time.Second, request{route: "ask", model: "model-a", prompt: shared})
+	go w.traffic(traffic, sound, soundRate, 5*time.Second, request{route: "ask", model: "model-a", prompt: shared})
 	go w.traffic(traffic, w.routers, 30, 1500*time.Millisecond, request{route: "book"})
 	time.Sleep(4 * time.Second)
 	prompt := shared + ",dead01:100"
 	if !trouble {
 		prompt = shared + ",dd01:100"
 	}
-	w.rec.log("clients: one request a second with the parts %s", prompt)
-	for i := range 30 {
+	w.rec.log("clients: %d requests a second with the parts %s", deadlyRate, prompt)
+	for i := range 30 * deadlyRate {
 		w.calls.Go(func() {
 			w.ask(deadly[i%len(deadly)], 5*time.Second, request{route: "ask", model: "model-a", prompt: prompt})
 		})
-		time.Sleep(time.Second)
+		time.Sleep(time.Second / time.Duration(deadlyRate))
 	}
 	time.Sleep(2 * time.Second)
 	stop()
--- a/review/trial2/main_test.go
+++ b/review/trial2/main_test.go
@@ -26,6 +26,7 @@
 var cases = map[string]func(w *world, trouble bool) (int, error){
 	"lateorder":     lateOrder,
 	"longprompt":    longPrompt,
+	"quarter":       quarter,
 	"quietfront":    quietFront,
 	"raremodel":     rareModel,
 	"sameread":      sameRead,
