Router: tell when the attempts of a retried request are known to have arrived

retrybudget.Tracker follows the attempts of a request until each has been answered, has failed in a way that shows whether it arrived, or was left and its server has answered a later request, or a window has passed. Until then the request's retries are unsettled. Shown by nutmeglane_router_retry_unsettled, nutmeglane_router_retry_settled_seconds, the dump, and a log line for those that took longer than the budget allows for. No decision depends on it.

--- a/internal/daemon/retrygauges.go
+++ b/internal/daemon/retrygauges.go
@@ -27,6 +27,8 @@
 		func(s router.RetryBudgetState) float64 { return s.Requests }),
 	newRetryGauge("window_retries", "Retries of this router within the window of the retry budget.",
 		func(s router.RetryBudgetState) float64 { return s.Retries }),
+	newRetryGauge("unsettled", "Retries of this router that may still arrive at the service.",
+		func(s router.RetryBudgetState) float64 { return float64(s.Unsettled) }),
 	newRetryGauge("slack_part", "This router's part of the retries that are allowed beside the ratio.",
 		func(s router.RetryBudgetState) float64 { return s.SlackPart }),
 	newRetryGauge("routers_known", "Routers among which the retry budget is divided, as far as this one knows.",
--- a/internal/daemon/retrygauges_test.go
+++ b/internal/daemon/retrygauges_test.go
@@ -16,7 +16,7 @@
 	registry := prometheus.NewRegistry()
 	read := func() []router.RetryBudgetState {
 		return []router.RetryBudgetState{
-			{Service: "records", State: retrybudget.State{Requests: 40, Retries: 3}, SlackPart: 2.5, Routers: 20},
+			{Service: "records", State: retrybudget.State{Requests: 40, Retries: 3, Unsettled: 2}, SlackPart: 2.5, Routers: 20},
 			{Service: "writer", State: retrybudget.State{Requests: 7}},
 		}
 	}
@@ -37,6 +37,7 @@
 	want := map[string]map[string]float64{
 		"nutmeglane_router_retry_window_requests": {"records": 40, "writer": 7},
 		"nutmeglane_router_retry_window_retries":  {"records": 3, "writer": 0},
+		"nutmeglane_router_retry_unsettled":       {"records": 2, "writer": 0},
 		"nutmeglane_router_retry_slack_part":      {"records": 2.5, "writer": 0},
 		"nutmeglane_router_retry_routers_known":   {"records": 20, "writer": 0},
 	}
--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -33,6 +33,9 @@
 // bucket is the length of one bucket of a window.
 func (b Bounds) bucket() time.Duration { return b.Window / bucketsPerWindow }
 
+// Delay is how much later than it is taken a retry usually arrives at most.
+func (b Bounds) Delay() time.Duration { return delayBuckets * b.bucket() }
+
 // Budget is one router's budget of retries to one service. Create it with New.
 type Budget struct {
 	bounds Bounds
@@ -45,6 +48,8 @@
 	slackUsed window.Window
 	// requests and retries are those within a window, for dumps.
 	requests, retries window.Window
+	// unsettled is the number of retries that may still arrive.
+	unsettled int
 }
 
 // New returns a budget without credit.
@@ -61,7 +66,9 @@
 // SetBounds replaces the bounds. With another window the budget begins anew, without credit.
 func (b *Budget) SetBounds(bounds Bounds) {
 	if bounds.Window != b.bounds.Window {
+		unsettled := b.unsettled
 		*b = *New(bounds)
+		b.unsettled = unsettled
 		return
 	}
 	b.bounds = bounds
@@ -93,9 +100,20 @@
 	return max(0, part-b.slackUsed.Total(now))
 }
 
-// Take takes a retry, or returns false if none is left. What was earned is used first, since it
-// expires.
+// Take takes a retry that arrives at once, or returns false if none is left. See Tracker for others.
 func (b *Budget) Take(now core.Time, part float64) bool {
+	if !b.take(now, part) {
+		return false
+	}
+	b.settle(now, 1)
+	return true
+}
+
+// settle records that retries have arrived or never will.
+func (b *Budget) settle(_ core.Time, retries int) { b.unsettled -= retries }
+
+// take takes a retry, which is unsettled then. What was earned is used first, since it expires.
+func (b *Budget) take(now core.Time, part float64) bool {
 	if !b.Has(now, part) {
 		return false
 	}
@@ -103,6 +121,7 @@
 	b.credit -= earned
 	b.slackUsed.Add(now, 1-earned)
 	b.retries.Add(now, 1)
+	b.unsettled++
 	return true
 }
 
@@ -114,6 +133,8 @@
 	Credit float64
 	// SlackUsed is the part of the slack that was used within a window.
 	SlackUsed float64
+	// Unsettled is the number of retries that may still arrive at the service.
+	Unsettled int
 }
 
 // Dump returns the state of the budget.
@@ -121,6 +142,6 @@
 	b.expire(now)
 	return State{
 		Requests: b.requests.Total(now), Retries: b.retries.Total(now),
-		Credit: b.credit, SlackUsed: b.slackUsed.Total(now),
+		Credit: b.credit, SlackUsed: b.slackUsed.Total(now), Unsettled: b.unsettled,
 	}
 }
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -22,7 +22,21 @@
 	return req
 }
 
+// attemptOf returns an attempt of a request with its server, nil if it has ended.
+func (r *Router) attemptOf(key Key, number int) (*backend, *attempt) {
+	if req := r.hedged(key, number); req != nil {
+		return req.hedge.backend, req.hedge.attempt
+	}
+	if req := r.current(key, number); req != nil {
+		return req.backend, req.attempt
+	}
+	return nil, nil
+}
+
 func (r *Router) attemptFailed(e AttemptFailed) {
+	if _, a := r.attemptOf(e.Key, e.Attempt); a != nil && e.settles() {
+		r.settle(r.requests[e.Key], a)
+	}
 	if req := r.hedged(e.Key, e.Attempt); req != nil {
 		r.hedgeFailed(req, e)
 		return
@@ -81,6 +95,10 @@
 }
 
 func (r *Router) answered(e Answered) {
+	if b, a := r.attemptOf(e.Key, e.Attempt); a != nil {
+		r.settle(r.requests[e.Key], a)
+		r.hasRead(b, a.at)
+	}
 	if req := r.hedged(e.Key, e.Attempt); req != nil && !r.hedgeAnswered(req, e) {
 		return
 	}
--- a/internal/router/backend.go
+++ b/internal/router/backend.go
@@ -102,6 +102,8 @@
 	// the router noticed that this incarnation of the server has ended, 0 while it has not.
 	lost    []lostRequest
 	endedAt core.Time
+	// unread are the attempts that were left and that the server may not have read yet.
+	unread []unreadAttempt
 
 	// limit is the state of the server's request limit.
 	limit serverLimit
@@ -122,6 +124,8 @@
 	release fleet.Release
 	// began is set once the head of an answer has arrived.
 	began bool
+	// settled is set once it is known that the request has arrived at the server or never will.
+	settled bool
 	// answered is set at the first byte that counts: the response head, or the first event
 	// of a stream.
 	answered bool
--- a/internal/router/hedge.go
+++ b/internal/router/hedge.go
@@ -67,7 +67,7 @@
 		return
 	}
 	c := r.hedgeTarget(req)
-	if c == nil || !r.endsInTime(req, c.forecast.ahead) || !r.takeRetry(req.service) {
+	if c == nil || !r.endsInTime(req, c.forecast.ahead) || !r.takeRetry(req) {
 		return
 	}
 	b := c.backend
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -26,6 +26,7 @@
 	metricIncomplete    core.Counter = "router_incomplete_answers_total"
 	metricFirstByte     core.Counter = "router_first_byte_seconds"
 	metricPlannedLoads  core.Counter = "router_planned_loads_total"
+	metricRetrySettled  core.Counter = "router_retry_settled_seconds"
 )
 
 // Counters declares the metrics of a router.
@@ -51,5 +52,6 @@
 	{Name: metricIncomplete, Help: "Requests that a server may have run and whose caller got no whole answer, by service, result code and how their last attempt ended.", Labels: []string{"service", "code", "last"}},
 	{Name: metricPlannedLoads, Help: "Loads that the copy plan ordered, by service, the tier of the copy that is loaded (memory, disk, store) and the reason.", Labels: []string{"service", "tier", "reason"}},
 	{Name: metricColdStart, Help: "Time from a request's arrival to its first event, of requests that waited for a load, by where the nearest copy lay.", Labels: []string{"tier"}},
+	{Name: metricRetrySettled, Help: "Time from the first retry of a request until it is known of all its attempts that they have arrived or never will, by service and what showed it.", Labels: []string{"service", "by"}},
 	{Name: metricFirstByte, Help: "Time from sending a request to its first byte or event, by service.", Labels: []string{"service"}},
 }
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -8,6 +8,7 @@
 	"nutmeglane.example/nutmeglane/internal/code"
 	"nutmeglane.example/nutmeglane/internal/core"
 	"nutmeglane.example/nutmeglane/internal/fleet"
+	"nutmeglane.example/nutmeglane/internal/retrybudget"
 	"nutmeglane.example/nutmeglane/internal/work"
 )
 
@@ -83,6 +84,8 @@
 	// received it.
 	sends, arrivals int
 	tried           []string
+	// retries follows the attempts until none can arrive any more.
+	retries retrybudget.Tracker
 	// number is the number of the current attempt, numbered that of the last one that was begun.
 	number, numbered int
 	backend          *backend
@@ -284,7 +287,7 @@
 		return
 	}
 	paid := req.continuation != nil && req.continuation.paid
-	if req.arrivals > 0 && !paid && !r.takeRetry(req.service) {
+	if req.arrivals > 0 && !paid && !r.takeRetry(req) {
 		r.giveUp(req, code.NoBackend, "the budget of repeats is used up")
 		return
 	}
@@ -309,6 +312,7 @@
 func (r *Router) begin(req *request, c *choice) (number int, a *attempt) {
 	b := c.backend
 	req.numbered++
+	req.retries.Sent()
 	req.tried = append(req.tried, b.Instance)
 	a = &attempt{at: r.now, incarnation: b.Incarnation, release: b.Release, slowdown: r.slowdown(b), forecast: c.forecast, copy: r.copyFor(req, b)}
 	b.sent[req.key] = a
@@ -360,6 +364,9 @@
 // releaseAttempt ends an attempt of a request at a server.
 func (r *Router) releaseAttempt(req *request, b *backend, a *attempt, end attemptEnd) {
 	req.past = append(req.past, pastAttempt{b.Instance, r.now.Sub(a.at), end})
+	if !a.settled {
+		r.leftUnread(req, b)
+	}
 	delete(b.sent, req.key)
 	a.copy.count(-1)
 	b.queue.Remove(r.now, uint64(req.key))
--- a/internal/router/retries.go
+++ b/internal/router/retries.go
@@ -30,16 +30,16 @@
 	loggedAt core.Time
 }
 
-// takeRetry takes a retry from the budget of a service, or returns false if none is left.
-func (r *Router) takeRetry(service string) bool {
-	s := r.service(service)
+// takeRetry takes a retry for a request from its service's budget, or returns false if none is left.
+func (r *Router) takeRetry(req *request) bool {
+	s := r.service(req.service)
 	outcome := retrySent
-	taken := s.budget.Take(r.now, r.retrySlack())
+	taken := req.retries.Take(s.budget, r.now, r.retrySlack())
 	if !taken {
 		outcome = retryRefused
 	}
 	s.retries.count(taken)
-	r.emit(Count{core.Count{Name: metricRetries, Labels: []string{service, outcome}, Add: 1}})
+	r.emit(Count{core.Count{Name: metricRetries, Labels: []string{req.service, outcome}, Add: 1}})
 	return taken
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -130,6 +130,8 @@
 
 	// retryShare is this router's share of the slack of the budgets of retries.
 	retryShare *retrybudget.Share
+	// withUnread are the servers that may not have read all attempts that were left there.
+	withUnread map[*backend]struct{}
 	// retryPart is this router's part of the budgets of retries as last logged.
 	retryPart retryPart
 	// startedAt is when the first step was made.
@@ -208,7 +210,7 @@
 		gate:    quota.NewGate(quotaBounds(opts.Bounds)),
 		ledger:  poison.New(), published: map[core.Fingerprint]core.Time{}, harmless: map[core.Fingerprint]*harmlessTell{}, departed: map[string]departed{},
 		origins: origin.NewTable(maxOrigins),
-		stopAt:  core.Never,
+		stopAt:  core.Never, withUnread: map[*backend]struct{}{},
 	}
 }
 
@@ -399,6 +401,7 @@
 	r.tickQuotas()
 	r.checkRequests()
 	r.expireBudgets()
+	r.expireUnread()
 	r.updateRetryShare()
 	r.logLimitedSends()
 	r.tellHarmless()
--- a/internal/router/runcopy.go
+++ b/internal/router/runcopy.go
@@ -172,7 +172,7 @@
 	if req.forwarded {
 		req.firstEventDeadline = min(req.deadline, r.now.Add(firstEventTimeout(req.route)))
 	}
-	c.pending, c.paid = true, r.takeRetry(req.service)
+	c.pending, c.paid = true, r.takeRetry(req)
 	r.sendContinuation(req)
 	return true
 }
