--- a/internal/router/retryfleet_test.go
+++ b/internal/router/retryfleet_test.go
@@ -47,6 +47,9 @@
 	held map[core.HostID][]sentRequest
 	// slowLinks are the longest times that the links of routers delay what they send.
 	slowLinks map[core.HostID]time.Duration
+	// standing are the servers that stand still, by instance, each with the requests that have reached
+	// its host and that it reads once it goes on, also those whose router has left them meanwhile.
+	standing map[string][]sentRequest
 	// starts numbers the processes of each host.
 	starts map[core.HostID]int
 	outbox []sentRequest
@@ -55,6 +58,8 @@
 	// scheduled are actions of the script, ordered by time.
 	scheduled []scheduledAction
 	log       *retrybudgettest.Log
+	// taken is the number of retries that all routers took from their budgets.
+	taken int
 }
 
 type sentRequest struct {
@@ -79,7 +84,7 @@
 		},
 		config: testConfig(), backends: map[string]fleet.Backend{}, bounds: testBounds(), rand: rand.New(rand.NewPCG(seed, seed)),
 		held:   map[core.HostID][]sentRequest{},
-		starts: map[core.HostID]int{}, slowLinks: map[core.HostID]time.Duration{},
+		starts: map[core.HostID]int{}, slowLinks: map[core.HostID]time.Duration{}, standing: map[string][]sentRequest{},
 	}
 	f.bounds.RetryRouters = 0
 	f.bounds.RetrySlack = max(50, 3*float64(routers))
@@ -188,6 +193,32 @@
 	f.held[name] = nil
 }
 
+// standStill suspends servers of the plain service for a time. They are the ones with the lowest numbers.
+func (f *retryFleet) standStill(servers int, lasts time.Duration) {
+	for i := range servers {
+		instance := f.plainInstance(i)
+		if _, stands := f.standing[instance]; stands {
+			continue
+		}
+		f.standing[instance] = nil
+		f.at(lasts, func() { f.goOn(instance) })
+	}
+}
+
+// goOn lets a server read what has reached its host while it stood still.
+func (f *retryFleet) goOn(instance string) {
+	unread := f.standing[instance]
+	delete(f.standing, instance)
+	for _, s := range unread {
+		f.arriveAtServer(s)
+	}
+}
+
+// plainInstance returns the name of a server of the plain service.
+func (f *retryFleet) plainInstance(i int) string {
+	return (&fixture{}).server(plainService, retryLoaders+i).Instance
+}
+
 // at schedules an action.
 func (f *retryFleet) at(after time.Duration, do func()) {
 	f.scheduled = append(f.scheduled, scheduledAction{f.now.Add(after), do})
@@ -220,6 +251,10 @@
 			f.send(name, e.Loader, e.Digest)
 		case Send:
 			f.outbox = append(f.outbox, sentRequest{due: f.now.Add(serverLatency + f.delay(name)), router: name, start: start, send: e})
+		case Count:
+			if e.Name == metricRetries && e.Labels[1] == retrySent {
+				f.taken += int(e.Add)
+			}
 		case Forward:
 			f.router(name, Done{Key: e.Key, Attempt: e.Attempt})
 		}
@@ -321,6 +356,10 @@
 }
 
 func (f *retryFleet) arriveAtServer(s sentRequest) {
+	if unread, stands := f.standing[s.send.Instance]; stands {
+		f.standing[s.send.Instance] = append(unread, s)
+		return
+	}
 	f.log.Arrival(f.now, fmt.Sprint(s.send.Key))
 	s.due, s.answers = f.now.Add(serverTime), true
 	f.outbox = append(f.outbox, s)
@@ -342,12 +381,16 @@
 	f.router(s.router, Answered{Key: s.send.Key, Attempt: s.send.Attempt, Answer: fleet.Answer{Status: status}})
 }
 
-// checkBound fails the test if the retries of any window exceed the bound.
+// checkBound fails the test if the retries of any window exceed the bound, or if more arrived than
+// were taken.
 func (f *retryFleet) checkBound() {
 	f.t.Helper()
 	worst := f.log.Worst()
 	requests, retries := f.log.Total()
-	f.t.Logf("%d requests, %d retries; worst window: %v", requests, retries, worst)
+	f.t.Logf("%d requests, %d retries arrived of %d taken; worst window: %v", requests, retries, f.taken, worst)
+	if retries > f.taken {
+		f.t.Errorf("%d retries arrived, %d were taken from budgets", retries, f.taken)
+	}
 	if worst.Exceeded() {
 		f.t.Errorf("bound exceeded: %v", worst)
 	}
