Retries use the slack until they are known to have arrived

Callers saw nothing of it: a service got more retries within ten seconds than its operators allow, in the moment in which it could bear them least.

Cause: the bound counts a retry when it arrives, the budget counted it when it was taken, and allowed for a twentieth of the window in between. A server that stands still, or gets no processor, reads in one moment what was sent over seconds, also the attempts that their routers have left. The slack that these retries had used was given out again a window after their sending, when they had hardly arrived.

Now the slack is in use from taking until a window after the retry is settled, as retrybudget.Tracker tells. An earned retry that is not settled within a twentieth of the window uses the slack, or what was earned since, from then on. All that arrives within a window is in use together at its end, however late it is. Retries that arrive at once are counted as before.

Tried and left: one sum of all retries in use against the ratio's part and the slack.

--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -44,21 +44,50 @@
 	credit float64
 	// recent are the requests whose earnings have not expired.
 	recent window.Window
-	// slackUsed is the part of the slack that was used, within a window and delayBuckets.
-	slackUsed window.Window
+	// fresh are the retries that were taken within Bounds.Delay, the oldest first.
+	fresh []*retry
+	// slack and late are the retries, or parts of them, that use the slack and those that were
+	// earned and are late.
+	slack, late use
 	// requests and retries are those within a window, for dumps.
 	requests, retries window.Window
 	// unsettled is the number of retries that may still arrive.
 	unsettled int
 }
 
+// use is a number of retries in use: from when they are taken until a window after they were settled,
+// with delayBuckets. Those that arrive within any window are then in use together at its end.
+type use struct {
+	open    float64
+	settled window.Window
+}
+
+func (u *use) begin(retries float64) { u.open += retries }
+
+func (u *use) settle(now core.Time, retries float64) {
+	u.open -= retries
+	u.settled.Add(now, retries)
+}
+
+func (u *use) total(now core.Time) float64 { return u.open + u.settled.Total(now) }
+
+// retry is a retry that was taken.
+type retry struct {
+	at core.Time
+	// slack is the part of it that uses the slack; the rest was earned.
+	slack float64
+	// late is set if it was not settled within Bounds.Delay.
+	settled, late bool
+}
+
 // New returns a budget without credit.
 func New(b Bounds) *Budget {
 	counted := func(buckets int) window.Window {
 		return window.New(time.Duration(buckets)*b.bucket(), buckets+1)
 	}
 	return &Budget{
-		bounds: b, recent: counted(creditBuckets - 1), slackUsed: counted(bucketsPerWindow + delayBuckets),
+		bounds: b, recent: counted(creditBuckets - 1),
+		slack: use{settled: counted(bucketsPerWindow + delayBuckets)}, late: use{settled: counted(bucketsPerWindow + delayBuckets)},
 		requests: counted(bucketsPerWindow), retries: counted(bucketsPerWindow),
 	}
 }
@@ -66,9 +95,9 @@
 // SetBounds replaces the bounds. With another window the budget begins anew, without credit.
 func (b *Budget) SetBounds(bounds Bounds) {
 	if bounds.Window != b.bounds.Window {
-		unsettled := b.unsettled
-		*b = *New(bounds)
-		b.unsettled = unsettled
+		anew := New(bounds)
+		anew.fresh, anew.unsettled, anew.slack.open, anew.late.open = b.fresh, b.unsettled, b.slack.open, b.late.open
+		*b = *anew
 		return
 	}
 	b.bounds = bounds
@@ -87,42 +116,62 @@
 
 func (b *Budget) expire(now core.Time) {
 	b.credit = min(b.credit, b.earned()*b.recent.Total(now))
+	for len(b.fresh) > 0 && now.Sub(b.fresh[0].at) > b.bounds.Delay() {
+		oldest := b.fresh[0]
+		b.fresh = b.fresh[1:]
+		if !oldest.settled {
+			oldest.late = true
+			b.late.begin(1 - oldest.slack)
+		}
+	}
 }
 
 // Has reports whether a retry is left with the given part of the slack.
 func (b *Budget) Has(now core.Time, part float64) bool {
 	b.expire(now)
-	return b.credit+b.slackLeft(now, part) >= 1
+	return b.credit+b.slackLeft(now, part)-b.late.total(now) >= 1
 }
 
 // slackLeft is what is left of a part of the slack.
 func (b *Budget) slackLeft(now core.Time, part float64) float64 {
-	return max(0, part-b.slackUsed.Total(now))
+	return max(0, part-b.slack.total(now))
 }
 
 // Take takes a retry that arrives at once, or returns false if none is left. See Tracker for others.
 func (b *Budget) Take(now core.Time, part float64) bool {
-	if !b.take(now, part) {
+	taken := b.take(now, part)
+	if taken == nil {
 		return false
 	}
-	b.settle(now, 1)
+	b.settle(now, taken)
 	return true
 }
 
-// settle records that retries have arrived or never will.
-func (b *Budget) settle(_ core.Time, retries int) { b.unsettled -= retries }
+// settle records that a retry has arrived or never will.
+func (b *Budget) settle(now core.Time, t *retry) {
+	b.expire(now)
+	t.settled = true
+	b.unsettled--
+	b.slack.settle(now, t.slack)
+	if t.late {
+		b.late.settle(now, 1-t.slack)
+	}
+}
 
-// take takes a retry, which is unsettled then. What was earned is used first, since it expires.
-func (b *Budget) take(now core.Time, part float64) bool {
+// take takes a retry, which is unsettled then, or returns nil if none is left. What was earned is used
+// first, since it expires.
+func (b *Budget) take(now core.Time, part float64) *retry {
 	if !b.Has(now, part) {
-		return false
+		return nil
 	}
 	earned := min(1, b.credit)
 	b.credit -= earned
-	b.slackUsed.Add(now, 1-earned)
+	taken := &retry{at: now, slack: 1 - earned}
+	b.slack.begin(taken.slack)
+	b.fresh = append(b.fresh, taken)
 	b.retries.Add(now, 1)
 	b.unsettled++
-	return true
+	return taken
 }
 
 // State is the dump of a Budget.
@@ -131,8 +180,9 @@
 	Requests, Retries float64
 	// Credit is the number of retries that were earned and have not been used.
 	Credit float64
-	// SlackUsed is the part of the slack that was used within a window.
-	SlackUsed float64
+	// SlackUsed is the part of the slack that is in use, Late the number of earned retries that are
+	// late: unsettled, or settled within a window.
+	SlackUsed, Late float64
 	// Unsettled is the number of retries that may still arrive at the service.
 	Unsettled int
 }
@@ -142,6 +192,6 @@
 	b.expire(now)
 	return State{
 		Requests: b.requests.Total(now), Retries: b.retries.Total(now),
-		Credit: b.credit, SlackUsed: b.slackUsed.Total(now), Unsettled: b.unsettled,
+		Credit: b.credit, SlackUsed: b.slack.total(now), Late: b.late.total(now), Unsettled: b.unsettled,
 	}
 }
--- a/internal/retrybudget/doc.go
+++ b/internal/retrybudget/doc.go
@@ -15,6 +15,15 @@
 // as much: over any window, with the quarter before it, the retries are within the ratio for steady
 // traffic.
 //
+// # Late arrivals
+//
+// A retry counts when it arrives, which may be seconds after it was sent: its server stands still, or
+// a link holds it. So may the attempt before it, which its router has left. Therefore a Tracker
+// follows the attempts of a request until each has arrived or never will, as its outcome shows. Until
+// then, and for a window after it, the request's retries keep the part of the slack that they use; an
+// earned retry that takes longer than a twentieth of the window uses the slack from then on as well.
+// What arrives within a window is then in use together at its end.
+//
 // # The slack
 //
 // Each router has an even part of the slack, at any time within a window (Share). It may use the
--- a/internal/retrybudget/tracker.go
+++ b/internal/retrybudget/tracker.go
@@ -12,20 +12,17 @@
 type Tracker struct {
 	// open is the number of attempts of which it is not known whether they have arrived.
 	open int
-	// taken are the unsettled retries, the first of which was taken at takenAt.
-	taken   int
-	takenAt core.Time
+	// unsettled are the retries, in the order in which they were taken.
+	unsettled []*retry
 }
 
 // Take takes a retry from the budget, or returns false if none is left.
 func (t *Tracker) Take(b *Budget, now core.Time, part float64) bool {
-	if !b.take(now, part) {
+	taken := b.take(now, part)
+	if taken == nil {
 		return false
 	}
-	if t.taken == 0 {
-		t.takenAt = now
-	}
-	t.taken++
+	t.unsettled = append(t.unsettled, taken)
 	return true
 }
 
@@ -43,11 +40,13 @@
 // once that is known of all attempts: of two, either may be the one that arrives later.
 func (t *Tracker) Settle(b *Budget, now core.Time) Settled {
 	t.open--
-	if t.open > 0 || t.taken == 0 {
+	if t.open > 0 || len(t.unsettled) == 0 {
 		return Settled{}
 	}
-	settled := Settled{Retries: t.taken, After: now.Sub(t.takenAt)}
-	b.settle(now, t.taken)
-	t.taken = 0
+	settled := Settled{Retries: len(t.unsettled), After: now.Sub(t.unsettled[0].at)}
+	for _, each := range t.unsettled {
+		b.settle(now, each)
+	}
+	t.unsettled = nil
 	return settled
 }
