Router: a request whose hedge may have run is not refused as not run

Callers got 503, which promises that their request has not run and never will, for requests that the second of two servers had run.

Cause: when a hedge ended (its server failed, hung or was left), the request was not marked as one that may have run. If its first server then refused it, the refusal looked like the only outcome.

--- a/internal/router/hedge.go
+++ b/internal/router/hedge.go
@@ -138,6 +138,8 @@
 	r.noteHead(h.backend, h.attempt, e.Answer)
 	if e.Answer.NotRun {
 		end = endedRefused
+	} else {
+		req.mayHaveRun = true
 	}
 	r.noteRefusal(h.backend, req, e.Answer)
 	r.log(SingleRequest, "backend server refused the request", req.attrs("instance", h.backend.Instance, "attempt", h.number,
@@ -157,6 +159,7 @@
 	r.noteConnection(h.backend, req, h.attempt, e)
 	if e.Failure.sent() {
 		req.arrivals++
+		req.mayHaveRun = true
 	} else {
 		req.sends--
 	}
@@ -194,6 +197,7 @@
 	}
 	r.emit(Abandon{Key: req.key, Attempt: req.hedge.number})
 	req.arrivals++
+	req.mayHaveRun = true
 	r.endHedge(req, end)
 }
 
--- a/internal/router/hedge_test.go
+++ b/internal/router/hedge_test.go
@@ -299,3 +299,23 @@
 		t.Errorf("%d failures are recorded for a silent stream, want 1", b.failures)
 	}
 }
+
+// Guards against a caller that is told that its request has not run although the second server may
+// have run it: the second one fails, hangs or is left, and then the first one refuses.
+func TestRefusalAfterALostHedgePromisesNothing(t *testing.T) {
+	others := map[string]Event{
+		"fails":     Answered{Key: 1, Attempt: 2, Answer: fleet.Answer{Status: 500}},
+		"no answer": AttemptFailed{Key: 1, Attempt: 2, Failure: NoAnswer},
+		"bad":       AttemptFailed{Key: 1, Attempt: 2, Failure: BadAnswer},
+	}
+	for name, event := range others {
+		t.Run(name, func(t *testing.T) {
+			w, key, _ := overdueRequest(t)
+			w.step(event)
+			w.step(Answered{Key: key, Attempt: 1, Answer: fleet.Answer{Status: statusUnavailable, NotRun: true}})
+			if finish, ended := w.finishes[key]; !ended || finish.Code.NotRun() {
+				t.Errorf("ended %t with %v", ended, finish)
+			}
+		})
+	}
+}
