--- a/internal/soak/backend_test.go
+++ b/internal/soak/backend_test.go
@@ -74,6 +74,8 @@
 	announcesDraining bool
 	backoff           string
 	backoffEnds       time.Time
+	// standsUntil is until when its process does not run.
+	standsUntil time.Time
 	// severalReleases is set if each new instance draws its release.
 	severalReleases bool
 
@@ -240,6 +242,7 @@
 }
 
 func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	b.awaitProcess()
 	instance, current := b.state()
 	id := r.Header.Get("Nutmeglane-Request-Id")
 	w.Header().Set("Nutmeglane-Request-Id", id)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -185,6 +185,12 @@
 // playKinds plays faults of the given kinds. If nothingLost, each request that reaches a server must
 // get its answer.
 func playKinds(w *world, seed uint64, more extraLoad, kinds []fault, nothingLost bool) int {
+	w.t.Helper()
+	return playKindsFor(w, seed, *faultsLast, more, kinds, nothingLost)
+}
+
+// playKindsFor is playKinds with the time for which faults begin.
+func playKindsFor(w *world, seed uint64, lasts time.Duration, more extraLoad, kinds []fault, nothingLost bool) int {
 	t := w.t
 	t.Helper()
 	defer w.close()
@@ -203,7 +209,7 @@
 	isPlanned.Store(nothingLost)
 	go w.store.keepCopies(ctx)
 	f := &faults{world: w, rand: rand.New(rand.NewPCG(seed, seed))}
-	disturbed, end := context.WithTimeout(ctx, *faultsLast)
+	disturbed, end := context.WithTimeout(ctx, lasts)
 	f.run(disturbed, kinds)
 	end()
 	isPlanned.Store(false)
