Router: after its start it takes a stream up only as the loaders that keep it tell

Reported from a similar system: all routers were killed at once after the last servers of a release had left, and streams that callers took up were joined from two releases, answered 200.

Here the note in the store that a service has several releases prevents it: no join in 1,000 random histories. Without the note they were joined at once: a router that has just started saw one release, and took the word of the first loaders that it reached, or of none. The note is lost if its lease ends while the store is away, or in a restored copy, and was written again only after half a stream's life. With the note, all streams were refused until loaders connected.

Now a router that has run for less than a stream's life counts only the loaders that are told of that stream, of all that are listed. The note is written again once the store is back.

Tests, failing before: TestStreamsAreNotJoinedAfterAllRoutersWereKilled (first history), TestTakenUpStreamsGoOnAfterAllRoutersWereKilled (0 of 10 went on), TestReleaseNoteIsWrittenAgainOnceTheStoreIsBack (2 of 2). 3,000 histories of each of the first two hold.

--- a/internal/router/ending.go
+++ b/internal/router/ending.go
@@ -117,6 +117,8 @@
 			r.refuseAtStop(req)
 		case req.permitServer != nil && r.now.Sub(req.permitRequestedAt) >= limit.PermitTimeout:
 			r.permitTimedOut(req)
+		case req.origin.awaitsLoaders && r.now < req.firstEventDeadline:
+			r.askOrigin(req)
 		case r.originOverdue(req):
 			r.decideUnknownOrigin(req, originUnanswered)
 		case req.continuationPending():
--- a/internal/router/origin.go
+++ b/internal/router/origin.go
@@ -24,6 +24,11 @@
 // old: a router that was frozen would continue a stream of a release that it has not seen. If
 // loaders answer that they were told nothing, no router knew of several releases when the stream
 // began.
+//
+// A router that has started within the life of a stream doesn't know which releases were there
+// before. All routers may have ended at once, after the last server of a release has left. Until it
+// has run for that long, only those loaders count that are told of the stream, whether it has reached
+// them yet or not.
 
 const (
 	// originKeepers is the number of loaders that are told the origin of a stream, and
@@ -68,6 +73,8 @@
 	// answers the number of those that were told nothing.
 	pending, answers int
 	askedAt          core.Time
+	// awaitsLoaders is set while the loaders to ask may still connect.
+	awaitsLoaders bool
 }
 
 // takesUp records the stream that a request takes up. It returns false if the request was
@@ -112,7 +119,7 @@
 	case state == origin.Ambiguous:
 		r.refuseUnknownOrigin(req, originAmbiguous)
 		return false
-	case !r.originsAreKept():
+	case !r.startedWithin(r.streamLives[req.service]) && !r.originsAreKept():
 		return r.assumeOnlyRelease(req, originUnanswered)
 	default:
 		r.askOrigin(req)
@@ -143,9 +150,33 @@
 	return true
 }
 
+// startedWithin reports whether this process has run for less than a duration.
+func (r *Router) startedWithin(d time.Duration) bool { return r.runningFor() < d }
+
+// askOrigin asks loaders which release began the stream that a request takes up. It refuses the
+// request if there are too few, or waits for them if they may still connect.
 func (r *Router) askOrigin(req *request) {
+	loaders := r.originLoaders(req.origin.stream, originsAsked)
+	if r.startedWithin(r.streamLives[req.service]) {
+		keepers := r.rankLoaders(req.origin.stream, originsAsked, r.mayKeepOrigins)
+		if len(r.loaders) == 0 {
+			if r.assumeOnlyRelease(req, originUnanswered) {
+				r.dispatch(req)
+			}
+			return
+		}
+		loaders = slices.DeleteFunc(slices.Clone(keepers), func(l *loader) bool { return !l.keepsOrigins() })
+		missing := len(loaders) < min(minOriginAnswers, len(keepers))
+		req.origin.awaitsLoaders = missing && r.loadersPending(req.service)
+		if req.origin.awaitsLoaders {
+			return
+		}
+		if missing {
+			loaders = nil
+		}
+	}
 	req.origin.askedAt = r.now
-	for _, l := range r.originLoaders(req.origin.stream, originsAsked) {
+	for _, l := range loaders {
 		req.origin.pending++
 		r.emit(AskOrigin{Loader: l.name, Query: core.OriginQuery{
 			RequestID: uint64(req.key), Stream: req.origin.stream.Request, Scope: req.origin.stream.Scope,
@@ -249,11 +280,22 @@
 // originLoaders returns the connected loaders that keep the origin of a stream, in order of
 // preference.
 func (r *Router) originLoaders(s origin.Stream, most int) []*loader {
+	return r.rankLoaders(s, most, (*loader).keepsOrigins)
+}
+
+// mayKeepOrigins reports whether a loader of a listed engine keeps origins or may do so once it has
+// reported.
+func (r *Router) mayKeepOrigins(l *loader) bool {
+	return r.engineAt(l) != nil && (l.holdings == nil || l.holdings.KeepsOrigins)
+}
+
+// rankLoaders returns the first of the loaders that fit, in order of preference for a stream.
+func (r *Router) rankLoaders(s origin.Stream, most int, fits func(*loader) bool) []*loader {
 	key := strconv.FormatUint(s.Request, 16)
 	var chosen []*loader
 	var scores []uint64
 	for _, l := range r.sortedLoaders() {
-		if !l.keepsOrigins() {
+		if !fits(l) {
 			continue
 		}
 		score := core.Score(key, string(l.name))
--- a/internal/router/origin_fleet_test.go
+++ b/internal/router/origin_fleet_test.go
@@ -81,8 +81,15 @@
 	}
 }
 
-// startRouter starts a router, which reads the store.
+// startRouter starts a router, which reads the store and connects to all loaders.
 func (f *originFleet) startRouter() *originRouter {
+	p := f.startUnconnected()
+	f.connect(p)
+	return p
+}
+
+// startUnconnected starts a router, which reads the store and has reached no loader yet.
+func (f *originFleet) startUnconnected() *originRouter {
 	p := &originRouter{open: map[Key]originCall{}}
 	p.router = New(Options{Host: "10.0.0.1", Zone: "a", LoaderPort: 7000, Bounds: testBounds(), Seed: 1})
 	f.step(p, ConfigRead{Config: testConfig()})
@@ -94,22 +101,34 @@
 	}
 	f.step(p, ReleasesNoted{Notes: notes})
 	f.step(p, BackendsRead{Backends: maps.Clone(f.servers)})
-	f.connect(p)
 	return p
 }
 
+// killAllRouters replaces all routers by new processes, which have read the store and reached no loader.
+func (f *originFleet) killAllRouters() {
+	for i := range f.routers {
+		f.routers[i] = f.startUnconnected()
+		f.step(f.routers[i], StoreState{Reachable: true})
+	}
+}
+
 // connect connects a router to all loaders, whose engines have the model.
 func (f *originFleet) connect(p *originRouter) {
 	for _, instance := range slices.Sorted(maps.Keys(f.servers)) {
-		b := f.servers[instance]
-		name := core.HostID(b.Address[:len(b.Address)-5])
-		f.step(p, LoaderUp{Loader: name})
-		f.step(p, LoaderReported{Loader: name, Holdings: core.Holdings{
-			Instance: instance, Models: loadedModels("m0"), KeepsOrigins: true, Routers: len(f.routers), Coordinator: "10.0.0.1",
-		}})
+		f.connectOne(p, instance)
 	}
 }
 
+// connectOne connects a router to the loader beside a server.
+func (f *originFleet) connectOne(p *originRouter, instance string) {
+	b := f.servers[instance]
+	name := core.HostID(b.Address[:len(b.Address)-5])
+	f.step(p, LoaderUp{Loader: name})
+	f.step(p, LoaderReported{Loader: name, Holdings: core.Holdings{
+		Instance: instance, Models: loadedModels("m0"), KeepsOrigins: true, Routers: len(f.routers), Coordinator: "10.0.0.1",
+	}})
+}
+
 func (f *originFleet) step(p *originRouter, event Event) {
 	for _, effect := range p.router.Step(f.now, event) {
 		switch e := effect.(type) {
@@ -286,3 +305,90 @@
 		}
 	})
 }
+
+// beginStreams begins streams at routers that are drawn.
+func (f *originFleet) beginStreams(t *rapid.T, count int) {
+	for range count {
+		p := f.routers[rapid.IntRange(0, len(f.routers)-1).Draw(t, "router")]
+		f.call(p, "")
+		f.event(p, Key(f.next))
+	}
+}
+
+// readAll lets all routers see the registry and connect to new loaders.
+func (f *originFleet) readAll() {
+	for _, p := range f.routers {
+		f.readStore(p)
+	}
+	f.settle(100 * time.Millisecond)
+}
+
+// Guards against answers joined from two releases when all routers are killed at once after the last
+// server of a release has left: they know its streams from loaders alone, which they reach one after
+// the other, and the note in the store may be gone.
+func TestStreamsAreNotJoinedAfterAllRoutersWereKilled(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const engines = 6
+		f := newOriginFleet(t, 3, engines)
+		f.replaceServer(0, v2)
+		f.readAll()
+		f.beginStreams(t, 20)
+		for i := 1; i < engines; i++ {
+			f.replaceServer(i, v2)
+		}
+		f.readAll()
+		if rapid.Bool().Draw(t, "the note is lost") {
+			clear(f.notes)
+		}
+		f.killAllRouters()
+		router := func() *originRouter { return f.routers[rapid.IntRange(0, len(f.routers)-1).Draw(t, "router")] }
+		t.Repeat(map[string]func(*rapid.T){
+			"connect": func(t *rapid.T) {
+				f.connectOne(router(), rapid.SampledFrom(slices.Sorted(maps.Keys(f.servers))).Draw(t, "server"))
+			},
+			"take up": func(t *rapid.T) {
+				f.call(router(), rapid.SampledFrom(slices.Sorted(maps.Keys(f.began))).Draw(t, "stream"))
+			},
+			"event": func(t *rapid.T) {
+				p := router()
+				if keys := slices.Sorted(maps.Keys(p.open)); len(keys) > 0 {
+					f.event(p, rapid.SampledFrom(keys).Draw(t, "key"))
+				}
+			},
+			"deliver":   func(*rapid.T) { f.deliver(router()) },
+			"pass time": func(t *rapid.T) { f.settle(time.Duration(rapid.IntRange(0, 60).Draw(t, "ms")) * time.Millisecond) },
+		})
+	})
+}
+
+// Guards against streams that are lost with all routers although loaders know where they began, or
+// although there was one release all the time. The callers come back before the loaders connect.
+func TestTakenUpStreamsGoOnAfterAllRoutersWereKilled(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newOriginFleet(t, 3, 4)
+		if rapid.Bool().Draw(t, "two releases") {
+			f.replaceServer(0, v2)
+			f.replaceServer(1, v2)
+			f.readAll()
+		}
+		f.beginStreams(t, 10)
+		f.killAllRouters()
+		for _, id := range slices.Sorted(maps.Keys(f.began)) {
+			f.call(f.routers[rapid.IntRange(0, 2).Draw(t, "next")], id)
+		}
+		f.settle(100 * time.Millisecond)
+		for _, p := range f.routers {
+			f.connect(p)
+		}
+		f.settle(100 * time.Millisecond)
+		f.settle(0)
+		for _, p := range f.routers {
+			for _, key := range slices.Sorted(maps.Keys(p.open)) {
+				f.event(p, key)
+			}
+		}
+		if f.continued != f.taken || f.refused != 0 {
+			t.Fatalf("%d of %d went on, %d were refused", f.continued, f.taken, f.refused)
+		}
+	})
+}
--- a/internal/router/origin_test.go
+++ b/internal/router/origin_test.go
@@ -186,6 +186,35 @@
 	}
 }
 
+// Guards against a note on several releases whose lease has ended while the store was away, or that a
+// restored copy of the store lacks: routers that start then would not learn of them.
+func TestReleaseNoteIsWrittenAgainOnceTheStoreIsBack(t *testing.T) {
+	returns := map[string][]Event{
+		"after an outage": {StoreState{Reachable: false}, StoreState{Reachable: true}},
+		"as a copy":       {StoreRestored{}},
+	}
+	for name, events := range returns {
+		t.Run(name, func(t *testing.T) {
+			w := newFixture(t)
+			w.releases(nil, v1, v2)
+			for i := range 2 {
+				w.reportHoldings(i, core.Holdings{Models: loadedModels("m0"), KeepsOrigins: true})
+			}
+			w.run(time.Second)
+			if len(w.releaseNotes) != 1 {
+				t.Fatalf("notes %+v", w.releaseNotes)
+			}
+			for _, event := range events {
+				w.step(event)
+			}
+			w.run(time.Second)
+			if len(w.releaseNotes) != 2 {
+				t.Errorf("%d notes, want 2", len(w.releaseNotes))
+			}
+		})
+	}
+}
+
 // Guards against a router that was frozen, or cut off from the registry, and continues the stream
 // of a release that it has not seen at the only one that it knows.
 func TestLoadersAreAskedIfOneReleaseIsKnown(t *testing.T) {
--- a/internal/router/releases.go
+++ b/internal/router/releases.go
@@ -138,7 +138,9 @@
 // releases. Only routers that coordinate engines of the service write it.
 func (r *Router) noteReleases(service string, h *releaseHistory, life time.Duration) {
 	coordinates := r.engine(service) == nil || r.coordinatesAny(service)
-	if !coordinates || h.published != 0 && r.now.Sub(h.published) < life/2 {
+	// Leases may end while the store is away, and a restored copy may lack the note.
+	inStore := h.published != 0 && h.published > r.storeBackAt
+	if !coordinates || inStore && r.now.Sub(h.published) < life/2 {
 		return
 	}
 	h.published = r.now
