Router: a loader that has restarted is told streams' origins again

Cause: the origins were told to a loader that didn't keep them before. A loader that is lost keeps its last report, so that its next process looked as if it had kept them all the time. Now they are told once for each connection.

TestRestartedLoadersAreToldOriginsAgain failed before (0 of 1 told, twice).

--- a/internal/router/loaders.go
+++ b/internal/router/loaders.go
@@ -52,6 +52,9 @@
 	// configuration.
 	specHashSent  uint64
 	specRequested bool
+	// originsTold is set once the loader has been told, on this connection, the origins of streams
+	// that it is to keep: its process may be a new one.
+	originsTold bool
 	// engines are the backend servers beside the loader, including unlisted ones.
 	engines []*backend
 	// lastDemand is the last Demand, sent at demandSentAt. demandCheckedAt is when it was
@@ -167,6 +170,7 @@
 		return
 	}
 	l.up, l.dialing, l.specHashSent, l.specRequested, l.dirty, l.lastMessageAt, l.directAt = true, false, 0, false, true, r.now, r.now
+	l.originsTold = false
 	l.lastDemand = core.Demand{}
 	r.log(StateChange, "loader connected", slog.String("loader", string(name)))
 	r.sendLimits(l)
@@ -199,7 +203,6 @@
 	if b := r.engineAt(l); b != nil {
 		r.recountStoreLoads(b.Service, l.holdings, &holdings)
 	}
-	keptOrigins := l.keepsOrigins()
 	l.holdings, l.lastMessageAt, l.holdingsAt, l.countedAt, l.directAt = &holdings, r.now, r.now, r.now, r.now
 	for _, b := range l.engines {
 		if b.unlistedAt == 0 && b.Instance == holdings.Instance && r.observeIncarnation(b, l.incarnation()) {
@@ -213,8 +216,11 @@
 		}
 		r.reindex(b)
 	}
-	if !keptOrigins && l.keepsOrigins() && r.anySeveral() {
-		r.tellOrigins(l)
+	if !l.originsTold && l.keepsOrigins() {
+		l.originsTold = true
+		if r.anySeveral() {
+			r.tellOrigins(l)
+		}
 	}
 	if b := r.engineAt(l); b != nil {
 		l.ownRequests, l.ownUnread = len(b.sent), b.queue.Len()
--- a/internal/router/origin_test.go
+++ b/internal/router/origin_test.go
@@ -389,3 +389,30 @@
 		}
 	}
 }
+
+// Guards against streams that are refused once the loaders that kept their releases have restarted,
+// one after the other, although the router that began them is there to tell again.
+func TestRestartedLoadersAreToldOriginsAgain(t *testing.T) {
+	w := newFixture(t)
+	w.releases(nil, v1, v2)
+	w.keepers(2)
+	w.run(100 * time.Millisecond)
+	key, first := w.begin("patient")
+	w.step(FirstEvent{Key: key, Attempt: first.Attempt})
+	for i := range 2 {
+		w.origins = nil
+		w.step(LoaderDown{Loader: loaderName(i)})
+		w.step(LoaderUp{Loader: loaderName(i)})
+		w.reportEngine(i, core.Holdings{Models: loadedModels("m0"), KeepsOrigins: true})
+		w.reportEngine(i, core.Holdings{Models: loadedModels("m0"), KeepsOrigins: true})
+		told := 0
+		for _, e := range w.origins {
+			if e.Loader == loaderName(i) {
+				told += len(e.News.Origins)
+			}
+		}
+		if told != 1 {
+			t.Errorf("loader %d was told %d origins after its restart, want 1", i, told)
+		}
+	}
+}
