Poison: a request for a model that one engine has can be found at that engine

Cause: evidence had to come from two addresses, so that a server that crashes under anything blocks nobody's request. A model that one engine has is served at one address, however many engines the service has.

An end now tells which of its requests no other address could have run: their model was loaded there alone (a new field of the message, which older processes ignore). Three such ends are enough. A request that could have run elsewhere needs two addresses as before; a harmless one is sent to such a server twice by its caller at most, and its other requests are all different.

TestPoisonRequestForARareModelIsBlocked failed before; TestRequestThatOneServer- CouldRunIsPoison, TestEvidenceOfTheOnlyServerIsKept came with the change.

--- a/internal/core/poison.go
+++ b/internal/core/poison.go
@@ -52,6 +52,9 @@
 	// Parts are the parts of these requests' prompts on which the server may have begun to
 	// write when it ended.
 	Parts []LostPart `cbor:"7,keyasint,omitempty"`
+	// Only are the requests that no server at another address could have run, as indexes of
+	// Requests: their model was loaded there alone.
+	Only []uint16 `cbor:"8,keyasint,omitempty"`
 }
 
 // LostPart is a part of prompts that requests held when their server ended.
--- a/internal/poison/evidence.go
+++ b/internal/poison/evidence.go
@@ -36,8 +36,9 @@
 	// model, and so does a poison request, which ends one engine after the other within
 	// a second. A part that only one request holds is no suspect beside that request.
 	minCarriers = 2
-	// minAddresses is the minimum number of addresses of these servers, if the service
-	// has that many.
+	// minAddresses is the minimum number of addresses of these servers, if the suspect could have
+	// run at as many: the service has them, or its model is loaded there. Otherwise Threshold ends
+	// that nothing else explains are enough.
 	//
 	// It guards against a server that crashes with any request and is restarted again
 	// and again: a request that was sent there three times is harmless, and other
@@ -98,7 +99,7 @@
 		return false
 	}
 	better := c.betterThan(f, r)
-	unexplained, sole := 0, false
+	unexplained, only, sole := 0, 0, false
 	addresses := map[string]bool{}
 	for _, e := range r.ends {
 		if slices.ContainsFunc(better, func(other core.Fingerprint) bool { return e.lost[other] != nil }) {
@@ -107,8 +108,23 @@
 		unexplained++
 		addresses[e.Address] = true
 		sole = sole || e.Sole
+		if e.onlyThere(f) {
+			only++
+		}
+	}
+	spread := sole || len(addresses) >= minAddresses || only >= Threshold
+	return unexplained >= minUnexplained && spread
+}
+
+// onlyThere reports whether no server at another address could have run the requests that hold a
+// suspect.
+func (e *end) onlyThere(f core.Fingerprint) bool {
+	for _, holder := range e.lost[f] {
+		if _, only := e.only[holder.Fingerprint]; !only {
+			return false
+		}
 	}
-	return unexplained >= minUnexplained && (sole || len(addresses) >= minAddresses)
+	return true
 }
 
 // threshold returns the number of servers that must have ended under a part before it is blocked.
--- a/internal/poison/export.go
+++ b/internal/poison/export.go
@@ -34,6 +34,7 @@
 	message := e.message(now)
 	holders := e.lost[f]
 	message.Requests = slices.Clone(holders[:min(len(holders), maxEvidenceHolders)])
+	message.Only = e.onlyOf(message.Requests)
 	if r.kind == Part {
 		message.Parts = []core.LostPart{{Part: f, Depth: r.depth, Holders: indexes(len(message.Requests)), Began: e.beganOn(f), Written: r.written}}
 	}
@@ -87,9 +88,21 @@
 			message.Parts = append(message.Parts, part)
 		}
 	}
+	message.Only = e.onlyOf(message.Requests)
 	return message
 }
 
+// onlyOf returns the indexes of the requests that no server at another address could have run.
+func (e *end) onlyOf(requests []core.LostRequest) []uint16 {
+	var only []uint16
+	for i, request := range requests {
+		if _, found := e.only[request.Fingerprint]; found {
+			only = append(only, uint16(i))
+		}
+	}
+	return only
+}
+
 // message returns the end as sent to other processes, without suspects.
 func (e *end) message(now core.Time) core.ServerEnd {
 	message := e.ServerEnd
--- a/internal/poison/ledger.go
+++ b/internal/poison/ledger.go
@@ -90,6 +90,8 @@
 	lost map[core.Fingerprint][]core.LostRequest
 	// began are the parts on which the server had begun to answer a request.
 	began map[core.Fingerprint]struct{}
+	// only are the requests that no server at another address could have run.
+	only map[core.Fingerprint]struct{}
 	// spared are the suspects against which the end does not count, as servers wrote on them
 	// later.
 	spared map[core.Fingerprint]struct{}
@@ -200,10 +202,15 @@
 func (l *Ledger) add(now core.Time, reported core.ServerEnd) {
 	known := l.find(reported.Life)
 	if known == nil {
-		known = &end{ServerEnd: reported, at: now.Add(-reported.Ago), lost: map[core.Fingerprint][]core.LostRequest{}, began: map[core.Fingerprint]struct{}{}, spared: map[core.Fingerprint]struct{}{}}
-		known.Requests, known.Parts = nil, nil
+		known = &end{ServerEnd: reported, at: now.Add(-reported.Ago), lost: map[core.Fingerprint][]core.LostRequest{}, began: map[core.Fingerprint]struct{}{}, only: map[core.Fingerprint]struct{}{}, spared: map[core.Fingerprint]struct{}{}}
+		known.Requests, known.Parts, known.Only = nil, nil, nil
 		l.ends[reported.Life.Instance] = append(l.ends[reported.Life.Instance], known)
 	}
+	for _, i := range reported.Only {
+		if int(i) < len(reported.Requests) {
+			known.only[reported.Requests[i].Fingerprint] = struct{}{}
+		}
+	}
 	for _, lost := range reported.Requests {
 		l.recordLost(now, known, lost.Fingerprint, lost, Request)
 	}
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -118,6 +118,59 @@
 	}
 }
 
+// Guards against a poison request for a model that one server has, which ends that server again and
+// again: no other address can show that it is the request.
+func TestRequestThatOneServerCouldRunIsPoison(t *testing.T) {
+	tests := map[string]struct {
+		lives, elsewhere int
+		want             bool
+	}{
+		"three ends":                             {3, 0, true},
+		"two ends":                               {2, 0, false},
+		"another server could have run it once":  {3, 1, false},
+		"another once, and three ends beside it": {4, 1, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			for _, kind := range []Kind{Request, Part} {
+				l := New()
+				for i := range test.lives {
+					e := serverEnd(fmt.Sprint("life", i), core.Fingerprint(100+i))
+					if kind == Request {
+						e = serverEnd(fmt.Sprint("life", i), 1)
+					}
+					e.Address = "at-a"
+					if i >= test.elsewhere {
+						e.Only = []uint16{0}
+					}
+					if kind == Part {
+						e.Parts = []core.LostPart{{Part: 1, Holders: []uint16{0}, Began: true}}
+						e.Ago = time.Duration(test.lives-i) * 10 * time.Second
+					}
+					l.Add(start, e)
+				}
+				l.Answered("s", start.Add(-time.Second))
+				checkPoison(t, l, 1, test.want)
+			}
+		})
+	}
+}
+
+// Guards against evidence that loses, on its way to other processes, that one server alone could run
+// a request.
+func TestEvidenceOfTheOnlyServerIsKept(t *testing.T) {
+	l, other, started := New(), New(), New()
+	for i := range 3 {
+		e := serverEnd(fmt.Sprint("life", i), 7, 1)
+		e.Address, e.Only = "at-a", []uint16{1}
+		l.Add(start, e)
+	}
+	other.AddNews(start, core.PoisonNews{Ends: l.Evidence(start, 1)})
+	checkPoison(t, other, 1, true)
+	started.AddNews(start, l.All(start))
+	checkPoison(t, started, 1, true)
+}
+
 // All servers of the fleet lose power, twice. Each engine has different requests, and
 // those that were on two of them have two ends: none must be poison.
 func TestFleetWideEndsMakeNoPoison(t *testing.T) {
--- a/internal/router/poison_test.go
+++ b/internal/router/poison_test.go
@@ -290,3 +290,24 @@
 	w.step(NewsReceived{News: core.RegistryNews{From: 1, To: 2, Poison: core.PoisonNews{Ends: poisonEnds()}}})
 	w.wantRefused(w.callWithFingerprint(poisonWork, "quick", prompt("m1")))
 }
+
+// Guards against a poison request for a model that one engine has: it ends that engine each time it is
+// back, and no other address can show that it is the request.
+func TestPoisonRequestForARareModelIsBlocked(t *testing.T) {
+	w := newFixture(t)
+	w.servers(engineService, 3)
+	for i, model := range []string{"m1", "m2", "m2"} {
+		w.reportHoldings(i, core.Holdings{Instance: fmt.Sprintf("s%d", i), Models: loadedModels(model), FreeMB: 40_000})
+	}
+	for life := range int64(4) {
+		w.reportIncarnation(0, 100*(life+1), "m1")
+		w.run(time.Second)
+		if life == 3 {
+			break
+		}
+		w.crashUnder(w.callWithFingerprint(poisonWork, "quick", prompt("m1")))
+		w.run(time.Second)
+	}
+	w.wantRefused(w.callWithFingerprint(poisonWork, "quick", prompt("m1")))
+	w.lastSend(w.callWithFingerprint(7, "quick", prompt("m1")))
+}
--- a/internal/router/serverend.go
+++ b/internal/router/serverend.go
@@ -19,8 +19,8 @@
 // instance or incarnation is at its address, or the registry drops it.
 //
 // None of these signs is revoked: an answer from the address only shows that a server is
-// there, which may be the next incarnation. A wrong sign adds one end, and three ends at
-// two addresses are needed to block a request.
+// there, which may be the next incarnation. A wrong sign adds one end, and three ends are needed
+// to block a request, at two addresses if it could have run at as many.
 //
 // A host that loses power closes no connections. Its requests are not lost by a crash of
 // the server's process, and count against no request.
@@ -38,6 +38,8 @@
 	// set if it had begun to answer.
 	parts []promptPart
 	began bool
+	// only is set if no server at another address could have run it.
+	only bool
 }
 
 // noteConnection records what a failed attempt reveals about its server.
@@ -67,7 +69,7 @@
 			Fingerprint: req.fingerprint, Age: uint32(r.now.Sub(a.at).Milliseconds()),
 			Arrival: uint32(xxhash.Sum64String(req.id)),
 		},
-		at: r.now, parts: r.suspectParts(req), began: a.began,
+		at: r.now, parts: r.suspectParts(req), began: a.began, only: r.onlyAt(b, req),
 	}
 	switch incarnation := a.incarnation; {
 	case b.announced.draining():
@@ -108,8 +110,11 @@
 		Life: serverLife(incarnation), Service: b.Service, Address: b.Address, Sole: r.soleAddress(b),
 		Ago: r.now.Sub(at),
 	}
-	for _, l := range lost {
+	for i, l := range lost {
 		end.Requests = append(end.Requests, l.LostRequest)
+		if l.only {
+			end.Only = append(end.Only, uint16(i))
+		}
 	}
 	end.Parts = partsOf(lost)
 	for i, part := range end.Parts {
@@ -186,6 +191,15 @@
 	return true
 }
 
+// onlyAt reports whether the model of a request is loaded at the address of a server alone.
+func (r *Router) onlyAt(b *backend, req *request) bool {
+	if req.prompt == nil || r.engine(req.service) == nil {
+		return false
+	}
+	elsewhere := func(other *backend) bool { return other.Address != b.Address && other.unlistedAt == 0 }
+	return !slices.ContainsFunc(r.holders(req.service, req.prompt.Model), elsewhere)
+}
+
 // lostLately reports whether requests were lost at a server within lostWindow. An earlier loss
 // says nothing about its end: after one reset connection, the removal of the server from the
 // registry counted as its end for the rest of its life, and streams that it still served were
