Poison: routers without answers of a service learn that others have seen some

All other routers had found the part.

Cause: a part is blocked once a server has answered a request without it, as far as this router has seen. The ends of servers are told to all routers, the answers were not.

Loaders pass it on to routers that start. A new field of the message, which older processes ignore.

--- a/internal/core/poison.go
+++ b/internal/core/poison.go
@@ -100,6 +100,17 @@
 	Cleared []Fingerprint `cbor:"2,keyasint,omitempty"`
 	// Harmless are suspects that a server answered.
 	Harmless []Harmless `cbor:"3,keyasint,omitempty"`
+	// Answered are services of which a server answered and continued to run.
+	Answered []ServiceAnswered `cbor:"4,keyasint,omitempty"`
+}
+
+// ServiceAnswered reports that a server of a service began an answer and continued to run. Parts of
+// prompts that it does not clear may then be poison.
+type ServiceAnswered struct {
+	_       struct{} `cbor:",toarray"`
+	Service string
+	// Ago is how long before the message was sent the last such answer began.
+	Ago time.Duration
 }
 
 // Harmless reports that a server began to write an answer on a suspect and continued to run.
--- a/internal/poison/export.go
+++ b/internal/poison/export.go
@@ -63,6 +63,7 @@
 			news.Harmless = append(news.Harmless, core.Harmless{Suspect: f, Ago: now.Sub(r.clearedUntil), Server: r.clearedBy})
 		}
 	}
+	news.Answered = l.answers(now, slices.Collect(maps.Keys(l.answered)))
 	return news
 }
 
--- a/internal/poison/ledger.go
+++ b/internal/poison/ledger.go
@@ -76,8 +76,8 @@
 	// is known to have ended. spared counts the ends that do not count because of it.
 	served *simplelru.LRU[core.Fingerprint, Writing]
 	spared map[core.Fingerprint]int
-	// answered is when a server of each service last began an answer and continued to run, as
-	// this process saw it.
+	// answered is when a server of each service last began an answer and continued to run, as far as
+	// known here.
 	answered map[string]core.Time
 }
 
@@ -165,6 +165,9 @@
 		l.suspect(h.Suspect).seen = now
 		l.clearUntil(h.Suspect, now.Add(-h.Ago), h.Server)
 	}
+	for _, a := range news.Answered {
+		l.Answered(a.Service, now.Add(-a.Ago))
+	}
 	l.evictExcess()
 	for _, f := range news.Cleared {
 		l.Clear(now, f)
@@ -371,5 +374,31 @@
 
 // Answered records that a server of a service began an answer at a time and continued to run.
 func (l *Ledger) Answered(service string, at core.Time) {
-	l.answered[service] = max(at, l.answered[service])
+	if last, known := l.answered[service]; known && at <= last {
+		return
+	}
+	l.answered[service], l.changed = at, true
+}
+
+// LastAnswers returns when servers last began an answer and continued to run, for the services of the
+// ends of a suspect.
+func (l *Ledger) LastAnswers(now core.Time, f core.Fingerprint) []core.ServiceAnswered {
+	var services []string
+	if r := l.suspects[f]; r != nil {
+		for _, e := range r.ends {
+			services = append(services, e.Service)
+		}
+	}
+	return l.answers(now, services)
+}
+
+func (l *Ledger) answers(now core.Time, services []string) []core.ServiceAnswered {
+	slices.Sort(services)
+	var answers []core.ServiceAnswered
+	for _, service := range slices.Compact(services) {
+		if at, known := l.answered[service]; known {
+			answers = append(answers, core.ServiceAnswered{Service: service, Ago: now.Sub(at)})
+		}
+	}
+	return answers
 }
--- a/internal/router/harmfulpart_test.go
+++ b/internal/router/harmfulpart_test.go
@@ -61,6 +61,22 @@
 	}
 }
 
+// runAllButFirst is run with sound requests at all routers but the first one, which gets none.
+func (fleet partFleet) runAllButFirst(d time.Duration, sound string) {
+	const step = 100 * time.Millisecond
+	for range d / step {
+		for _, w := range fleet[1:] {
+			if key := w.callParts("quick", sound); len(w.sends[key]) > 0 {
+				w.beginAnswer(key)
+			}
+		}
+		for _, w := range fleet {
+			w.run(step)
+		}
+		fleet.relay()
+	}
+}
+
 func (w *fixture) wantBlocked(key Key) {
 	w.t.Helper()
 	if finish, ok := w.finishes[key]; !ok || finish.Code != code.PoisonPart || len(w.sends[key]) > 0 {
@@ -337,3 +353,19 @@
 		t.Error("the part is blocked")
 	}
 }
+
+// Guards against a router that gets requests with a poison part and no others of the service: it never
+// sees an answer that would show that the part is it, although all other routers have found it.
+func TestRouterWithoutSoundRequestsBlocksAHarmfulPart(t *testing.T) {
+	for _, size := range []int{3, 68, 470} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			fleet := newPartFleet(t, size, 8)
+			for range 5 {
+				fleet.crash(0, "all", "bad")
+				fleet.runAllButFirst(200*time.Millisecond, "all")
+			}
+			fleet.runAllButFirst(1500*time.Millisecond, "all")
+			fleet[0].wantBlocked(fleet[0].callParts("quick", "all", "bad"))
+		})
+	}
+}
--- a/internal/router/harmless.go
+++ b/internal/router/harmless.go
@@ -65,9 +65,8 @@
 		if tell.ends < tellEnds {
 			continue
 		}
-		chance := float64(int(firstTellers)<<min(tell.ticks, 16)) / float64(r.routers())
 		tell.ticks++
-		if r.rand.Float64() < chance {
+		if r.drawTeller(tell.ticks) {
 			due = append(due, r.harmlessNews(f))
 			delete(r.harmless, f)
 		}
@@ -79,6 +78,13 @@
 	r.relayPoison("harmless-"+string(r.opts.Host), core.PoisonNews{Harmless: due})
 }
 
+// drawTeller draws whether this router reports what all routers may have to report, in the given tick
+// from 1 since the report has been due.
+func (r *Router) drawTeller(tick int) bool {
+	chance := float64(int(firstTellers)<<min(tick-1, 16)) / float64(r.routers())
+	return r.rand.Float64() < chance
+}
+
 func (r *Router) harmlessNews(f core.Fingerprint) core.Harmless {
 	w := r.ledger.LastWriting(f)
 	return core.Harmless{Suspect: f, Ago: r.now.Sub(w.At), Server: w.Server}
--- a/internal/router/poison.go
+++ b/internal/router/poison.go
@@ -45,6 +45,7 @@
 func (r *Router) poisonReported(news core.PoisonNews) {
 	r.ledger.AddNews(r.now, news)
 	r.heardHarmless(news.Harmless)
+	r.heardAnswered(news.Answered)
 	for _, end := range news.Ends {
 		b := r.backends[end.Life.Instance]
 		if b != nil && (fleet.Incarnation{Instance: end.Life.Instance, Born: end.Life.Born}).Compare(b.Incarnation) == 0 {
@@ -65,6 +66,7 @@
 		if r.ledger.Local(f) {
 			r.publish(f)
 		}
+		r.noteFoundPart(f)
 	}
 	if len(found) == 0 {
 		return
@@ -190,5 +192,6 @@
 func (r *Router) expirePoison() {
 	r.ledger.Expire(r.now)
 	maps.DeleteFunc(r.harmless, func(f core.Fingerprint, _ *harmlessTell) bool { return !r.ledger.Known(f) })
+	maps.DeleteFunc(r.foundParts, func(f core.Fingerprint, _ int) bool { return !r.ledger.Known(f) })
 	maps.DeleteFunc(r.published, func(f core.Fingerprint, _ core.Time) bool { return r.ledger.Ends(f) == 0 })
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -120,6 +120,9 @@
 	// harmless are the parts that servers wrote on here and that other routers may not know
 	// to be harmless.
 	harmless map[core.Fingerprint]*harmlessTell
+	// foundParts are the poison parts that were found here and that routers without answers of the
+	// service may not have found, with for how many ticks the report has been due.
+	foundParts map[core.Fingerprint]int
 
 	// streamLives are the longest times within which callers may take up streams, by service.
 	streamLives map[string]time.Duration
@@ -208,7 +211,7 @@
 		waits:    map[waitKey]*wait{}, answerEnds: map[answerEndKey]int{},
 		callers: newCallers(),
 		gate:    quota.NewGate(quotaBounds(opts.Bounds)),
-		ledger:  poison.New(), published: map[core.Fingerprint]core.Time{}, harmless: map[core.Fingerprint]*harmlessTell{}, departed: map[string]departed{},
+		ledger:  poison.New(), published: map[core.Fingerprint]core.Time{}, harmless: map[core.Fingerprint]*harmlessTell{}, foundParts: map[core.Fingerprint]int{}, departed: map[string]departed{},
 		origins: origin.NewTable(maxOrigins),
 		stopAt:  core.Never, withUnread: map[*backend]struct{}{},
 	}
@@ -405,6 +408,7 @@
 	r.updateRetryShare()
 	r.logLimitedSends()
 	r.tellHarmless()
+	r.tellAnswered()
 	r.findPoison()
 	if r.now >= r.nextPlan {
 		r.nextPlan = r.now.Add(planInterval)
