Poison: parts that no server has written on are suspected first

A deadly part beyond the first 16 of a prompt was never suspected, and one of the sound parts before it was blocked in its place.

Of long prompts 16 parts are recorded at an end: those under which servers have ended already, then the first ones. Now those come second on which no server is known to have written; sound parts have been served by then. Where nobody has served the parts before it, a part beyond the first 16 is still not suspected.

TestHarmfulPartBehindManyOthersIsBlocked failed before.

--- a/internal/router/harmfulpart_test.go
+++ b/internal/router/harmfulpart_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"nutmeglane.example/nutmeglane/internal/code"
 	"nutmeglane.example/nutmeglane/internal/core"
+	"nutmeglane.example/nutmeglane/internal/poison"
 )
 
 // partFleet is a number of routers whose loaders relay news between all of them.
@@ -369,3 +371,26 @@
 		})
 	}
 }
+
+// Guards against a poison part that is never suspected because more parts than are recorded come before
+// it: the others have been served.
+func TestHarmfulPartBehindManyOthersIsBlocked(t *testing.T) {
+	fleet := newPartFleet(t, 3, 8)
+	var others []string
+	for i := range 2 * poison.MaxParts {
+		others = append(others, fmt.Sprint("part", i))
+	}
+	for _, w := range fleet {
+		w.beginAnswer(w.callParts("quick", others...))
+	}
+	fleet.run(time.Second, "all")
+	for i := range 5 {
+		fleet.crash(i%3, append(slices.Clone(others), "bad")...)
+		fleet.run(200*time.Millisecond, "all")
+	}
+	fleet.run(time.Second, "all")
+	for _, w := range fleet {
+		w.wantBlocked(w.callParts("quick", append(slices.Clone(others), "bad")...))
+		w.lastSend(w.callParts("quick", others...))
+	}
+}
--- a/internal/router/parts.go
+++ b/internal/router/parts.go
@@ -61,8 +61,8 @@
 }
 
 // suspectParts returns the parts on which the request's server may have crashed, none if its
-// answer shows that they are harmless. Of many parts it returns those that are suspects already
-// and then the first ones.
+// answer shows that they are harmless. Of many parts it returns those that are suspects already,
+// then those on which no server is known to have written, and then the first ones.
 func (r *Router) suspectParts(req *request) []promptPart {
 	if req.attempt.answered && r.now.Sub(req.attempt.firstAt()) >= liveAfter {
 		return nil
@@ -72,11 +72,23 @@
 		return parts
 	}
 	bySuspicion := slices.SortedStableFunc(slices.Values(parts), func(a, b promptPart) int {
-		return cmp.Compare(r.ledger.Ends(b.fingerprint), r.ledger.Ends(a.fingerprint))
+		return cmp.Or(cmp.Compare(r.ledger.Ends(b.fingerprint), r.ledger.Ends(a.fingerprint)), r.compareWritten(a, b))
 	})
 	return bySuspicion[:poison.MaxParts]
 }
 
+// compareWritten orders parts on which no server is known to have written before others.
+func (r *Router) compareWritten(a, b promptPart) int {
+	switch written := r.ledger.Written(a.fingerprint); {
+	case written == r.ledger.Written(b.fingerprint):
+		return 0
+	case written:
+		return 1
+	default:
+		return -1
+	}
+}
+
 // firstAt returns when the answer began. It is valid once the attempt is answered.
 func (a *attempt) firstAt() core.Time { return a.at.Add(a.first) }
 
