Router: a restored copy of the store does not bring back a server that it has forgotten

Cause: entries of servers that had left are ignored in a copy as long as the router knows them, and it forgets a server with the next tick once nothing runs there. Only those that had announced something were remembered.

A server that writes its entry again, or a later life of it, gets requests as before.

TestCopyDoesNotRestoreForgottenServers failed before. The test beside it keeps the server known by requests that run there, which is why it passed.

--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -222,9 +222,11 @@
 			continue
 		}
 		r.rememberDeparted(b)
+		r.noteGone(b)
 		r.forget(b)
 	}
 	r.expireDeparted()
+	r.expireGone()
 }
 
 // storeAnswersOthers records that another router has read the store.
--- a/internal/router/restored.go
+++ b/internal/router/restored.go
@@ -41,6 +41,9 @@
 	for instance, entry := range list {
 		b := r.backends[instance]
 		switch {
+		case b == nil && r.leftLately(entry):
+			r.log(StateChange, "restored entry ignored: the server had already left", slog.String("instance", instance))
+			continue
 		case b == nil || entry.Compare(b.Incarnation) > 0:
 		case b.unlistedAt != 0:
 			r.log(StateChange, "restored entry ignored: the server had already left", b.attrs()...)
@@ -50,3 +53,26 @@
 	}
 	r.readBackends(known)
 }
+
+// goneServer is a server that left the registry and was forgotten.
+type goneServer struct {
+	fleet.Incarnation
+	at core.Time
+}
+
+// noteGone remembers a server that is about to be forgotten, for as long as a restored copy of the store
+// may list it.
+func (r *Router) noteGone(b *backend) {
+	r.gone[b.Instance] = goneServer{b.Incarnation, b.unlistedAt}
+}
+
+// leftLately reports whether the server of an entry has left and was forgotten lately.
+func (r *Router) leftLately(entry fleet.Backend) bool {
+	g, known := r.gone[entry.Instance]
+	return known && entry.Compare(g.Incarnation) <= 0
+}
+
+// expireGone forgets the servers that left longer ago than any copy of the store is old.
+func (r *Router) expireGone() {
+	maps.DeleteFunc(r.gone, func(_ string, g goneServer) bool { return r.now.Sub(g.at) >= forgetAfter })
+}
--- a/internal/router/restored_test.go
+++ b/internal/router/restored_test.go
@@ -69,6 +69,39 @@
 	}
 }
 
+// Guards against requests to a server that left some seconds before the store came back as a copy that
+// still lists it, once nothing runs there and the router has forgotten it: the server is about to exit.
+func TestCopyDoesNotRestoreForgottenServers(t *testing.T) {
+	w := newFixture(t)
+	stays, leaves := w.server(plainService, 0), w.server(plainService, 1)
+	leaves.Born = 5
+	w.step(BackendsRead{Backends: map[string]fleet.Backend{"s0": stays, "s1": leaves}})
+	w.step(BackendsChanged{Removed: map[string]bool{"s1": true}})
+	w.run(3 * time.Second)
+	w.restoreStore(stays, leaves)
+	if !w.listed("s0") || w.listed("s1") {
+		t.Errorf("listed: s0 %t, s1 %t", w.listed("s0"), w.listed("s1"))
+	}
+	w.step(BackendsChanged{Written: map[string]fleet.Backend{"s1": leaves}})
+	if !w.listed("s1") {
+		t.Error("a server that writes its entry again gets no requests")
+	}
+	w.run(3 * time.Second)
+	w.step(BackendsChanged{Removed: map[string]bool{"s1": true}})
+	w.run(time.Second)
+	leaves.Born = 7
+	w.restoreStore(stays, leaves)
+	if !w.listed("s1") {
+		t.Error("a later life of the server gets no requests")
+	}
+	w.run(3 * time.Second)
+	w.step(BackendsChanged{Removed: map[string]bool{"s1": true}})
+	w.run(forgetAfter + time.Second)
+	if len(w.router.gone) != 0 {
+		t.Errorf("%d servers are remembered", len(w.router.gone))
+	}
+}
+
 // A key was removed within the seconds that the store's copy lacks. The copy still has it,
 // at an older version: the key must stay refused.
 func TestCopyDoesNotRestoreKeys(t *testing.T) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -92,6 +92,8 @@
 	limited []*backend
 	// departed are servers that were forgotten although what they announced still applies.
 	departed map[string]departed
+	// gone are servers that left the registry lately and were forgotten.
+	gone map[string]goneServer
 
 	cpuWait cpuWait
 	// digests is the state of the coordinator's digests of all loads, used in a large
@@ -212,6 +214,7 @@
 		callers: newCallers(),
 		gate:    quota.NewGate(quotaBounds(opts.Bounds)),
 		ledger:  poison.New(), published: map[core.Fingerprint]core.Time{}, harmless: map[core.Fingerprint]*harmlessTell{}, foundParts: map[core.Fingerprint]int{}, departed: map[string]departed{},
+		gone:    map[string]goneServer{},
 		origins: origin.NewTable(maxOrigins),
 		stopAt:  core.Never, withUnread: map[*backend]struct{}{},
 	}
