--- a/internal/router/serverbudget_fleet_test.go
+++ b/internal/router/serverbudget_fleet_test.go
@@ -107,6 +107,13 @@
 	finished []core.Time
 	// refusals counts the requests that found the queue full.
 	refusals int
+	// limit is the limit that its answers name, in requests per second, 0 for none.
+	limit float64
+	// standing is set while its process does not run, unread holds what has reached its host
+	// meanwhile. arrivals are the times at which it read requests.
+	standing bool
+	unread   []func()
+	arrivals []core.Time
 }
 
 // newBudgetFleet returns a fleet of routers, engines with loaders, and plain servers.
@@ -330,6 +337,11 @@
 
 // handle handles a request at the server.
 func (s *plainServer) handle(p *budgetRouter, e Send) {
+	if s.standing {
+		s.unread = append(s.unread, func() { s.handle(p, e) })
+		return
+	}
+	s.arrivals = append(s.arrivals, s.f.now)
 	switch {
 	case s.running < plainSlots:
 		s.begin(p, e)
@@ -374,9 +386,25 @@
 	}
 }
 
+// standStill suspends the server's process for a time. Then it reads what has reached its host.
+func (s *plainServer) standStill(d time.Duration) {
+	s.standing, s.hanging = true, true
+	s.f.after(d, func() {
+		unread := s.unread
+		s.standing, s.unread = false, nil
+		s.resume()
+		for _, read := range unread {
+			read()
+		}
+	})
+}
+
 // answer sends an answer with the server's load.
 func (s *plainServer) answer(p *budgetRouter, e Send, answer fleet.Answer) {
 	answer.Load = &fleet.Load{Running: s.running, Waiting: len(s.queue), Slots: plainSlots, HostPace: s.slower}
+	if s.limit > 0 {
+		answer.Limit = fleet.ReportedLimit{State: fleet.LimitReported, PerSecond: s.limit}
+	}
 	s.f.after(budgetFleetDelay/2, func() {
 		s.f.stepRouter(p, Answered{Key: e.Key, Attempt: e.Attempt, Answer: answer})
 		req := p.router.requests[e.Key]
