Limits: a server that reads nothing gets single requests until it answers

The only server of a service named a limit, stood still for 3.5 s, and then read 38 requests within 4 s where 35 are allowed, and 150 where 125 are.

Permits count when they are granted; what was sent to a server that stands still arrives together with what is sent from then on.

A router that has had no answer from such a server of a plain service for 1 s, though a request was there, reports when the newest one was sent, each second. The loader that counts then grants one permit a second until a router has received an answer after that. A new field of the message, which older loaders ignore. Engines are left out: they may answer nothing for seconds while they read prompts.

TestSilentServerGetsSingleRequests is new.

--- a/internal/core/limit.go
+++ b/internal/core/limit.go
@@ -48,6 +48,10 @@
 	// Load is the load that the server stated last, nil unless the loader may need it to
 	// compute a budget for the server.
 	Load *ServerLoad `cbor:"11,keyasint,omitempty"`
+	// UnreadFor is how long before this message the router sent the newest request there that the
+	// server has left unanswered for limit.SilentAfter, while it answered nothing else; 0 if there is
+	// none.
+	UnreadFor time.Duration `cbor:"12,keyasint,omitempty"`
 }
 
 // RefusalCause is why a permit was refused.
--- a/internal/limit/limiter.go
+++ b/internal/limit/limiter.go
@@ -31,6 +31,7 @@
 	bucket   bucket
 	// retries schedules the retries of routers that were refused.
 	retries RetrySchedule
+	silence silence
 	// updatedAt is when a router last reported anything about the server.
 	updatedAt core.Time
 	shareState
@@ -50,6 +51,7 @@
 	before := s.announcement.Named
 	changed := s.update(now, request.Limit, request.ColdFor)
 	s.bucket.sent.AddParts(now, request.Uncounted)
+	s.silence.report(now, request.UnreadFor)
 	if changed && (before || s.announcement.Named) {
 		broadcast = s.message(now)
 	}
@@ -91,6 +93,20 @@
 }
 
 func (s *limitedServer) answer(now core.Time, request core.LimitRequest) *core.LimitReply {
+	if wait := s.silence.wait(now, s.announcement); wait > 0 {
+		reply := s.message(now)
+		reply.RequestID, reply.Spare, reply.Room = request.RequestID, request.Spare, wait
+		return reply
+	}
+	reply := s.decide(now, request)
+	if reply.Granted {
+		s.silence.grantedAt = now
+	}
+	return reply
+}
+
+// decide answers a request for a permit by the limits in force.
+func (s *limitedServer) decide(now core.Time, request core.LimitRequest) *core.LimitReply {
 	if s.grantsByShares() {
 		return s.answerByShares(now, request)
 	}
--- a/internal/limit/limiter_test.go
+++ b/internal/limit/limiter_test.go
@@ -129,3 +129,38 @@
 		t.Error("not removed")
 	}
 }
+
+// Guards against a server that reads nothing and gets requests up to its limit, which arrive together
+// once it goes on; and against one that gets single requests although it has answered since.
+func TestSilentServerGetsSingleRequests(t *testing.T) {
+	l, server := NewLimiter(), core.ServerLife{Instance: "s0"}
+	// granted asks for 20 permits within two seconds.
+	granted := func(from core.Time, answeredAgo, unreadFor time.Duration) (n int) {
+		for i := range 20 {
+			reply, _ := l.Handle(from.Add(time.Duration(i)*100*time.Millisecond), core.LimitRequest{
+				Server: server, RequestID: uint64(i + 1), UnreadFor: unreadFor,
+				Limit: core.ReportedLimit{Named: true, PerSecond: 10, SentAgo: answeredAgo, ReceivedAgo: answeredAgo},
+			})
+			if reply.Granted {
+				n++
+			}
+		}
+		return n
+	}
+	if n := granted(start, time.Millisecond, 0); n < 15 {
+		t.Errorf("%d of 20 granted at the limit", n)
+	}
+	if n := granted(start.Add(10*time.Second), 5*time.Second, time.Second); n > 2 {
+		t.Errorf("%d granted within two seconds to a silent server", n)
+	}
+	if n := granted(start.Add(12*time.Second), time.Millisecond, 0); n < 15 {
+		t.Errorf("%d of 20 granted to a server that has answered since", n)
+	}
+	if n := granted(start.Add(14*time.Second), time.Millisecond, 3*time.Second); n < 15 {
+		t.Errorf("%d of 20 granted although what was unread is older than its last answer", n)
+	}
+	l.Handle(start.Add(20*time.Second), core.LimitRequest{Server: server, UnreadFor: time.Second})
+	if n := granted(start.Add(23*time.Second), 10*time.Second, 0); n < 15 {
+		t.Errorf("%d of 20 granted once the report is old", n)
+	}
+}
--- a/internal/router/backend.go
+++ b/internal/router/backend.go
@@ -102,6 +102,8 @@
 	// the router noticed that this incarnation of the server has ended, 0 while it has not.
 	lost    []lostRequest
 	endedAt core.Time
+	// readAt is when the server last answered a request.
+	readAt core.Time
 	// unread are the attempts that were left and that the server may not have read yet.
 	unread []unreadAttempt
 
--- a/internal/router/limitlate_test.go
+++ b/internal/router/limitlate_test.go
@@ -28,25 +28,37 @@
 // Guards against a server that named a limit and gets more in a window, because it stood still and then
 // reads what has reached its host together with what is sent to it from then on.
 func TestLimitHoldsForAServerThatStandsStill(t *testing.T) {
-	for _, servers := range []int{1, 3} {
-		for _, perSecond := range []float64{5, 20} {
-			t.Run(fmt.Sprintf("%d servers, %v a second", servers, perSecond), func(t *testing.T) {
-				f := newBudgetFleet(1, 4, 4, servers, CrowdingOptions{})
-				s := f.servers["plain0"]
-				s.limit, f.offered = perSecond, 3*perSecond*float64(servers)
-				f.run(6 * time.Second)
-				from := f.now
-				for range 4 {
-					s.standStill(3500 * time.Millisecond)
-					f.run(10 * time.Second)
-				}
-				allowed := 1.5*perSecond*limit.Window.Seconds() + 5
-				got := mostWithin(s.arrivals, from, limit.Window)
-				t.Logf("%d requests within %v, %.0f allowed", got, limit.Window, allowed)
-				if float64(got) > allowed {
-					t.Errorf("%d requests within %v, %.0f are allowed", got, limit.Window, allowed)
-				}
-			})
-		}
+	tests := []struct {
+		routers, servers int
+		perSecond        float64
+	}{
+		{4, 1, 5}, {4, 1, 20}, {4, 3, 5}, {4, 3, 20}, {28, 1, 5}, {28, 1, 60},
+	}
+	for _, test := range tests {
+		t.Run(fmt.Sprintf("%d routers, %d servers, %v a second", test.routers, test.servers, test.perSecond), func(t *testing.T) {
+			f := newBudgetFleet(1, test.routers, 4, test.servers, CrowdingOptions{})
+			s := f.servers["plain0"]
+			s.limit, f.offered = test.perSecond, 3*test.perSecond*float64(test.servers)
+			f.run(6 * time.Second)
+			from := f.now
+			for range 4 {
+				s.standStill(3500 * time.Millisecond)
+				f.run(10 * time.Second)
+			}
+			allowed := 1.5*test.perSecond*limit.Window.Seconds() + 5
+			got := mostWithin(s.arrivals, from, limit.Window)
+			t.Logf("%d requests within %v, %.0f allowed", got, limit.Window, allowed)
+			if float64(got) > allowed {
+				t.Errorf("%d requests within %v, %.0f are allowed", got, limit.Window, allowed)
+			}
+			if test.servers > 1 {
+				return // the others take what is asked for
+			}
+			before := len(s.arrivals)
+			f.run(10 * time.Second)
+			if used := float64(len(s.arrivals)-before) / 10; used < 0.7*test.perSecond {
+				t.Errorf("%.1f requests a second after the server goes on, the limit is %v", used, test.perSecond)
+			}
+		})
 	}
 }
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -365,7 +365,7 @@
 func (r *Router) releaseAttempt(req *request, b *backend, a *attempt, end attemptEnd) {
 	req.past = append(req.past, pastAttempt{b.Instance, r.now.Sub(a.at), end})
 	if !a.settled {
-		r.leftUnread(req, b)
+		r.leftUnread(req, b, a)
 	}
 	delete(b.sent, req.key)
 	a.copy.count(-1)
--- a/internal/router/retryarrival.go
+++ b/internal/router/retryarrival.go
@@ -20,8 +20,9 @@
 type unreadAttempt struct {
 	service string
 	retries *retrybudget.Tracker
-	leftAt  core.Time
-	request string
+	// sentAt is when it was sent, leftAt when it was left.
+	sentAt, leftAt core.Time
+	request        string
 }
 
 // What shows that a request's attempts have arrived or never will, in metrics and logs.
@@ -47,15 +48,17 @@
 }
 
 // leftUnread records that an attempt was left before its server answered.
-func (r *Router) leftUnread(req *request, b *backend) {
-	b.unread = append(b.unread, unreadAttempt{service: req.service, retries: &req.retries, leftAt: r.now, request: req.id})
+func (r *Router) leftUnread(req *request, b *backend, a *attempt) {
+	b.unread = append(b.unread, unreadAttempt{service: req.service, retries: &req.retries, sentAt: a.at, leftAt: r.now, request: req.id})
 	r.withUnread[b] = struct{}{}
 }
 
 // hasRead records that a server has answered a request that was sent at a time. It has also read what
 // was left there before.
 func (r *Router) hasRead(b *backend, sentAt core.Time) {
+	b.readAt = r.now
 	r.settleUnread(b, sentAt, settledByLater)
+	r.readsAgain(b)
 }
 
 // expireUnread settles the attempts that were left so long ago that no server is taken to read them.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -408,6 +408,7 @@
 	r.checkRequests()
 	r.expireBudgets()
 	r.expireUnread()
+	r.reportSilentServers()
 	r.updateRetryShare()
 	r.logLimitedSends()
 	r.tellHarmless()
--- a/internal/router/serverlimit.go
+++ b/internal/router/serverlimit.go
@@ -29,6 +29,9 @@
 	countedAt core.Time
 	// malformedAt is when a malformed limit was last logged.
 	malformedAt core.Time
+	// silentAt is when the loader that counts was last told that the server reads nothing, 0 unless
+	// that is so. unreadSince is when the newest request was sent that shows it.
+	silentAt, unreadSince core.Time
 }
 
 func (r *Router) newServerLimit(instance string) serverLimit {
@@ -188,7 +191,7 @@
 func (r *Router) limitMessage(b *backend) core.LimitRequest {
 	return core.LimitRequest{
 		Server: serverLife(b.Incarnation), Limit: b.limit.gate.Message(r.now), Uncounted: b.limit.gate.TakeUncounted(r.now),
-		ColdFor: b.limit.gate.ColdFor(r.now), Load: r.takeServerLoad(b),
+		ColdFor: b.limit.gate.ColdFor(r.now), Load: r.takeServerLoad(b), UnreadFor: r.unreadFor(b),
 	}
 }
 
