--- a/internal/limit/limiter.go
+++ b/internal/limit/limiter.go
@@ -31,6 +31,7 @@
 	bucket   bucket
 	// retries schedules the retries of routers that were refused.
 	retries RetrySchedule
+	// silence is what routers reported of a server that reads nothing.
 	silence silence
 	// updatedAt is when a router last reported anything about the server.
 	updatedAt core.Time
--- a/internal/limit/silence.go
+++ b/internal/limit/silence.go
@@ -24,7 +24,8 @@
 
 // silence is what routers reported of a server that reads nothing.
 type silence struct {
-	// unreadSince is when the newest request was sent that the server is not known to have read.
+	// unreadSince is when the newest request was sent that the server is not known to have read,
+	// reportedAt when a router last reported one.
 	unreadSince, reportedAt core.Time
 	// grantedAt is when the last permit was granted.
 	grantedAt core.Time
--- a/internal/router/origin.go
+++ b/internal/router/origin.go
@@ -119,7 +119,7 @@
 	case state == origin.Ambiguous:
 		r.refuseUnknownOrigin(req, originAmbiguous)
 		return false
-	case !r.startedWithin(r.streamLives[req.service]) && !r.originsAreKept():
+	case len(r.loaders) == 0, !r.startedWithin(r.streamLives[req.service]) && !r.originsAreKept():
 		return r.assumeOnlyRelease(req, originUnanswered)
 	default:
 		r.askOrigin(req)
@@ -154,26 +154,12 @@
 func (r *Router) startedWithin(d time.Duration) bool { return r.runningFor() < d }
 
 // askOrigin asks loaders which release began the stream that a request takes up. It refuses the
-// request if there are too few, or waits for them if they may still connect.
+// request if there are none to ask, or waits for them if they may still connect.
 func (r *Router) askOrigin(req *request) {
-	loaders := r.originLoaders(req.origin.stream, originsAsked)
-	if r.startedWithin(r.streamLives[req.service]) {
-		keepers := r.rankLoaders(req.origin.stream, originsAsked, r.mayKeepOrigins)
-		if len(r.loaders) == 0 {
-			if r.assumeOnlyRelease(req, originUnanswered) {
-				r.dispatch(req)
-			}
-			return
-		}
-		loaders = slices.DeleteFunc(slices.Clone(keepers), func(l *loader) bool { return !l.keepsOrigins() })
-		missing := len(loaders) < min(minOriginAnswers, len(keepers))
-		req.origin.awaitsLoaders = missing && r.loadersPending(req.service)
-		if req.origin.awaitsLoaders {
-			return
-		}
-		if missing {
-			loaders = nil
-		}
+	loaders := r.loadersToAsk(req)
+	req.origin.awaitsLoaders = len(loaders) == 0 && r.loadersPending(req.service)
+	if req.origin.awaitsLoaders {
+		return
 	}
 	req.origin.askedAt = r.now
 	for _, l := range loaders {
@@ -187,6 +173,23 @@
 	}
 }
 
+// loadersToAsk returns the loaders that are asked for the origin of the stream that a request takes up.
+// Those of a router that has just started are among the ones that are told of the stream, and there are
+// none unless enough of these are connected.
+func (r *Router) loadersToAsk(req *request) []*loader {
+	stream := req.origin.stream
+	if !r.startedWithin(r.streamLives[req.service]) {
+		return r.originLoaders(stream, originsAsked)
+	}
+	keepers := r.rankLoaders(stream, originsAsked, r.mayKeepOrigins)
+	enough := min(minOriginAnswers, len(keepers))
+	reached := slices.DeleteFunc(keepers, func(l *loader) bool { return !l.keepsOrigins() })
+	if len(reached) < enough {
+		return nil
+	}
+	return reached
+}
+
 // originAnswered continues with a request whose origin a loader was asked for.
 func (r *Router) originAnswered(e LoaderAnsweredOrigin) {
 	req := r.requests[Key(e.Answer.RequestID)]
