Soak: two runs on one machine never share a network

Both processes had drawn network 20: it follows from the process id modulo 200.

The store's address is bound first. A deployment now takes the first network in which that address is free.

--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -12,6 +13,8 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"nutmeglane.example/nutmeglane/internal/relay"
 	"nutmeglane.example/nutmeglane/internal/retrybudget"
 )
@@ -31,6 +34,8 @@
 	storePort, serverPort, loaderPort     = 8100, 9000, 7380
 	// relayOffset is added to the port of a server behind a relay.
 	relayOffset = 1
+	// maxNets is the number of networks for the deployments of one seed.
+	maxNets = 200
 )
 
 // world is a running deployment.
@@ -63,7 +68,7 @@
 }
 
 // newWorld starts a deployment. Its network number depends on the seed and the
-// process id, so that two runs on one machine don't share addresses.
+// process id, and is one that no other run on this machine has.
 func newWorld(t *testing.T, seed uint64) *world {
 	t.Helper()
 	return newWorldWithBudget(t, seed, usualRetries)
@@ -85,10 +90,9 @@
 	}
 	w := &world{
 		t: t, dir: dir, checker: newChecker(retries), retries: retries, stopLimit: stopLimit, silence: silence, store: newStore(), links: map[string]*relay.Relay{},
-		net: fmt.Sprintf("127.%d.%d", 20+os.Getpid()%200, 3*(seed%80)),
 	}
 	w.configure()
-	w.startStore()
+	w.startStore(seed)
 	for i := range engineCount {
 		w.startEngine(i)
 	}
@@ -118,11 +122,20 @@
 	w.links[name] = r
 }
 
-func (w *world) startStore() {
-	address := fmt.Sprintf("%s:%d", w.host(0, 0), storePort)
-	w.platform = &http.Server{Addr: address, Handler: w.store}
-	l, err := listen(address)
+// startStore starts the store in the first network where its address is free. Whoever has that address
+// has the network.
+func (w *world) startStore(seed uint64) {
+	var l net.Listener
+	var err error
+	for i := range maxNets {
+		w.net = fmt.Sprintf("127.%d.%d", 20+(os.Getpid()+i)%maxNets, 3*(seed%80))
+		l, err = listen(fmt.Sprintf("%s:%d", w.host(0, 0), storePort))
+		if !errors.Is(err, syscall.EADDRINUSE) {
+			break
+		}
+	}
 	w.check(err)
+	w.platform = &http.Server{Addr: l.Addr().String(), Handler: w.store}
 	go func() { _ = w.platform.Serve(l) }()
 }
 
