Answers: a head with a status that HTTP does not have is no answer

What callers saw: a server sent status 000, and a caller got the body of that answer, read as the next head, as the answer to its request. Statuses from 600 to 999 were passed on as they are.

Cause: readHead took every status below 200 for an interim answer, and http.ReadResponse accepts 000 to 999 and any digit as HTTP's major version.

Change: framing.Conn lies below the parser and returns the bytes of a head only if its status line is one: HTTP/1.x, a status from 100 to 599, a reason without control bytes. Status 101 is malformed unless the request asks for another protocol, which the router's never do. The first malformed head fails the connection for good, so that nothing behind it is parsed. The attempt ends as a bad answer, which may have run: a request that may not be repeated gets 502 and is not sent again, one that may be goes to another server.

A check of the parsed response would not do: a parser drops and renames what it reads, and the status of an interim answer never reaches its user.

Before, of TestMalformedHeadIsNoAnswer on: "an answer in the body of status 000", "HTTP/2.0", "control byte in the reason", "status 600" and "status 999" failed, on both paths (200 with the wrong body, or the status as it was). All pass now, as do the race tests of the gateway, framing and the platform."

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -134,7 +134,7 @@
 			if _, err := io.Copy(io.Discard, response.Body); err != nil || stray > maxStrayAnswers {
 				return nil, errors.Newf("received responses to other requests, the last one to %s", head.RequestID)
 			}
-			conn.allow(framing.MaxHeadBytes)
+			conn.expectHead()
 			continue
 		}
 		success := head.Status >= 200 && head.Status < 300
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -209,6 +209,7 @@
 		HideCredentials: d.HideCredentials, Account: d.Account,
 		CopyTo: d.CopyTo, CopyFrom: d.CopyFrom,
 	})
+	conn.responses.BeginRequest(false)
 	wrote, err := c.write(conn, header)
 	if err != nil && wrote == 0 && !conn.used {
 		c.abortAndReport(conn, router.AttemptFailed{Attempt: d.Attempt, Failure: router.NotSent}, err)
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -10,6 +10,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"nutmeglane.example/nutmeglane/internal/framing"
 )
 
 const (
@@ -48,7 +50,9 @@
 type upstream struct {
 	*boundedConn
 	address string
-	reader  *bufio.Reader
+	// responses is the connection below the bound; it checks the heads of responses.
+	responses *framing.Conn
+	reader    *bufio.Reader
 	// used is set after the first complete response.
 	used bool
 	// idleUntil is the time after which an idle connection is not used again.
@@ -80,8 +84,9 @@
 		p.connClosed(address)
 		return nil, err
 	}
-	bounded := &boundedConn{Conn: conn}
-	return &upstream{boundedConn: bounded, address: address, reader: bufio.NewReaderSize(bounded, readerBytes), pool: p}, nil
+	responses := framing.NewConn(conn)
+	bounded := &boundedConn{Conn: responses}
+	return &upstream{boundedConn: bounded, address: address, responses: responses, reader: bufio.NewReaderSize(bounded, readerBytes), pool: p}, nil
 }
 
 // takeIdle removes and returns the idle connection that was used last. If there is none, it
@@ -114,7 +119,7 @@
 	} else {
 		idle -= idleMargin
 	}
-	if idle <= 0 || u.reader.Buffered() > 0 {
+	if idle <= 0 || u.unread() {
 		u.discard()
 		return
 	}
@@ -179,7 +184,7 @@
 // disconnected: the server would execute the request without a recipient, and a second time
 // for a caller who retries. A reset discards the bytes.
 func (u *upstream) abort() {
-	if tcp, ok := u.Conn.(*net.TCPConn); ok {
+	if tcp, ok := u.responses.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0) // fails only on a closed connection
 	}
 	u.discard()
@@ -199,10 +204,10 @@
 // A request on a closed connection may or may not be executed. A second response that a faulty
 // server sent on the idle connection would be taken for the response to the next request.
 func (u *upstream) usable() bool {
-	if u.reader.Buffered() > 0 {
+	if u.unread() {
 		return false
 	}
-	raw, ok := u.Conn.(syscall.Conn)
+	raw, ok := u.responses.Conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
@@ -220,6 +225,17 @@
 	return err == nil && quiet
 }
 
+// unread reports whether more was received than the last response.
+func (u *upstream) unread() bool { return u.reader.Buffered()+u.responses.Buffered() > 0 }
+
+// expectHead announces that another response to the same request follows.
+func (u *upstream) expectHead() {
+	unread, _ := u.reader.Peek(u.reader.Buffered()) // can't fail: the bytes are there
+	u.responses.ExpectHead(unread)
+	u.reader.Reset(u.boundedConn)
+	u.allow(framing.MaxHeadBytes)
+}
+
 func dial(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout, Control: setUnackedTimeout, KeepAlive: -1}
 	return dialer.DialContext(ctx, "tcp", address)
