Answers: a head with a malformed field is no answer

What callers saw: a server sent a field whose name held a blank, in a 200, a 404 or a 103 before a 200, and callers got that answer. Where the field was "Content-Length : 5" or "Transfer-Encoding : chunked", they got another body: all up to the close, or the chunk sizes within it.

Cause: http.ReadResponse accepts blanks in field names and keeps such a field under its own name, so that the framing it names is not in force; the fields of interim heads were never looked at. It also ignores Transfer-Encoding in HTTP/1.0 and takes the chunks for the body.

Change: framing.Conn checks each line of a head, interim heads too: the name is a token, the value has no control bytes but the tab, no blank comes before the first field, and HTTP/1.0 has no transfer encoding (RFC 9110 section 5, RFC 9112 sections 5 and 6.1). A value that continues on the next line is still accepted and joined by a blank. The checks of names and values are those of golang.org/x/net/http/httpguts, which the module graph already had.

--- a/internal/framing/head.go
+++ b/internal/framing/head.go
@@ -53,13 +53,15 @@
 	return status < http.StatusOK && status != http.StatusSwitchingProtocols
 }
 
-// checkHead returns the status of a complete head, or an error if its status line is malformed (RFC
-// 9112, section 4). Upgrade is set if the request asks for another protocol.
+// checkHead returns the status of a complete head, or an error unless net/http reads it as RFC 9112
+// (sections 2 to 6) means it. Upgrade is set if the request asks for another protocol.
 //
-// net/http takes statuses from 000 to 999. The body of status 000 would be taken for the next head.
+// net/http takes statuses from 000 to 999 and names with blanks. It would take the body of status 000
+// for the next head, and the body of an answer for one that ends with its connection because the name
+// of its framing has a blank. Continued values are joined there by a blank.
 func checkHead(head []byte, upgrade bool) (status int, err error) {
-	line, _, _ := bytes.Cut(head, []byte("\n"))
-	status, err = parseStatusLine(bytes.TrimSuffix(line, []byte("\r")))
+	line, fields := cutLine(head)
+	version, status, err := parseStatusLine(line)
 	switch {
 	case err != nil:
 		return 0, err
@@ -68,24 +70,68 @@
 	case status == http.StatusSwitchingProtocols && !upgrade:
 		return 0, malformed("status 101 that was not asked for")
 	}
-	return status, nil
+	return status, checkFields(fields, version)
 }
 
-// parseStatusLine returns the status of a status line.
-func parseStatusLine(line []byte) (status int, err error) {
+// parseStatusLine returns the minor version and the status of a status line.
+func parseStatusLine(line []byte) (version byte, status int, err error) {
 	rest, found := bytes.CutPrefix(line, []byte(statusPrefix))
 	if !found || len(rest) < len("1 200") || !isDigit(rest[0]) || rest[1] != ' ' {
-		return 0, malformed("status line %.80q", line)
+		return 0, 0, malformed("status line %.80q", line)
 	}
-	rest = rest[2:]
+	version, rest = rest[0], rest[2:]
 	digits, reason := rest[:statusDigits], rest[statusDigits:]
 	if bytes.ContainsFunc(digits, func(r rune) bool { return r < '0' || r > '9' }) || len(reason) > 0 && reason[0] != ' ' {
-		return 0, malformed("status line %.80q", line)
+		return 0, 0, malformed("status line %.80q", line)
 	}
 	if !httpguts.ValidHeaderFieldValue(string(reason)) {
-		return 0, malformed("reason %.80q", reason)
+		return 0, 0, malformed("reason %.80q", reason)
 	}
-	return strconv.Atoi(string(digits))
+	status, err = strconv.Atoi(string(digits))
+	return version, status, err
+}
+
+// checkFields checks the fields of a head, up to its empty line.
+func checkFields(fields []byte, version byte) error {
+	first := true
+	for {
+		line, rest := cutLine(fields)
+		if len(line) == 0 {
+			return nil
+		}
+		if err := checkField(line, first, version); err != nil {
+			return err
+		}
+		first, fields = false, rest
+	}
+}
+
+// checkField checks a line of the fields, which continues the value of the line before if it begins
+// with a blank.
+func checkField(line []byte, first bool, version byte) error {
+	value := line
+	if line[0] != ' ' && line[0] != '\t' {
+		name, after, found := bytes.Cut(line, []byte(":"))
+		if !found || !httpguts.ValidHeaderFieldName(string(name)) {
+			return malformed("field %.80q", line)
+		}
+		if version == '0' && bytes.EqualFold(name, []byte("Transfer-Encoding")) {
+			return malformed("transfer encoding in HTTP/1.0")
+		}
+		value = after
+	} else if first {
+		return malformed("blank before the first field %.80q", line)
+	}
+	if !httpguts.ValidHeaderFieldValue(string(value)) {
+		return malformed("field %.80q", line)
+	}
+	return nil
+}
+
+// cutLine returns the first line of data, without its end, and the rest.
+func cutLine(data []byte) (line, rest []byte) {
+	line, rest, _ = bytes.Cut(data, []byte("\n"))
+	return bytes.TrimSuffix(line, []byte("\r")), rest
 }
 
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
