Answers: a connection that was reset during the upload ends no answer

What callers saw: a server answered a long upload at once with a 200 that ends with its connection, sent a part of its body and reset the connection while the upload was still being written. Callers got that part as a complete answer, also where it was a stream of whole events.

Cause: the request is written to its end before its answer is read. A socket reports the error of a reset once; the write takes it, and the read that follows finds what an orderly close leaves, io.EOF. That the request was not written decided about the reuse of the connection alone.

Change: framing.Conn knows whether the request was written and whether a write failed, and asks the kernel at the end of the connection (TCP_INFO): a socket that was reset is closed, one that was closed in order waits for our close and has nothing left to deliver. Without all of that, the read behind a head fails with ECONNRESET in place of io.EOF. So an answer that ends with its connection is complete only if its server had the request and closed in order, for buffered and large answers, streams and hedges alike. Answers with a length or chunks mark their own end and are read as before: an early 413 still reaches its caller.

--- a/internal/framing/conn.go
+++ b/internal/framing/conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"slices"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 )
@@ -16,18 +17,29 @@
 // ErrHeadTooLong means that the heads of a response exceed MaxHeadBytes.
 var ErrHeadTooLong = errors.New("the head of a response is too long")
 
+// errReset means that the peer closed the connection without having received the whole request.
+var errReset = errors.Wrap(syscall.ECONNRESET, "closed before the request was received")
+
 // Conn is a client's connection over which responses come one at a time. It returns the bytes of a
 // head only once it is complete and the head of a response. The first one that isn't, an interim one
 // too, fails its read and all later ones.
 //
 // Heads are checked here, and not after they were parsed, because a parser may drop or rename what it
-// reads. A read and a write may be concurrent, two reads may not.
+// reads.
+//
+// Behind a head it returns io.EOF only if the peer had received the whole request and closed the
+// connection in an orderly way. A reset looks like that too if a write has taken its error: a socket
+// reports an error once, and reads from then on only find the end.
+//
+// A read and a write may be concurrent, two reads may not.
 type Conn struct {
 	net.Conn
 
 	// begun is set by BeginRequest until the next read returns; upgrade while the request asks for
 	// another protocol.
 	begun, upgrade atomic.Bool
+	// writing is set until a request was written, writeFailed once a write has failed.
+	writing, writeFailed atomic.Bool
 	// inHead is set while the head of a response is expected.
 	inHead bool
 	// held are bytes that were received and not returned, of which the first ready ones may be. No
@@ -46,9 +58,13 @@
 // the head of a response. Upgrade is set if the request asks for another protocol.
 func (c *Conn) BeginRequest(upgrade bool) {
 	c.upgrade.Store(upgrade)
+	c.writing.Store(true)
 	c.begun.Store(true)
 }
 
+// EndRequest must be called when a request was written to its end.
+func (c *Conn) EndRequest() { c.writing.Store(false) }
+
 // ExpectHead announces that another response to the same request follows. Unread are the bytes that
 // were read behind the response before. It must not be called during a read.
 func (c *Conn) ExpectHead(unread []byte) {
@@ -67,7 +83,10 @@
 	if len(c.held) == 0 && c.failed == nil {
 		n, err := c.Conn.Read(p)
 		c.startHead() // a request may begin while a read waits
-		if !c.inHead || n == 0 {
+		switch {
+		case !c.inHead && errors.Is(err, io.EOF):
+			return n, c.closed()
+		case !c.inHead || n == 0:
 			return n, err
 		}
 		c.held = bytes.Clone(p[:n])
@@ -88,6 +107,23 @@
 	return n, nil
 }
 
+// Write implements net.Conn.
+func (c *Conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.writeFailed.Store(true)
+	}
+	return n, err
+}
+
+// closed returns the error of a read that has found the connection closed behind a head.
+func (c *Conn) closed() error {
+	if c.writing.Load() || c.writeFailed.Load() || wasReset(c.Conn) {
+		return errReset
+	}
+	return io.EOF
+}
+
 func (c *Conn) startHead() {
 	if c.begun.Swap(false) {
 		c.inHead, c.scanned, c.heads = true, 0, 0
--- a/internal/framing/conn_test.go
+++ b/internal/framing/conn_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -38,6 +39,7 @@
 		t.Run(name, func(t *testing.T) {
 			conn := startConn(t, parts...)
 			conn.BeginRequest(false)
+			conn.EndRequest()
 			if got, err := io.ReadAll(conn); string(got) != sent || err != nil {
 				t.Errorf("%q, %v", got, err)
 			}
@@ -93,3 +95,29 @@
 		}
 	}
 }
+
+// Guards against a part of a response that looks complete: the connection ended while its request was
+// being written, or a write has taken the error of the reset.
+func TestConnEndsInOrderOnlyAfterTheRequest(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		request func(*Conn)
+		want    error
+	}{
+		{"written", (*Conn).EndRequest, nil},
+		{"still being written", func(*Conn) {}, syscall.ECONNRESET},
+		{"write failed", func(c *Conn) {
+			c.EndRequest()
+			c.writeFailed.Store(true)
+		}, syscall.ECONNRESET},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			conn := startConn(t, soundHead+"part")
+			conn.BeginRequest(false)
+			test.request(conn)
+			if got, err := io.ReadAll(conn); string(got) != soundHead+"part" || !errors.Is(err, test.want) {
+				t.Errorf("%q, %v", got, err)
+			}
+		})
+	}
+}
--- a/internal/framing/framingtest/framingtest.go
+++ b/internal/framing/framingtest/framingtest.go
@@ -17,6 +17,10 @@
 // Kinds are the framings of a response with a body.
 var Kinds = []framing.Kind{framing.Length, framing.Chunked, framing.UntilClose}
 
+// UploadBytes is the size of a request's body, in bytes, that is more than the sockets of both sides
+// hold of it while the server does not read.
+const UploadBytes = 12 << 20
+
 // Server sends the same bytes to each request and then closes the connection.
 type Server struct {
 	listener net.Listener
@@ -26,6 +30,8 @@
 	conns  map[net.Conn]bool
 	answer string
 	reset  bool
+	// early is set if the answer is sent before the request's body is read.
+	early bool
 }
 
 // NewServer starts a server, which is stopped at the end of the test.
@@ -52,7 +58,14 @@
 func (s *Server) Respond(answer string, reset bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.answer, s.reset = answer, reset
+	s.answer, s.reset, s.early = answer, reset, false
+}
+
+// RespondEarly makes the server answer with AnswerEarly, with nothing read of a request's body.
+func (s *Server) RespondEarly(answer string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answer, s.reset, s.early = answer, false, true
 }
 
 func (s *Server) close() {
@@ -85,21 +98,38 @@
 		delete(s.conns, conn)
 		s.mu.Unlock()
 	}()
+	s.mu.Lock()
+	answer, reset, early := s.answer, s.reset, s.early
+	s.mu.Unlock()
+	if early {
+		AnswerEarly(conn, answer, 0)
+		return
+	}
 	request, err := http.ReadRequest(bufio.NewReader(conn))
 	if err != nil {
 		return
 	}
 	// An unread rest of the request would turn an orderly close into a reset.
 	_, _ = io.Copy(io.Discard, request.Body)
-	s.mu.Lock()
-	answer, reset := s.answer, s.reset
-	s.mu.Unlock()
 	_, _ = io.WriteString(conn, answer)
 	if reset {
 		_ = conn.(*net.TCPConn).SetLinger(0)
 	}
 }
 
+// AnswerEarly reads the head of a request and a part of its body, sends the bytes and resets the
+// connection.
+func AnswerEarly(conn net.Conn, answer string, read int64) {
+	defer func() { _ = conn.Close() }()
+	request, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	_, _ = io.CopyN(io.Discard, request.Body, read)
+	_, _ = io.WriteString(conn, answer)
+	_ = conn.(*net.TCPConn).SetLinger(0)
+}
+
 // Response returns a complete response with the status and the body in a framing. Header holds
 // further fields, each with its line end. It announces the close of the connection: a client
 // could otherwise send its next request just before that.
--- a/internal/gateway/brokenoff_test.go
+++ b/internal/gateway/brokenoff_test.go
@@ -39,13 +39,18 @@
 
 // rawCall sends a request over a connection of its own and returns all bytes up to its end.
 func (s *fixture) rawCall(protocol, path string) (raw string, err error) {
+	s.t.Helper()
+	return s.rawSend("POST " + path + " " + protocol + "\r\nHost: callers.example\r\nNutmeglane-Request-Id: r1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+}
+
+// rawSend sends bytes over a connection of its own and returns all bytes up to its end.
+func (s *fixture) rawSend(request string) (raw string, err error) {
 	s.t.Helper()
 	conn, err := net.Dial("tcp", s.callers.Listener.Addr().String())
 	if err != nil {
 		s.t.Fatal(err)
 	}
 	defer func() { _ = conn.Close() }()
-	request := "POST " + path + " " + protocol + "\r\nHost: callers.example\r\nNutmeglane-Request-Id: r1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 	if _, err := io.WriteString(conn, request); err != nil {
 		s.t.Fatal(err)
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -16,6 +16,7 @@
 	"nutmeglane.example/nutmeglane/internal/clock"
 	"nutmeglane.example/nutmeglane/internal/core"
 	"nutmeglane.example/nutmeglane/internal/fleet"
+	"nutmeglane.example/nutmeglane/internal/framing/framingtest"
 	"nutmeglane.example/nutmeglane/internal/router"
 )
 
@@ -56,6 +57,7 @@
 	}
 	config := &fleet.Config{
 		Version:  1,
+		Limits:   fleet.Limits{MaxBodyBytes: framingtest.UploadBytes},
 		Services: map[string]*fleet.Service{"s": {Name: "s", MaxConns: 40}},
 		Routes: []fleet.Route{
 			route("stream", fleet.Stream, 3, true), route("once-stream", fleet.Stream, 1, false),
