Entries' services and engines: malformed and reset answers fail the run

What callers saw on the second path: all that a malformed head can do (status 0, 99, 101 and 600 as they are, names with blanks, another body), and the part of an answer whose server reset the connection during the upload, as a complete run (code 0). An answer of status 000 or 600 with "not-loaded" counted as the proof (5013) that a completion had not run, so that it could be sent again.

Cause: the executor's answers are read by net/http's transport, which parses heads like http.ReadResponse, and which writes a request beside the read of its answer: either one may take the error of the reset.

Change: framing.Transport sends requests with an http.Transport over framing.Conn, so that this path has the same check of heads and closes. As the write may still be under way when the read finds the end of the connection, that read waits for the end of the write: without the wait a complete answer could count as cut, when the goroutine that wrote the last byte had not returned yet (seen once in TestServiceStreamEndingBetweenEvents, beside other tests).

internal/front answers a status from another process that net/http would not write with a failure, as before; TestStatusThatIsNoFinalOneFails shows it."

--- a/internal/engine/executor.go
+++ b/internal/engine/executor.go
@@ -134,7 +134,7 @@
 		MaxResponseHeaderBytes: framing.MaxHeadBytes,
 	}
 	return &http.Client{
-		Transport: transport,
+		Transport: framing.NewTransport(transport),
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
--- a/internal/framing/conn.go
+++ b/internal/framing/conn.go
@@ -38,8 +38,7 @@
 	// begun is set by BeginRequest until the next read returns; upgrade while the request asks for
 	// another protocol.
 	begun, upgrade atomic.Bool
-	// writing is set until a request was written, writeFailed once a write has failed.
-	writing, writeFailed atomic.Bool
+	writing        *requestWrite
 	// inHead is set while the head of a response is expected.
 	inHead bool
 	// held are bytes that were received and not returned, of which the first ready ones may be. No
@@ -52,18 +51,18 @@
 }
 
 // NewConn returns a connection over which no request was sent yet.
-func NewConn(conn net.Conn) *Conn { return &Conn{Conn: conn} }
+func NewConn(conn net.Conn) *Conn { return &Conn{Conn: conn, writing: newRequestWrite()} }
 
 // BeginRequest must be called before a request is written: what is received from then on begins with
 // the head of a response. Upgrade is set if the request asks for another protocol.
 func (c *Conn) BeginRequest(upgrade bool) {
 	c.upgrade.Store(upgrade)
-	c.writing.Store(true)
+	c.writing.begin()
 	c.begun.Store(true)
 }
 
-// EndRequest must be called when a request was written to its end.
-func (c *Conn) EndRequest() { c.writing.Store(false) }
+// EndRequest must be called when a request was written, or when its write has failed.
+func (c *Conn) EndRequest() { c.writing.end() }
 
 // ExpectHead announces that another response to the same request follows. Unread are the bytes that
 // were read behind the response before. It must not be called during a read.
@@ -111,14 +110,20 @@
 func (c *Conn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
 	if err != nil {
-		c.writeFailed.Store(true)
+		c.writing.fail()
 	}
 	return n, err
 }
 
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.writing.fail()
+	return c.Conn.Close()
+}
+
 // closed returns the error of a read that has found the connection closed behind a head.
 func (c *Conn) closed() error {
-	if c.writing.Load() || c.writeFailed.Load() || wasReset(c.Conn) {
+	if !c.writing.wait() || wasReset(c.Conn) {
 		return errReset
 	}
 	return io.EOF
--- a/internal/framing/conn_test.go
+++ b/internal/framing/conn_test.go
@@ -96,6 +96,11 @@
 	}
 }
 
+// failedWrite is a connection whose writes fail.
+type failedWrite struct{ net.Conn }
+
+func (failedWrite) Write([]byte) (int, error) { return 0, syscall.EPIPE }
+
 // Guards against a part of a response that looks complete: the connection ended while its request was
 // being written, or a write has taken the error of the reset.
 func TestConnEndsInOrderOnlyAfterTheRequest(t *testing.T) {
@@ -105,10 +110,10 @@
 		want    error
 	}{
 		{"written", (*Conn).EndRequest, nil},
-		{"still being written", func(*Conn) {}, syscall.ECONNRESET},
+		{"written while the end is read", func(c *Conn) { go c.EndRequest() }, nil},
 		{"write failed", func(c *Conn) {
-			c.EndRequest()
-			c.writeFailed.Store(true)
+			c.Conn = failedWrite{c.Conn}
+			go func() { _, _ = c.Write(nil) }()
 		}, syscall.ECONNRESET},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/framing/framingtest/framingtest.go
+++ b/internal/framing/framingtest/framingtest.go
@@ -30,8 +30,9 @@
 	conns  map[net.Conn]bool
 	answer string
 	reset  bool
-	// early is set if the answer is sent before the request's body is read.
-	early bool
+	// resetAfter is set if the answer is sent before the request's body is read; the connection is
+	// reset once it is closed.
+	resetAfter <-chan struct{}
 }
 
 // NewServer starts a server, which is stopped at the end of the test.
@@ -58,14 +59,15 @@
 func (s *Server) Respond(answer string, reset bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.answer, s.reset, s.early = answer, reset, false
+	s.answer, s.reset, s.resetAfter = answer, reset, nil
 }
 
-// RespondEarly makes the server answer with AnswerEarly, with nothing read of a request's body.
-func (s *Server) RespondEarly(answer string) {
+// RespondEarly makes the server send the bytes with nothing read of a request's body, and reset the
+// connection once the channel is closed.
+func (s *Server) RespondEarly(answer string, resetAfter <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.answer, s.reset, s.early = answer, false, true
+	s.answer, s.resetAfter = answer, resetAfter
 }
 
 func (s *Server) close() {
@@ -99,10 +101,10 @@
 		s.mu.Unlock()
 	}()
 	s.mu.Lock()
-	answer, reset, early := s.answer, s.reset, s.early
+	answer, reset, resetAfter := s.answer, s.reset, s.resetAfter
 	s.mu.Unlock()
-	if early {
-		AnswerEarly(conn, answer, 0)
+	if resetAfter != nil {
+		AnswerEarly(conn, answer, 0, resetAfter)
 		return
 	}
 	request, err := http.ReadRequest(bufio.NewReader(conn))
@@ -118,8 +120,8 @@
 }
 
 // AnswerEarly reads the head of a request and a part of its body, sends the bytes and resets the
-// connection.
-func AnswerEarly(conn net.Conn, answer string, read int64) {
+// connection, once a channel is closed if one is given.
+func AnswerEarly(conn net.Conn, answer string, read int64, resetAfter <-chan struct{}) {
 	defer func() { _ = conn.Close() }()
 	request, err := http.ReadRequest(bufio.NewReader(conn))
 	if err != nil {
@@ -127,6 +129,9 @@
 	}
 	_, _ = io.CopyN(io.Discard, request.Body, read)
 	_, _ = io.WriteString(conn, answer)
+	if resetAfter != nil {
+		<-resetAfter
+	}
 	_ = conn.(*net.TCPConn).SetLinger(0)
 }
 
--- a/internal/framing/framingtest/malformed.go
+++ b/internal/framing/framingtest/malformed.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"testing"
 
 	"nutmeglane.example/nutmeglane/internal/framing"
 )
@@ -10,6 +11,18 @@
 // Malformed is an answer in which a head is not that of a response.
 type Malformed struct{ Name, Answer string }
 
+// EachMalformed calls check once for each answer with the body in which a head is malformed.
+func EachMalformed(t *testing.T, body string, check func(t *testing.T, s *Server)) {
+	t.Helper()
+	s := NewServer(t)
+	for _, test := range MalformedHeads("Connection: close\r\n", body) {
+		t.Run(test.Name, func(t *testing.T) {
+			s.Respond(test.Answer, false)
+			check(t, s)
+		})
+	}
+}
+
 // MalformedHeads returns answers with the body in which a head is malformed. Header holds the fields of
 // a sound answer, each with its line end.
 func MalformedHeads(header, body string) []Malformed {
--- a/internal/framing/head_test.go
+++ b/internal/framing/head_test.go
@@ -33,6 +33,7 @@
 	f.Fuzz(func(t *testing.T, answer []byte) {
 		conn := framing.NewConn(received{Reader: bytes.NewReader(answer)})
 		conn.BeginRequest(false)
+		conn.EndRequest()
 		passed, _ := io.ReadAll(conn)
 		if len(passed) == 0 {
 			return
--- a/internal/front/answer_test.go
+++ b/internal/front/answer_test.go
@@ -330,3 +330,17 @@
 		})
 	}
 }
+
+// Guards against a status from another process that ends the handler by a panic, or reaches the caller
+// though HTTP does not have it.
+func TestStatusThatIsNoFinalOneFails(t *testing.T) {
+	for _, status := range []int{-1, 0, 99, 100, 101, 600, 1000} {
+		h := newHarness(t)
+		got := h.serveWith(h.request("GET", "/services/akte/rooms", ""), func(id core.RequestID) []core.Effect {
+			return []core.Effect{core.RespondHead{ID: id, Status: status}}
+		})
+		if got.response.StatusCode != code.BackendFailed.HTTPStatus() {
+			t.Errorf("status %d: %d, %q", status, got.response.StatusCode, got.body)
+		}
+	}
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -215,9 +215,7 @@
 		c.abortAndReport(conn, router.AttemptFailed{Attempt: d.Attempt, Failure: router.NotSent}, err)
 		return
 	}
-	if err == nil {
-		conn.responses.EndRequest()
-	}
+	conn.responses.EndRequest()
 	// The server may have responded before it read the complete request, so a response may
 	// follow a write error.
 	c.readAnswer(d, conn, err)
--- a/internal/gateway/upload_test.go
+++ b/internal/gateway/upload_test.go
@@ -30,7 +30,7 @@
 	} {
 		for _, read := range readsOfUploads {
 			t.Run(fmt.Sprintf("%s, %d bytes read", name, read), func(t *testing.T) {
-				s := newFixture(t, func(conn net.Conn) { framingtest.AnswerEarly(conn, test.answer, read) })
+				s := newFixture(t, func(conn net.Conn) { framingtest.AnswerEarly(conn, test.answer, read, nil) })
 				raw, err := s.upload(test.path)
 				if got, err := parseAnswer(raw, err); strings.HasPrefix(raw, "HTTP/1.1 200") && err == nil {
 					t.Errorf("the caller got %d bytes as complete", len(got))
@@ -47,7 +47,7 @@
 	for _, kind := range []framing.Kind{framing.Length, framing.Chunked} {
 		t.Run(kind.String(), func(t *testing.T) {
 			answer := framingtest.Response(kind, http.StatusRequestEntityTooLarge, sealed, refusal)
-			s := newFixture(t, func(conn net.Conn) { framingtest.AnswerEarly(conn, answer, 0) })
+			s := newFixture(t, func(conn net.Conn) { framingtest.AnswerEarly(conn, answer, 0, nil) })
 			raw, err := s.upload("/once/x")
 			got, err := parseAnswer(raw, err)
 			if !strings.HasPrefix(raw, "HTTP/1.1 413") || got != refusal || err != nil {
