--- a/internal/cli/connect.go
+++ b/internal/cli/connect.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 
+	"nutmeglane.example/nutmeglane/internal/framing"
 	"nutmeglane.example/nutmeglane/internal/operator/client"
 )
 
@@ -60,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	transport := &http.Transport{TLSClientConfig: config, DialContext: dial}
+	checked := framing.NewTransport(&http.Transport{TLSClientConfig: config, DialContext: dial})
 	var clients []*client.Client
 	for _, address := range addresses {
 		address = strings.TrimSpace(address)
@@ -71,7 +72,7 @@
 			}
 			address = scheme + address
 		}
-		clients = append(clients, client.New(address, cmd.String("token"), &http.Client{Transport: transport}))
+		clients = append(clients, client.New(address, cmd.String("token"), &http.Client{Transport: checked}))
 	}
 	return clients, nil
 }
--- a/internal/hostlist/hostlist.go
+++ b/internal/hostlist/hostlist.go
@@ -67,7 +67,7 @@
 		interval: interval,
 		post:     post,
 		opts:     opts,
-		client:   &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: framing.MaxHeadBytes}},
+		client:   &http.Client{Transport: framing.NewTransport(&http.Transport{MaxResponseHeaderBytes: framing.MaxHeadBytes})},
 		ctx:      ctx,
 		cancel:   cancel,
 	}
--- a/internal/hostlist/hostlist_test.go
+++ b/internal/hostlist/hostlist_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/goleak"
 
 	"nutmeglane.example/nutmeglane/internal/core"
+	"nutmeglane.example/nutmeglane/internal/framing/framingtest"
 	"nutmeglane.example/nutmeglane/internal/hostlist"
 	"nutmeglane.example/nutmeglane/internal/standin/hosts"
 )
@@ -29,6 +30,11 @@
 	t.Helper()
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
+	return pollURL(t, server.URL)
+}
+
+func pollURL(t *testing.T, url string) (events <-chan core.Event, reads <-chan error) {
+	t.Helper()
 	posted := make(chan core.Event, 16)
 	done := make(chan error)
 	stop := make(chan struct{})
@@ -38,7 +44,7 @@
 		case <-stop:
 		}
 	}
-	p := hostlist.NewPoller(server.URL+"/hosts", time.Millisecond, func(e core.Event) { posted <- e }, hostlist.Options{OnRead: onRead})
+	p := hostlist.NewPoller(url+"/hosts", time.Millisecond, func(e core.Event) { posted <- e }, hostlist.Options{OnRead: onRead})
 	t.Cleanup(func() { close(stop); p.Close() })
 	return posted, done
 }
@@ -165,3 +171,15 @@
 	w.bytes.Add(int64(len(data)))
 	return w.ResponseWriter.Write(data)
 }
+
+// Guards against a malformed answer that counts as a list of hosts: a host that is missing in it would
+// count as gone.
+func TestMalformedListFails(t *testing.T) {
+	const list = `{"id":"a","address":"127.0.0.1:1","zone":"olten","role":"backend","state":"live"}` + "\n"
+	framingtest.EachMalformed(t, list, func(t *testing.T, s *framingtest.Server) {
+		events, reads := pollURL(t, s.URL())
+		if err := receive(t, reads); err == nil {
+			t.Errorf("%+v", receive(t, events))
+		}
+	})
+}
--- a/internal/kv/brokenoff_test.go
+++ b/internal/kv/brokenoff_test.go
@@ -79,3 +79,17 @@
 		}
 	})
 }
+
+// Guards against a malformed answer of the key-value service that counts: a read, or a write as done or
+// as without effect.
+func TestMalformedAnswers(t *testing.T) {
+	framingtest.EachMalformed(t, `{"key":"k","value":"dg==","revision":4}`, func(t *testing.T, s *framingtest.Server) {
+		client := newClient(t, s.URL(), kv.ClientOptions{CallTimeout: testTimeout})
+		if got, err := client.Get(t.Context(), "k"); kv.CodeOf(err) != code.KVUnavailable {
+			t.Errorf("get %+v, %v", got, err)
+		}
+		if got, err := client.Cas(t.Context(), kv.CasRequest{Key: "k"}); kv.CodeOf(err) != code.KVUnknown {
+			t.Errorf("cas %+v, %v", got, err)
+		}
+	})
+}
--- a/internal/kv/client.go
+++ b/internal/kv/client.go
@@ -90,7 +90,7 @@
 	}
 	return &Client{
 		base:      sling.New().Base(baseURL),
-		http:      &http.Client{Transport: transport, CheckRedirect: keepRedirect},
+		http:      &http.Client{Transport: framing.NewTransport(transport), CheckRedirect: keepRedirect},
 		transport: transport,
 		opts:      opts,
 	}, nil
--- a/internal/operator/client/brokenoff_test.go
+++ b/internal/operator/client/brokenoff_test.go
@@ -48,3 +48,12 @@
 		}
 	})
 }
+
+// Guards against a malformed response of the API that counts.
+func TestMalformedListFails(t *testing.T) {
+	framingtest.EachMalformed(t, `{"revision":3,"items":[]}`, func(t *testing.T, s *framingtest.Server) {
+		if got, err := New(s.URL(), "", nil).List(context.Background(), api.KindModel); err == nil {
+			t.Errorf("%+v", got)
+		}
+	})
+}
--- a/internal/operator/client/client.go
+++ b/internal/operator/client/client.go
@@ -14,6 +14,7 @@
 	"github.com/dghubble/sling"
 
 	"nutmeglane.example/nutmeglane/internal/api"
+	"nutmeglane.example/nutmeglane/internal/framing"
 	"nutmeglane.example/nutmeglane/internal/operator"
 	"nutmeglane.example/nutmeglane/internal/operator/status"
 )
@@ -45,15 +46,15 @@
 }
 
 // New returns a client for the entry at address, a URL such as
-// "http://127.0.0.1:8081". The token may be empty. If httpClient is nil,
-// http.DefaultClient is used.
+// "http://127.0.0.1:8081". The token may be empty. If httpClient is nil, one
+// without TLS settings is used.
 func New(address, token string, httpClient *http.Client) *Client {
 	base := sling.New().Base(strings.TrimSuffix(address, "/"))
 	if token != "" {
 		base.Set("Authorization", "Bearer "+token)
 	}
 	if httpClient == nil {
-		httpClient = http.DefaultClient
+		httpClient = &http.Client{Transport: framing.NewTransport(&http.Transport{})}
 	}
 	return &Client{base: base, http: httpClient}
 }
