Router: one release is assumed only on a registry read since the request

Cause: where no loader can tell the origin of a stream, assumeOnlyRelease trusts what the router sees of the registry, however old that is.

Change: that path needs a read of the registry that began after the request arrived, and so after the stream began. The router requests one (the reads that unknown API keys request, at most five a second) and holds the request for 1 s at most. It refuses it as not run if the store does not answer, if entries may be missing because the store was away, or if no read ends in time; another router serves it then. The store reader reports as of when the registry is known (RegistryConfirmed). A requested read no longer waits for changes: it took up to 500 ms where nothing changes.

Loaders still decide where they can, without a read.

TestOlderLoadersAreNotTold and TestStreamIsTakenUpBeforeLoadersReport get the read that a router would make; the latter now also checks that the stream is bound. The gateway's fixture says that its registry is known, as no server joins later."

--- a/internal/daemon/storereader.go
+++ b/internal/daemon/storereader.go
@@ -34,6 +34,9 @@
 	// read. One may be suspended or unreachable; with two, changes are late only if
 	// both are.
 	relayCount = 2
+	// requestedReadWait is how long a read that the reducer has requested waits for changes: not at
+	// all. What follows waits for its answer.
+	requestedReadWait = time.Millisecond
 	// maxLoggedProblems limits the errors that are kept to avoid repeated log
 	// lines, about 200 bytes each.
 	maxLoggedProblems = 500
@@ -180,7 +183,10 @@
 
 // read makes the call to the store that is due.
 func (s *storeReader) read(ctx context.Context) error {
-	s.readDue.Store(false)
+	wait := storeTimeout / 2
+	if s.readDue.Swap(false) {
+		wait = requestedReadWait
+	}
 	revision, wanted := int64(0), int64(0)
 	s.withLock(func() { revision, wanted = s.reader.Known().Revision, s.wantedVersion })
 	switch {
@@ -191,11 +197,11 @@
 		if err != nil || !written {
 			return err
 		}
-		return s.readChanges(ctx, revision)
+		return s.readChanges(ctx, revision, wait)
 	case wanted > s.configVersion():
 		return s.readConfig(ctx, wanted)
 	default:
-		return s.readChanges(ctx, revision)
+		return s.readChanges(ctx, revision, wait)
 	}
 }
 
@@ -228,6 +234,7 @@
 		s.gateway.Step(router.ReleasesNoted{Notes: releaseNotes(snapshot.Notes)})
 		s.gateway.Step(router.BackendsRead{Backends: snapshot.Backends})
 	}
+	s.confirmRegistry(begun, snapshot.Position)
 	if snapshot.Config == nil {
 		s.reader.ReadNow(clock.Now()) // the next read waits for the first configuration
 	}
@@ -250,9 +257,10 @@
 	return nil
 }
 
-func (s *storeReader) readChanges(ctx context.Context, revision int64) error {
+// readChanges reads the changes since a revision. It waits up to wait for the first one.
+func (s *storeReader) readChanges(ctx context.Context, revision int64, wait time.Duration) error {
 	begun := clock.Now()
-	changes, err := s.store.Changes(ctx, revision, storeTimeout/2)
+	changes, err := s.store.Changes(ctx, revision, wait)
 	if err != nil {
 		return err
 	}
@@ -269,6 +277,7 @@
 		s.spreadConfig(changes.Config)
 	}
 	s.confirmConfig(begun)
+	defer s.confirmRegistry(begun, changes.Position)
 	if s.reader.ReadChanges(clock.Now(), revision, changes.Position) == registry.Current {
 		poison := decodeNotes(changes.Notes, s.log)
 		s.relayChanges(revision, changes, poison)
@@ -293,6 +302,14 @@
 	}
 }
 
+// confirmRegistry reports to the reducer that it knows the registry as a read that began at a time found
+// it, up to a position, unless the whole has to be read. The caller holds s.mu.
+func (s *storeReader) confirmRegistry(begun core.Time, at core.StorePosition) {
+	if known := s.reader.Known(); known.Era == at.Era && known.Revision >= at.Revision {
+		s.gateway.Step(router.RegistryConfirmed{AsOf: begun})
+	}
+}
+
 // relayChanges sends changes to the other routers. It must be called before the changes
 // are applied here: of the written values, only those that differ from the known ones are
 // sent.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -81,6 +81,7 @@
 		Options{Links: discardEffects{}, Metrics: discardEffects{}, Log: log, Requests: log})
 	g.Step(router.ConfigRead{Config: config})
 	g.Step(router.BackendsRead{Backends: list})
+	g.Step(router.RegistryConfirmed{AsOf: core.Never}) // no server joins later
 	callers := httptest.NewServer(g)
 	t.Cleanup(callers.Close)
 	return &fixture{t: t, gateway: g, callers: callers}
--- a/internal/router/effect.go
+++ b/internal/router/effect.go
@@ -189,8 +189,8 @@
 	News core.PoisonNews
 }
 
-// ReadStore requests a read of the platform's store soon. ConfigConfirmed follows, or
-// StoreState.
+// ReadStore requests a read of the platform's store soon. ConfigConfirmed and RegistryConfirmed
+// follow, or StoreState.
 type ReadStore struct{}
 
 func (ReadStore) effect()        {}
--- a/internal/router/ending.go
+++ b/internal/router/ending.go
@@ -119,6 +119,8 @@
 			r.permitTimedOut(req)
 		case req.origin.awaitsLoaders && r.now < req.firstEventDeadline:
 			r.askOrigin(req)
+		case req.origin.awaitsRegistry:
+			r.checkRegistryWait(req)
 		case r.originOverdue(req):
 			r.decideUnknownOrigin(req, originUnanswered)
 		case req.continuationPending():
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -28,6 +28,10 @@
 // store at a time: a read that began then found no other.
 type ConfigConfirmed struct{ AsOf core.Time }
 
+// RegistryConfirmed reports that the registry of backend servers is known as it was in the platform's
+// store at a time, or later: what a read that began then has found was delivered.
+type RegistryConfirmed struct{ AsOf core.Time }
+
 // BackendsRead delivers the whole registry of backend servers.
 type BackendsRead struct{ Backends map[string]fleet.Backend }
 
@@ -263,6 +267,7 @@
 func (ReleasesNoted) event()        {}
 func (DigestReceived) event()       {}
 func (ConfigConfirmed) event()      {}
+func (RegistryConfirmed) event()    {}
 func (PoisonReported) event()       {}
 func (LiftPoison) event()           {}
 func (NewsReceived) event()         {}
--- a/internal/router/origin.go
+++ b/internal/router/origin.go
@@ -73,8 +73,9 @@
 	// answers the number of those that were told nothing.
 	pending, answers int
 	askedAt          core.Time
-	// awaitsLoaders is set while the loaders to ask may still connect.
-	awaitsLoaders bool
+	// awaitsLoaders is set while the loaders to ask may still connect, awaitsRegistry until the
+	// registry was read.
+	awaitsLoaders, awaitsRegistry bool
 }
 
 // takesUp records the stream that a request takes up. It returns false if the request was
@@ -110,7 +111,7 @@
 		return true // it will be refused
 	}
 	if !req.origin.named {
-		return r.assumeOnlyRelease(req, originUnknown)
+		return r.confirmOnlyRelease(req)
 	}
 	switch name, state := r.origins.Get(r.now, req.origin.stream); {
 	case state == origin.Known:
@@ -120,7 +121,7 @@
 		r.refuseUnknownOrigin(req, originAmbiguous)
 		return false
 	case len(r.loaders) == 0, !r.startedWithin(r.streamLives[req.service]) && !r.originsAreKept():
-		return r.assumeOnlyRelease(req, originUnanswered)
+		return r.confirmOnlyRelease(req)
 	default:
 		r.askOrigin(req)
 		return false
--- a/internal/router/origin_test.go
+++ b/internal/router/origin_test.go
@@ -312,6 +312,7 @@
 	}
 	one := newFixture(t)
 	one.releases(nil, v1, v1)
+	one.step(RegistryConfirmed{AsOf: one.now})
 	if key := one.takeUp("patient", "elsewhere"); len(one.sends[key]) != 1 {
 		t.Errorf("with one release: %+v", one.finishes[key])
 	}
@@ -384,8 +385,9 @@
 		w.step(BackendsRead{Backends: list})
 		w.now = w.now.Add(age)
 		key := w.takeUp("patient", "elsewhere")
-		if got := w.refusal(key); got != want {
-			t.Errorf("%v after the registry was read: ended with %v, want %v", age, got, want)
+		w.step(RegistryConfirmed{AsOf: w.now})
+		if got := w.refusal(key); got != want || got == code.OK && !w.router.requests[key].bound {
+			t.Errorf("%v after the registry was read: ended with %v, want %v, or not bound", age, got, want)
 		}
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -73,6 +73,10 @@
 	// storeBackAt is when the store last became reachable again, 0 if it never was
 	// unreachable.
 	storeBackAt core.Time
+	// registryAsOf is the latest time at which the registry is known to have been as it is known here.
+	registryAsOf core.Time
+	// awaitRegistry are the requests that wait for a read of the registry, in order of arrival.
+	awaitRegistry []Key
 	// storeAnsweredAt is when the store last answered this router or, according to received
 	// news, another router.
 	storeAnsweredAt core.Time
@@ -237,6 +241,8 @@
 		r.configAnnounced(e.Version)
 	case ConfigConfirmed:
 		r.configConfirmed(e.AsOf)
+	case RegistryConfirmed:
+		r.registryConfirmed(e.AsOf)
 	case BackendsRead:
 		r.readBackends(e.Backends)
 	case StoreRestored:
