Router: a release that came and went unseen leaves streams in doubt

What callers could see (ORDER): servers of another release joined and left while a router did not read the registry. The router's next read showed one release, and it continued a stream that had begun at the other one.

Cause: the changes of a read hold each server by its last change, so that one that joined and left is only removed; releases were taken from the servers at each tick, so that two reads between two ticks hid it too; and a registry that is read as a whole again, because the store has dropped its history, says nothing of what came and went.

Change: a read names the servers that passed (Changes.Passed), a server that leaves or changes its release leaves that release in doubt at once, and after a second whole read one release is not assumed until a stream can't last longer. All of it counts only where no loader can tell the origin.

The histories' checker takes the release of the server that sent the event: it took that of the first attempt where a hedge had answered, and reported streams that were not joined.

--- a/internal/daemon/storereader.go
+++ b/internal/daemon/storereader.go
@@ -283,7 +283,7 @@
 		s.relayChanges(revision, changes, poison)
 		s.gateway.Step(router.PoisonReported{News: poison})
 		s.gateway.Step(router.EvacuationsChanged{Zones: changes.Evacuations})
-		s.gateway.Step(router.BackendsChanged{Written: changes.Written, Removed: changes.Removed})
+		s.gateway.Step(router.BackendsChanged{Written: changes.Written, Removed: changes.Removed, Passed: changes.Passed})
 	}
 	return nil
 }
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -47,6 +47,8 @@
 type BackendsChanged struct {
 	Written map[string]fleet.Backend
 	Removed map[string]bool
+	// Passed are servers that joined and left between two reads, or had another release between them.
+	Passed []fleet.Backend
 }
 
 // EvacuationsRead delivers all zones that are evacuated, EvacuationsRestored those in a store
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -27,6 +27,9 @@
 )
 
 func (r *Router) readBackends(list map[string]fleet.Backend) {
+	if r.registryRead {
+		r.registryGapAt = r.now
+	}
 	r.registryRead = true
 	removed := map[string]bool{}
 	for instance := range r.backends {
@@ -125,6 +128,9 @@
 	if !entry.Release.Known {
 		entry.Release = b.Release
 	}
+	if entry.Release != b.Release {
+		r.releaseLeft(b.Service, b.Release)
+	}
 	r.releasesChanged = r.releasesChanged || entry.Release != b.Release || b.unlistedAt != 0 || b.foundAt == r.now
 	r.setAddress(b, entry.Address)
 	b.Backend, b.lapsed, b.aliveAt = entry, false, r.now
@@ -204,6 +210,7 @@
 
 func (r *Router) unlist(b *backend, why string) {
 	b.unlistedAt, r.releasesChanged = r.now, true
+	r.releaseLeft(b.Service, b.Release)
 	if b.replaced || r.lostLately(b) {
 		r.serverEnded(b, why)
 	}
--- a/internal/router/origin_fleet_test.go
+++ b/internal/router/origin_fleet_test.go
@@ -21,12 +21,16 @@
 // originFleet is routers and loaders whose messages about origins pass through queues that a
 // history delivers, loses, or delays.
 type originFleet struct {
-	t       *rapid.T
-	now     core.Time
-	routers []*originRouter
-	loaders map[core.HostID]*loaders.Loader
-	// servers is the registry.
-	servers map[string]fleet.Backend
+	t   *rapid.T
+	now core.Time
+	// service, route and config are what streams are requested of. A plain service has no loaders.
+	service, route string
+	config         *fleet.Config
+	routers        []*originRouter
+	loaders        map[core.HostID]*loaders.Loader
+	// servers is the registry, releases the releases of all servers there ever were.
+	servers  map[string]fleet.Backend
+	releases map[string]fleet.Release
 	// notes are the notes in the store, with the times at which they end.
 	notes map[string]storedNote
 	// began is the release of each stream's first event, by request id.
@@ -56,8 +60,12 @@
 }
 
 func newOriginFleet(t *rapid.T, routers, engines int) *originFleet {
+	return newOriginFleetOf(t, engineService, "patient", testConfig(), routers, engines)
+}
+
+func newOriginFleetOf(t *rapid.T, service, route string, config *fleet.Config, routers, engines int) *originFleet {
 	f := &originFleet{
-		t: t, now: core.Time(time.Hour), loaders: map[core.HostID]*loaders.Loader{}, servers: map[string]fleet.Backend{},
+		t: t, now: core.Time(time.Hour), service: service, route: route, config: config, loaders: map[core.HostID]*loaders.Loader{}, servers: map[string]fleet.Backend{}, releases: map[string]fleet.Release{},
 		notes: map[string]storedNote{}, began: map[string]fleet.Release{},
 	}
 	for i := range engines {
@@ -72,11 +80,12 @@
 func (f *originFleet) addServer(i int, release fleet.Release) {
 	instance := fmt.Sprintf("s%d-%s-%d", i, release.Name, f.next)
 	f.next++
+	f.releases[instance] = release
 	f.servers[instance] = fleet.Backend{
-		Incarnation: fleet.Incarnation{Instance: instance}, Service: engineService, Zone: "a", Slots: 64,
+		Incarnation: fleet.Incarnation{Instance: instance}, Service: f.service, Zone: "a", Slots: 64,
 		Address: fmt.Sprintf("%s:%d", loaderName(i), 8000+f.next), Release: release,
 	}
-	if f.loaders[loaderName(i)] == nil {
+	if f.service == engineService && f.loaders[loaderName(i)] == nil {
 		f.loaders[loaderName(i)] = loaders.New(loaders.Options{Host: loaderName(i)})
 	}
 }
@@ -84,7 +93,9 @@
 // startRouter starts a router, which reads the store and connects to all loaders.
 func (f *originFleet) startRouter() *originRouter {
 	p := f.startUnconnected()
-	f.connect(p)
+	if f.service == engineService {
+		f.connect(p)
+	}
 	return p
 }
 
@@ -92,7 +103,7 @@
 func (f *originFleet) startUnconnected() *originRouter {
 	p := &originRouter{open: map[Key]originCall{}}
 	p.router = New(Options{Host: "10.0.0.1", Zone: "a", LoaderPort: 7000, Bounds: testBounds(), Seed: 1})
-	f.step(p, ConfigRead{Config: testConfig()})
+	f.step(p, ConfigRead{Config: f.config})
 	var notes []core.ReleaseNote
 	for _, name := range slices.Sorted(maps.Keys(f.notes)) {
 		if stored := f.notes[name]; f.now < stored.ends {
@@ -158,7 +169,7 @@
 func (f *originFleet) call(p *originRouter, began string) {
 	f.next++
 	id, key := fmt.Sprint("r", f.next), Key(f.next)
-	request := fleet.Request{ID: id, Host: callersHost, Path: "/patient/x", Prompt: prompt("m0")}
+	request := fleet.Request{ID: id, Host: callersHost, Path: "/" + f.route + "/x", Prompt: prompt("m0")}
 	if began != "" {
 		f.taken++
 		request.Resumption = fleet.Resumption{State: fleet.ResumptionValid, Stream: began}
@@ -174,7 +185,7 @@
 	if call.send.Instance == "" {
 		return
 	}
-	release := p.router.requests[key].attempt.release
+	release := f.releases[call.send.Instance]
 	f.step(p, Answered{Key: key, Attempt: call.send.Attempt, Answer: fleet.Answer{Status: 200}})
 	f.step(p, FirstEvent{Key: key, Attempt: call.send.Attempt})
 	if call.began == "" {
--- a/internal/router/originregistry.go
+++ b/internal/router/originregistry.go
@@ -12,7 +12,7 @@
 // What this router sees of the registry may be old: while it was cut off from the store or stood still,
 // servers of another release may have joined, and streams may have begun there through other routers.
 // Therefore the only release that it knows counts only after a read of the registry that began after
-// the request had arrived, so after the stream had begun.
+// the request had arrived, so after the stream had begun, and only if all changes were read since.
 
 // registryReadLimit is how long a request waits for a read of the registry: a read that is under way may
 // wait for changes, and the next one may be due only after a pause.
@@ -37,11 +37,12 @@
 }
 
 // assumeConfirmedRelease is assumeOnlyRelease after a read of the registry. It refuses the request if
-// the registry may lack entries, because the store was away.
+// the registry may lack entries, because the store was away, or if servers of another release may have
+// come and gone unseen while the stream lasted.
 func (r *Router) assumeConfirmedRelease(req *request) bool {
 	req.origin.awaitsRegistry = false
 	switch {
-	case r.mayRelist():
+	case r.mayRelist() || r.registryGapAt != 0 && r.now.Sub(r.registryGapAt) < r.streamLives[req.service]:
 		r.refuseUnknownOrigin(req, originUnanswered)
 		return false
 	case !req.origin.named:
--- a/internal/router/releases.go
+++ b/internal/router/releases.go
@@ -80,6 +80,26 @@
 	}
 }
 
+// releasesPassed records the releases of servers that joined and left between two reads.
+func (r *Router) releasesPassed(servers []fleet.Backend) {
+	for _, b := range servers {
+		r.releaseLeft(b.Service, b.Release)
+	}
+}
+
+// releaseLeft records that a server of a release has left. It may be the last one: the next check takes
+// the release back that others have.
+func (r *Router) releaseLeft(service string, release fleet.Release) {
+	if r.streamLives[service] == 0 || !release.Known {
+		return
+	}
+	h := &r.service(service).releases
+	if h.gone == nil {
+		h.gone = map[fleet.Release]core.Time{}
+	}
+	h.gone[release], r.releasesChanged = r.now, true
+}
+
 // updateReleases compares the releases of the present servers with those before.
 func (r *Router) updateReleases(service string, h *releaseHistory, life time.Duration) {
 	if h.gone == nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -75,6 +75,9 @@
 	storeBackAt core.Time
 	// registryAsOf is the latest time at which the registry is known to have been as it is known here.
 	registryAsOf core.Time
+	// registryGapAt is when the registry was last read as a whole after the first time, 0 before: what
+	// came and went in between is not known.
+	registryGapAt core.Time
 	// awaitRegistry are the requests that wait for a read of the registry, in order of arrival.
 	awaitRegistry []Key
 	// storeAnsweredAt is when the store last answered this router or, according to received
@@ -250,6 +253,7 @@
 	case BackendsRestored:
 		r.restoreBackends(e.Backends)
 	case BackendsChanged:
+		r.releasesPassed(e.Passed)
 		r.changeBackends(e.Written, e.Removed)
 	case EvacuationsRead:
 		r.evacuationsRead(e.Zones)
