Router: a stop counts how long streams of plain services last

What callers could see (LOST): in a planned stop, a stream of a plain service that came late in the grace was passed on, and cut at the end of the grace.

Cause: the time that an answer of a plain service needs was taken from how soon it begins, which for a stream is its first event. Streams of engines counted whole already.

Change: a service's usual time from the first event to the end of a stream is learned from complete ones and counts, with the margin of other answers. What would not end in time is refused at once as not run; another host serves it.

A request that its server still works on at the end gets 502, so an answer. Tests of the router and of the harness pass.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -267,6 +267,7 @@
 			first: req.attempt.first, concurrent: req.attempt.concurrent,
 		})
 	}
+	r.learnStreaming(req)
 	r.lived(req)
 	r.dropHedge(req, leftSlower)
 	r.release(req, endedWhole)
--- a/internal/router/backend.go
+++ b/internal/router/backend.go
@@ -304,6 +304,17 @@
 	s.latency = average(s.latency, alone)
 }
 
+// learnStreaming learns from a complete answer how long the streams of a plain service last after their
+// first event.
+func (r *Router) learnStreaming(req *request) {
+	a := req.attempt
+	if req.route.Kind != fleet.Stream || !a.answered || req.prompt != nil && r.engine(req.service) != nil {
+		return
+	}
+	s := r.service(req.service)
+	s.streaming = average(s.streaming, r.now.Sub(a.at)-a.first)
+}
+
 func average(old, sample time.Duration) time.Duration {
 	if old == 0 {
 		return sample
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -167,9 +167,10 @@
 	// backoffRetries schedules the retries of callers that were refused because all servers
 	// want a backoff.
 	backoffRetries limit.RetrySchedule
-	// latency is the moving average over all servers of a plain service.
-	latency time.Duration
-	speed   speed
+	// latency is the moving average over all servers of a plain service, streaming that of the time
+	// from the first event of a stream to its end.
+	latency, streaming time.Duration
+	speed              speed
 	// work estimates how fast the engines read prompts. meanReading is the moving average
 	// of the time that reading a prompt takes.
 	work        work.Speed
--- a/internal/router/stop.go
+++ b/internal/router/stop.go
@@ -5,11 +5,12 @@
 
 	"nutmeglane.example/nutmeglane/internal/code"
 	"nutmeglane.example/nutmeglane/internal/core"
+	"nutmeglane.example/nutmeglane/internal/fleet"
 )
 
 // This file ends requests that a stopping process can't answer completely.
 
-// stopMargin is how many times its usual latency an answer of a plain service must have
+// stopMargin is how many times its usual duration an answer of a plain service must have
 // left before the process ends. A request that is refused is served by another host at
 // once; one that is cut midway has run, or may have.
 const stopMargin = 2
@@ -52,7 +53,11 @@
 func (r *Router) answerWithin(req *request) time.Duration {
 	s := r.service(req.service)
 	if req.prompt == nil || r.engine(req.service) == nil {
-		return max(req.route.Objective, stopMargin*s.latency)
+		within := max(req.route.Objective, stopMargin*s.latency)
+		if req.route.Kind == fleet.Stream {
+			within += stopMargin * s.streaming
+		}
+		return within
 	}
 	generating := s.speed.generating(req.prompt.Model)
 	if generating == 0 {
--- a/internal/router/stop_test.go
+++ b/internal/router/stop_test.go
@@ -6,6 +6,7 @@
 
 	"nutmeglane.example/nutmeglane/internal/code"
 	"nutmeglane.example/nutmeglane/internal/core"
+	"nutmeglane.example/nutmeglane/internal/fleet"
 )
 
 // A request waits for a model that takes long to load while its router gets SIGTERM. Guards
@@ -156,3 +157,26 @@
 		}
 	}
 }
+
+// Guards against a stream of a plain service that is begun late in a stop and cut at its end: how long
+// such streams last counts, and not only how soon they begin.
+func TestStopRefusesAPlainStreamThatWouldBeCut(t *testing.T) {
+	for lasts, want := range map[time.Duration]code.Code{500 * time.Millisecond: code.OK, 3 * time.Second: code.Draining} {
+		w := newPlainStreams(t)
+		for range 3 {
+			key := w.call("plain", nil)
+			attempt := w.lastSend(key).Attempt
+			w.now = w.now.Add(100 * time.Millisecond)
+			w.step(Answered{Key: key, Attempt: attempt, Answer: fleet.Answer{Status: 200}})
+			w.step(FirstEvent{Key: key, Attempt: attempt})
+			w.now = w.now.Add(lasts)
+			w.step(Done{Key: key, Attempt: attempt, End: AnswerEnd{Events: 5}})
+		}
+		w.step(Stopping{Until: w.now.Add(testBounds().Grace)})
+		w.run(3 * time.Second)
+		key := w.call("plain", nil)
+		if got := w.refusal(key); got != want || (got == code.OK) != (len(w.sends[key]) == 1) {
+			t.Errorf("streams of %v: ended with %v, sent %d times, want %v", lasts, got, len(w.sends[key]), want)
+		}
+	}
+}
