Framing and histories: a constant for the highest status, shared actions of streams

Read again before the landing: the two tests of random histories had the same four actions; the highest status has a name. No check has changed.

--- a/internal/framing/head.go
+++ b/internal/framing/head.go
@@ -3,17 +3,21 @@
 import (
 	"bytes"
 	"net/http"
+	"slices"
 	"strconv"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/net/http/httpguts"
 )
 
-// statusPrefix is how each status line begins, up to the minor version and the status.
-const statusPrefix = "HTTP/1."
-
-// statusDigits is the number of digits of a status.
-const statusDigits = 3
+const (
+	// statusPrefix is how each status line begins, up to the minor version and the status.
+	statusPrefix = "HTTP/1."
+	// statusDigits is the number of digits of a status.
+	statusDigits = 3
+	// maxStatus is the highest status (RFC 9110, section 15).
+	maxStatus = 599
+)
 
 // ErrMalformed means that bytes received are not the head of a response. What follows them can't be
 // read as one either.
@@ -65,7 +69,7 @@
 	switch {
 	case err != nil:
 		return 0, err
-	case status < http.StatusContinue || status > 599:
+	case status < http.StatusContinue || status > maxStatus:
 		return 0, malformed("status %03d", status)
 	case status == http.StatusSwitchingProtocols && !upgrade:
 		return 0, malformed("status 101 that was not asked for")
@@ -76,12 +80,12 @@
 // parseStatusLine returns the minor version and the status of a status line.
 func parseStatusLine(line []byte) (version byte, status int, err error) {
 	rest, found := bytes.CutPrefix(line, []byte(statusPrefix))
-	if !found || len(rest) < len("1 200") || !isDigit(rest[0]) || rest[1] != ' ' {
+	if !found || len(rest) < len("1 200") || isNoDigit(rest[0]) || rest[1] != ' ' {
 		return 0, 0, malformed("status line %.80q", line)
 	}
 	version, rest = rest[0], rest[2:]
 	digits, reason := rest[:statusDigits], rest[statusDigits:]
-	if bytes.ContainsFunc(digits, func(r rune) bool { return r < '0' || r > '9' }) || len(reason) > 0 && reason[0] != ' ' {
+	if slices.ContainsFunc(digits, isNoDigit) || len(reason) > 0 && reason[0] != ' ' {
 		return 0, 0, malformed("status line %.80q", line)
 	}
 	if !httpguts.ValidHeaderFieldValue(string(reason)) {
@@ -134,4 +138,4 @@
 	return bytes.TrimSuffix(line, []byte("\r")), rest
 }
 
-func isDigit(b byte) bool { return '0' <= b && b <= '9' }
+func isNoDigit(b byte) bool { return b < '0' || b > '9' }
--- a/internal/router/origin_fleet_test.go
+++ b/internal/router/origin_fleet_test.go
@@ -249,6 +249,26 @@
 	f.addServer(i, release)
 }
 
+// streamActions are the actions of histories in which streams begin, are taken up and go on at routers
+// that are drawn.
+func (f *originFleet) streamActions(router func() *originRouter) map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"begin": func(*rapid.T) { f.call(router(), "") },
+		"take up": func(t *rapid.T) {
+			if ids := slices.Sorted(maps.Keys(f.began)); len(ids) > 0 {
+				f.call(router(), rapid.SampledFrom(ids).Draw(t, "stream"))
+			}
+		},
+		"event": func(t *rapid.T) {
+			p := router()
+			if keys := slices.Sorted(maps.Keys(p.open)); len(keys) > 0 {
+				f.event(p, rapid.SampledFrom(keys).Draw(t, "key"))
+			}
+		},
+		"pass time": func(t *rapid.T) { f.settle(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond) },
+	}
+}
+
 // Guards against answers joined from two releases. Any router may be killed, answers may be lost or
 // late, all routers but one may have seen any older state of the registry, and one loader of four
 // may lose what it was told, again and again.
@@ -257,25 +277,13 @@
 		const engines = 4
 		f := newOriginFleet(t, 2, engines)
 		router := func() *originRouter { return rapid.SampledFrom(f.routers).Draw(t, "router") }
-		actions := map[string]func(*rapid.T){
-			"begin": func(*rapid.T) { f.call(router(), "") },
-			"take up": func(t *rapid.T) {
-				if ids := slices.Sorted(maps.Keys(f.began)); len(ids) > 0 {
-					f.call(router(), rapid.SampledFrom(ids).Draw(t, "stream"))
-				}
-			},
-			"event": func(t *rapid.T) {
-				p := router()
-				if keys := slices.Sorted(maps.Keys(p.open)); len(keys) > 0 {
-					f.event(p, rapid.SampledFrom(keys).Draw(t, "key"))
-				}
-			},
+		actions := f.streamActions(router)
+		maps.Copy(actions, map[string]func(*rapid.T){
 			"deliver": func(*rapid.T) { f.deliver(router()) },
 			"lose messages": func(*rapid.T) {
 				p := router()
 				p.toward, p.back = nil, nil
 			},
-			"pass time": func(t *rapid.T) { f.settle(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond) },
 			"kill a router": func(t *rapid.T) {
 				f.routers[rapid.IntRange(0, len(f.routers)-1).Draw(t, "which")] = f.startRouter()
 			},
@@ -286,7 +294,7 @@
 				f.settle(tickInterval)
 			},
 			"read the store": func(*rapid.T) { f.readStore(router()) },
-		}
+		})
 		t.Repeat(actions)
 	})
 }
--- a/internal/router/originregistry_test.go
+++ b/internal/router/originregistry_test.go
@@ -155,20 +155,8 @@
 		var changes []registryChange
 		known := map[*originRouter]int{}
 		router := func() *originRouter { return rapid.SampledFrom(f.routers).Draw(t, "router") }
-		t.Repeat(map[string]func(*rapid.T){
-			"begin": func(*rapid.T) { f.call(router(), "") },
-			"take up": func(t *rapid.T) {
-				if ids := slices.Sorted(maps.Keys(f.began)); len(ids) > 0 {
-					f.call(router(), rapid.SampledFrom(ids).Draw(t, "stream"))
-				}
-			},
-			"event": func(t *rapid.T) {
-				p := router()
-				if keys := slices.Sorted(maps.Keys(p.open)); len(keys) > 0 {
-					f.event(p, rapid.SampledFrom(keys).Draw(t, "key"))
-				}
-			},
-			"pass time": func(t *rapid.T) { f.settle(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond) },
+		actions := f.streamActions(router)
+		maps.Copy(actions, map[string]func(*rapid.T){
 			"replace a server": func(t *rapid.T) {
 				before := maps.Clone(f.servers)
 				f.replaceServer(rapid.IntRange(0, servers-1).Draw(t, "which"), rapid.SampledFrom([]fleet.Release{v1, v2}).Draw(t, "release"))
@@ -197,6 +185,7 @@
 				known[read.router] = read.upTo
 			},
 		})
+		t.Repeat(actions)
 		joined += f.continued
 	})
 	if joined == 0 {
